--- /dev/null
+++ b/root_test.go
@@ -0,0 +1,33 @@
+package sapphiredrum_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sapphiredrum.example/sapphiredrum"
+)
+
+func ExampleProgramID_Shard() {
+	shard := sapphiredrum.ShardID{Zone: "si-1", Number: 7}
+	program := sapphiredrum.NewProgramID(shard)
+	found, err := program.Shard()
+	fmt.Println(found, err)
+	// Output: si-1.7 <nil>
+}
+
+// A program's identifier gives back the shard that it was made for, and no
+// text makes the parser panic.
+func TestProgramShard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := rapid.StringMatching(`[a-z0-9_-]{1,12}`).Draw(t, "zone")
+		number := rapid.IntRange(0, sapphiredrum.ShardsPerZone-1).Draw(t, "number")
+		shard := sapphiredrum.ShardID{Zone: sapphiredrum.ZoneName(zone), Number: number}
+		found, err := sapphiredrum.NewProgramID(shard).Shard()
+		if err != nil || found != shard {
+			t.Fatalf("got %v, %v, want %v", found, err, shard)
+		}
+		_, _ = sapphiredrum.ProgramID(rapid.String().Draw(t, "text")).Shard()
+	})
+}
