--- a/test.sh
+++ b/test.sh
@@ -1,12 +1,26 @@
 #!/bin/bash
-# Runs every test with the race detector and fixed seeds. Tests listed in
+# Runs every test with the race detector and a fixed seed. SEED=0 draws fresh
+# seeds, CHECKS sets the number of cases of each property. Tests listed in
 # KNOWN-RED.txt run too; their failures are printed and passed over.
 set -eu
 cd "$(dirname "$0")"
+seed=${SEED:-1}
+checks=${CHECKS:-100}
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|' -)
+skip="^(${known:-none})\$"
+format='{{$p := .ImportPath}}{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$p}} {{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$p}} {{end}}{{end}}'
+fuzzed=$(go list -f "$format" ./... | tr ' ' '\n' | sort -u | sed '/^$/d')
+plain=$(go list ./... | grep -vxF "$fuzzed" || true)
+flags="-rapid.seed=$seed -rapid.checks=$checks -rapid.nofailfile"
 if [ -n "$known" ]; then
   echo "known red, passed over: $known"
-  go test -race -run "^($known)\$" ./... -rapid.seed=1 || true
-  exec go test -race -timeout 15m -skip "^($known)\$" ./...
+  go test -race -run "^($known)\$" ./... 2>&1 | grep -E '^(---|ok|FAIL)' || true
 fi
-exec go test -race -timeout 15m ./...
+status=0
+# shellcheck disable=SC2086
+go test -race -timeout 20m -skip "$skip" $fuzzed $flags || status=1
+if [ -n "$plain" ]; then
+  # shellcheck disable=SC2086
+  go test -race -timeout 20m -skip "$skip" $plain || status=1
+fi
+exit $status
