--- /dev/null
+++ b/scheduler/order.go
@@ -0,0 +1,97 @@
+package scheduler
+
+import "sapphiredrum.example/sapphiredrum"
+
+// Names of the orders, as Policy.Order gives them.
+const (
+	OrderAttained = "attained"
+	OrderWorking  = "working"
+	OrderShare    = "share"
+	OrderArrival  = "fcfs"
+)
+
+// Allowance is the service by which a workspace may exceed its weighted share
+// before its calls rank after those of the others in the same tier.
+const Allowance sapphiredrum.Tokens = 20000
+
+// OrderNamed returns the order with the given name; any other name gives
+// Working.
+func OrderNamed(name string) sapphiredrum.Orderer {
+	switch name {
+	case OrderAttained:
+		return Attained{}
+	case OrderShare:
+		return ShareFirst{}
+	case OrderArrival:
+		return Arrival{}
+	}
+	return Working{}
+}
+
+// Arrival serves calls first come, first served, whatever their tier.
+type Arrival struct{}
+
+// Before implements Orderer.
+func (Arrival) Before(_ sapphiredrum.Instant, a, b sapphiredrum.Waiting) bool {
+	return a.Since < b.Since
+}
+
+// Attained serves by tier, then the program with the least attained service.
+type Attained struct{}
+
+// Before implements Orderer.
+func (Attained) Before(_ sapphiredrum.Instant, a, b sapphiredrum.Waiting) bool {
+	if a.Tier != b.Tier {
+		return a.Tier < b.Tier
+	}
+	return leastAttained(a, b)
+}
+
+// Working serves by tier, then workspaces within their share, then calls whose
+// prefix the target holds, then the program with the least attained service.
+// So a target rotates no more programs than its memory holds.
+type Working struct{}
+
+// Before implements Orderer.
+func (Working) Before(_ sapphiredrum.Instant, a, b sapphiredrum.Waiting) bool {
+	if a.Tier != b.Tier {
+		return a.Tier < b.Tier
+	}
+	if beyond(a) != beyond(b) {
+		return beyond(b)
+	}
+	if holds(a) != holds(b) {
+		return holds(a)
+	}
+	return leastAttained(a, b)
+}
+
+// ShareFirst serves by tier, then the workspace that is furthest behind its
+// weighted share, then the program with the least attained service.
+type ShareFirst struct{}
+
+// Before implements Orderer.
+func (ShareFirst) Before(_ sapphiredrum.Instant, a, b sapphiredrum.Waiting) bool {
+	if a.Tier != b.Tier {
+		return a.Tier < b.Tier
+	}
+	if a.Workspace != b.Workspace && a.Excess != b.Excess {
+		return a.Excess < b.Excess
+	}
+	return leastAttained(a, b)
+}
+
+func leastAttained(a, b sapphiredrum.Waiting) bool {
+	if a.Attained != b.Attained {
+		return a.Attained < b.Attained
+	}
+	return a.Since < b.Since
+}
+
+func beyond(w sapphiredrum.Waiting) bool {
+	return w.Excess > Allowance
+}
+
+func holds(w sapphiredrum.Waiting) bool {
+	return w.Cached > 0 && 2*w.Cached >= w.Prompt
+}
