--- /dev/null
+++ b/granter/cells.go
@@ -0,0 +1,173 @@
+package granter
+
+import (
+	"context"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/follower"
+	"sapphiredrum.example/sapphiredrum/scheduler"
+)
+
+// poll is the reading of one target's load and cache events.
+type poll struct {
+	cell   scheduler.CellID
+	target sd.Target
+	epoch  sd.Epoch
+	model  bool
+	due    sd.Instant
+	busy   bool
+	events uint64
+}
+
+// tick opens and closes cells as shards come and go, and lets all decide.
+func (g *Granter) tick() {
+	config := g.parts.Config()
+	now := g.parts.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, c := range g.cells {
+		if epoch, held := g.parts.Locator.Holds(ShardOf(id)); !held || epoch != c.epoch {
+			c.dismiss()
+			delete(g.cells, id)
+		}
+	}
+	for _, id := range cellsOf(config, g.parts.Zone) {
+		if epoch, held := g.parts.Locator.Holds(ShardOf(id)); held {
+			g.open(id, epoch)
+		}
+	}
+	for id, c := range g.cells {
+		g.configure(now, config, id, c)
+		c.decide(now)
+	}
+}
+
+// open makes the cell of a held shard if it is not there.
+func (g *Granter) open(id scheduler.CellID, epoch sd.Epoch) {
+	if c := g.cells[id]; c != nil && c.epoch == epoch {
+		return
+	}
+	if c := g.cells[id]; c != nil {
+		c.dismiss()
+	}
+	config := g.parts.Config()
+	now := g.parts.Clock.Now()
+	c := &guarded{
+		cell:    scheduler.New(now, scheduler.Settings{Cell: id, Epoch: epoch, Policy: config.Sheet.Policy}),
+		epoch:   epoch,
+		waiters: make(map[sd.StreamID]chan scheduler.Decision),
+		polls:   make(map[sd.TargetID]*poll),
+	}
+	g.cells[id] = c
+	g.configure(now, config, id, c)
+}
+
+// configure tells a cell its targets and which of them take no new work.
+func (g *Granter) configure(now sd.Instant, config *follower.Config, id scheduler.CellID, c *guarded) {
+	zone, _ := config.Zone(id.Zone)
+	out := zone.Leaves(g.parts.Clock.Today())
+	var members []scheduler.Member
+	c.targets = c.targets[:0]
+	for _, t := range config.Targets(id.Zone, id.Group) {
+		if NumberOf(t.ID, config.Sheet.Policy.Cells) != id.Number {
+			continue
+		}
+		members = append(members, scheduler.Member{Target: t, Leaving: g.parts.Leaving(t.Address), Out: out})
+		c.targets = append(c.targets, t)
+		g.watch(config, id, c, t)
+	}
+	c.cell.SetTargets(now, members)
+}
+
+// watch sets up the reading of a target's load.
+func (g *Granter) watch(config *follower.Config, id scheduler.CellID, c *guarded, t sd.Target) {
+	if p := c.polls[t.ID]; p != nil && p.target.Address == t.Address {
+		return
+	}
+	c.polls[t.ID] = &poll{cell: id, target: t, epoch: c.epoch, model: servesModels(config, t.Group)}
+}
+
+// dismiss answers everyone who waits at a cell that this host no longer guards.
+func (c *guarded) dismiss() {
+	for call, waiter := range c.waiters {
+		refusal := sd.Refuse(sd.KeeperMoving, movePause, "the target's guard is moving to another host")
+		waiter <- scheduler.Refused{Call: call, Refusal: refusal}
+	}
+	c.waiters = nil
+}
+
+// duePolls returns the readings that are due and marks them as under way.
+func (g *Granter) duePolls() []*poll {
+	now := g.parts.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var due []*poll
+	for _, c := range g.cells {
+		for _, t := range c.targets {
+			p := c.polls[t.ID]
+			if p == nil || p.busy || now < p.due {
+				continue
+			}
+			p.busy, p.due = true, now.Add(pollInterval)
+			due = append(due, p)
+		}
+	}
+	return due
+}
+
+// poll reads a target's load, and an engine's cache events, into its cell.
+func (g *Granter) poll(ctx context.Context, p *poll) {
+	attempt, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
+	defer cancel()
+	engine := g.parts.Targets.Engine(p.target)
+	load, err := engine.Load(attempt)
+	var events []sd.CacheEvent
+	if err == nil && p.model {
+		events, _ = engine.Events(attempt, p.events)
+	}
+	now := g.parts.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.busy = false
+	c := g.cells[p.cell]
+	if err != nil || c == nil || c.epoch != p.epoch {
+		return
+	}
+	load.Target = p.target.ID
+	c.cell.Report(now, load)
+	if len(events) > 0 {
+		p.events = events[len(events)-1].Number
+		c.cell.CacheEvents(now, p.target.ID, events)
+	}
+	c.decide(now)
+}
+
+// cellsOf lists the cells of an availability zone.
+func cellsOf(config *follower.Config, zone sd.ZoneName) []scheduler.CellID {
+	var cells []scheduler.CellID
+	seen := make(map[scheduler.CellID]bool)
+	for _, t := range config.Sheet.Targets {
+		id := scheduler.CellID{Group: t.Group, Zone: zone, Number: NumberOf(t.ID, config.Sheet.Policy.Cells)}
+		if t.Zone != zone || seen[id] {
+			continue
+		}
+		seen[id] = true
+		cells = append(cells, id)
+	}
+	return cells
+}
+
+// servesModels reports whether a group is that of a model route.
+func servesModels(config *follower.Config, group sd.GroupName) bool {
+	for _, r := range config.Sheet.Routes {
+		if r.Group == group {
+			return r.Kind == sd.ModelRoute
+		}
+	}
+	return false
+}
+
+const (
+	pollInterval = 250 * sd.Millisecond
+	pollTimeout  = sd.Second
+)
--- /dev/null
+++ b/granter/granter.go
@@ -0,0 +1,200 @@
+package granter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/follower"
+	"sapphiredrum.example/sapphiredrum/messenger"
+	"sapphiredrum.example/sapphiredrum/scheduler"
+	"sapphiredrum.example/sapphiredrum/worker"
+)
+
+// Parts are what a Granter works with.
+type Parts struct {
+	Zone    sd.ZoneName
+	Locator sd.Locator
+	Config  func() *follower.Config
+	// Leaving reports whether the platform lists an address as leaving.
+	Leaving func(address sd.Address) bool
+	Targets sd.Targets
+	Clock   sd.Clock
+}
+
+// Granter guards the cells of the shards that this host holds. New makes one.
+type Granter struct {
+	parts Parts
+
+	// mu guards cells and everything in them.
+	mu    sync.Mutex
+	cells map[scheduler.CellID]*guarded
+}
+
+// guarded is a cell with the requests that wait for its decisions.
+type guarded struct {
+	cell    *scheduler.Cell
+	epoch   sd.Epoch
+	targets []sd.Target
+	waiters map[sd.StreamID]chan scheduler.Decision
+	polls   map[sd.TargetID]*poll
+}
+
+// New returns a granter without cells.
+func New(parts Parts) *Granter {
+	return &Granter{parts: parts, cells: make(map[scheduler.CellID]*guarded)}
+}
+
+// Register adds the guard's messages to a router.
+func (g *Granter) Register(router messenger.Router) {
+	messenger.Handle(router, "permit", g.permit)
+	messenger.Handle(router, "done", func(_ context.Context, r doneReport) (nothing, error) {
+		g.done(r)
+		return nothing{}, nil
+	})
+	messenger.Handle(router, "withdraw", func(_ context.Context, w withdrawal) (nothing, error) {
+		g.withdraw(w)
+		return nothing{}, nil
+	})
+	messenger.Handle(router, "renew", func(_ context.Context, r renewal) (nothing, error) {
+		g.renew(r)
+		return nothing{}, nil
+	})
+}
+
+// Run keeps the cells up to date until ctx ends.
+func (g *Granter) Run(ctx context.Context) error {
+	group := worker.NewGroup(ctx)
+	defer group.Close()
+	ticker := time.NewTicker(tickInterval.Duration())
+	defer ticker.Stop()
+	for {
+		g.tick()
+		for _, p := range g.duePolls() {
+			group.Go("poll", func(ctx context.Context) error { g.poll(ctx, p); return nil })
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// permit answers a request for a permit when its cell has decided.
+func (g *Granter) permit(ctx context.Context, r permitRequest) (Permit, error) {
+	decided, refusal := g.enter(r)
+	if refusal != nil {
+		return Permit{}, refusal
+	}
+	select {
+	case <-ctx.Done():
+		g.withdraw(withdrawal{Cell: r.Cell, Call: r.Request.Call})
+		return Permit{}, sd.Refuse(sd.CallCancelled, 0, "the call was given up while it waited")
+	case decision := <-decided:
+		return permitOf(r.Cell, decision)
+	}
+}
+
+// permitOf turns a decision into the answer of a request.
+func permitOf(cell scheduler.CellID, decision scheduler.Decision) (Permit, error) {
+	switch d := decision.(type) {
+	case scheduler.Granted:
+		return Permit{Cell: cell, Number: d.Permit, Target: d.Target, Fence: d.Fence}, nil
+	case scheduler.Refused:
+		return Permit{}, d.Refusal
+	}
+	return Permit{}, sd.Refuse(sd.KeeperMoving, movePause, "the target's guard is moving to another host")
+}
+
+// enter puts a request into its cell's queue.
+func (g *Granter) enter(r permitRequest) (chan scheduler.Decision, *sd.Refusal) {
+	epoch, held := g.parts.Locator.Holds(ShardOf(r.Cell))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if held {
+		g.open(r.Cell, epoch)
+	}
+	c := g.cells[r.Cell]
+	if !held || c == nil || c.epoch != epoch {
+		return nil, sd.Refuse(sd.KeeperMoving, movePause, "the target's guard is moving to another host")
+	}
+	now := g.parts.Clock.Now()
+	r.Request.Deadline = now.Add(r.Left)
+	decided := make(chan scheduler.Decision, 1)
+	c.waiters[r.Request.Call] = decided
+	if verdict := c.cell.Ask(now, r.Request); verdict.Refusal != nil {
+		delete(c.waiters, r.Request.Call)
+		return nil, verdict.Refusal
+	}
+	c.decide(now)
+	return decided, nil
+}
+
+// withdraw takes a call back from its cell.
+func (g *Granter) withdraw(w withdrawal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.cells[w.Cell]
+	if c == nil {
+		return
+	}
+	delete(c.waiters, w.Call)
+	now := g.parts.Clock.Now()
+	c.cell.Withdraw(now, w.Call)
+	c.decide(now)
+}
+
+// done ends a permit of the current guard; one of an earlier epoch is no longer
+// on this guard's books.
+func (g *Granter) done(r doneReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.cells[r.Permit.Cell]
+	if c == nil || c.epoch != r.Permit.Fence {
+		return
+	}
+	now := g.parts.Clock.Now()
+	c.cell.Done(now, r.Permit.Number, r.Usage)
+	c.decide(now)
+}
+
+// renew keeps permits alive.
+func (g *Granter) renew(r renewal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.cells[r.Cell]; c != nil && c.epoch == r.Fence {
+		c.cell.Renew(g.parts.Clock.Now(), r.Permits)
+	}
+}
+
+// decide makes the cell's decisions and passes them to those who wait.
+func (c *guarded) decide(now sd.Instant) {
+	for _, decision := range c.cell.Tick(now) {
+		call := callOf(decision)
+		waiter := c.waiters[call]
+		if waiter == nil {
+			c.cell.Withdraw(now, call)
+			continue
+		}
+		delete(c.waiters, call)
+		waiter <- decision
+	}
+}
+
+// callOf returns the call that a decision is about.
+func callOf(decision scheduler.Decision) sd.StreamID {
+	switch d := decision.(type) {
+	case scheduler.Granted:
+		return d.Call
+	case scheduler.Refused:
+		return d.Call
+	}
+	return ""
+}
+
+const (
+	tickInterval = 20 * sd.Millisecond
+	movePause    = 200 * sd.Millisecond
+)
--- a/sheet.go
+++ b/sheet.go
@@ -111,6 +111,9 @@
 	Keep Millis
 	// Queue bounds the time that a call may be expected to wait before it is refused early.
 	Queue Millis
+	// Cells is the number of guards that share a group's targets in an
+	// availability zone; zero counts as 1.
+	Cells int
 }
 
 // Workspace returns the workspace with the given id.
