--- /dev/null
+++ b/keeper/copies.go
@@ -0,0 +1,106 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+
+	root "sapphiredrum.example/sapphiredrum"
+)
+
+// Peer names one process that holds copies. A restarted process is another peer,
+// since it has forgotten what it held and which shards it had sealed.
+type Peer struct {
+	Host        root.HostID
+	Incarnation root.Incarnation
+}
+
+// Copies holds the records of other hosts' shards until they are durable. The
+// process must hold its own host lease while it accepts any.
+type Copies struct {
+	// Bound limits what is held.
+	Bound  root.Bytes
+	held   root.Bytes
+	shards map[root.ShardID]*copied
+}
+
+// copied is what is held for one shard.
+type copied struct {
+	// sealed is the lowest epoch whose records are still accepted.
+	sealed  root.Epoch
+	records []Record
+}
+
+// Hold keeps records of the shard's owner of the given epoch. It refuses all of
+// them as KeeperMoving after a later owner has sealed the shard, and as
+// Overloaded when they do not fit.
+func (c *Copies) Hold(shard root.ShardID, epoch root.Epoch, records []Record) error {
+	h := c.shard(shard)
+	if epoch < h.sealed {
+		return root.Refuse(root.KeeperMoving, 0, "a later owner has taken the shard over")
+	}
+	var size root.Bytes
+	for i := range records {
+		size += records[i].Size()
+	}
+	if c.held+size > c.Bound {
+		return root.Refuse(root.Overloaded, root.Second, "no room for copies")
+	}
+	c.held += size
+	h.records = append(h.records, records...)
+	return nil
+}
+
+// Seal refuses the owners before epoch from now on and returns what is held.
+// Repeating it is harmless. The records stay until Drop.
+func (c *Copies) Seal(shard root.ShardID, epoch root.Epoch) []Record {
+	h := c.shard(shard)
+	h.sealed = max(h.sealed, epoch)
+	return slices.Clone(h.records)
+}
+
+// Drop removes the tree's records up to number and of epochs up to the given
+// one: they are durable.
+func (c *Copies) Drop(shard root.ShardID, tree root.ProgramID, epoch root.Epoch, number uint64) {
+	h := c.shard(shard)
+	h.records = slices.DeleteFunc(h.records, func(r Record) bool {
+		drop := r.Tree == tree && r.Epoch <= epoch && r.Number <= number
+		if drop {
+			c.held -= r.Size()
+		}
+		return drop
+	})
+}
+
+// Held returns the memory in use.
+func (c *Copies) Held() root.Bytes {
+	return c.held
+}
+
+// Forget drops what is held for shards that no live owner answers for. It keeps
+// the seals.
+func (c *Copies) Forget(shard root.ShardID) {
+	h := c.shard(shard)
+	for i := range h.records {
+		c.held -= h.records[i].Size()
+	}
+	h.records = nil
+}
+
+// Shards returns the shards with copies.
+func (c *Copies) Shards() []root.ShardID {
+	shards := slices.Collect(maps.Keys(c.shards))
+	slices.SortFunc(shards, compareShards)
+	return slices.DeleteFunc(shards, func(s root.ShardID) bool { return len(c.shards[s].records) == 0 })
+}
+
+func (c *Copies) shard(shard root.ShardID) *copied {
+	if c.shards == nil {
+		c.shards = make(map[root.ShardID]*copied)
+	}
+	h := c.shards[shard]
+	if h == nil {
+		h = &copied{}
+		c.shards[shard] = h
+	}
+	return h
+}
