--- /dev/null
+++ b/leaser/deadline.go
@@ -0,0 +1,26 @@
+package leaser
+
+import "sapphiredrum.example/sapphiredrum"
+
+// Deadline returns the instant before which the host's shards are its own
+// unless it learns otherwise: the end of its lease, or, under the island rule,
+// the end of the longest silence that the rule allows. It is zero for a host
+// that holds nothing.
+func (s *State) Deadline(now sapphiredrum.Instant) sapphiredrum.Instant {
+	s.advance(now)
+	if !s.lease.registered || s.lease.stopped {
+		return 0
+	}
+	end := s.lease.sent.Add(s.settings.TTL)
+	if now >= end {
+		return now.Add(s.gap())
+	}
+	return end
+}
+
+// Deadline returns the instant before which this host's shards are its own.
+func (r *Runner) Deadline() sapphiredrum.Instant {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.state.Deadline(r.clock.Now())
+}
