--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -79,13 +79,13 @@
 	if beat.Released > s.view.shardScan.reached && (!found || beat.Released > known.beat.Released) {
 		s.view.hostScan.next, s.view.shardScan.next = now, now
 	}
-	s.reconcile()
 }
 
 // advance moves the state to now: it ends the lease when its time has come.
 func (s *State) advance(now sapphiredrum.Instant) {
-	if s.lease.registered && now >= s.lease.sent.Add(s.settings.TTL) && !s.island(now) {
+	if s.lease.registered && !s.lease.stopped && now >= s.lease.sent.Add(s.settings.TTL) && !s.island(now) {
 		s.lease.stopped = true
+		s.reconcile()
 	}
 	for name, p := range s.peers {
 		if now.Since(p.heard) > s.settings.TTL {
--- a/leaser/runner.go
+++ b/leaser/runner.go
@@ -31,6 +31,8 @@
 	clock  sapphiredrum.Clock
 	logger *zap.Logger
 	relay  Relay
+	// limit bounds one request; the state gives it up after the same time.
+	limit sapphiredrum.Millis
 
 	// mutex guards state, queue and reached.
 	mutex   sync.Mutex
@@ -57,7 +59,7 @@
 func NewRunner(settings Settings, table sapphiredrum.Table, clock sapphiredrum.Clock, logger *zap.Logger, relay Relay) *Runner {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Runner{
-		table: table, clock: clock, logger: logger, relay: relay,
+		table: table, clock: clock, logger: logger, relay: relay, limit: settings.TTL / 3,
 		state: New(settings, clock.Now()),
 		wake:  make(chan struct{}, 1), ready: make(chan struct{}, 1), events: make(chan Event),
 		stop: stop, ctx: ctx, started: make(chan struct{}), done: make(chan struct{}),
@@ -212,6 +214,8 @@
 
 // perform does one request and hands its answer to the state.
 func (r *Runner) perform(ctx context.Context, request Request) {
+	ctx, cancel := context.WithTimeout(ctx, r.limit.Duration())
+	defer cancel()
 	var result Result
 	var err error
 	switch q := request.(type) {
--- a/leaser/state.go
+++ b/leaser/state.go
@@ -97,7 +97,6 @@
 // fencing number. It checks the lease against the clock.
 func (s *State) Holds(now sapphiredrum.Instant, shard sapphiredrum.ShardID) (sapphiredrum.Epoch, bool) {
 	s.advance(now)
-	s.reconcile()
 	if shard.Zone != s.settings.Zone || !s.effective(shard.Number) {
 		return 0, false
 	}
@@ -137,7 +136,6 @@
 	s.advance(now)
 	s.leaving = true
 	s.writer.retry = now
-	s.reconcile()
 }
 
 // Drained reports whether the host that leaves has nothing left to hand over.
--- a/leaser/view.go
+++ b/leaser/view.go
@@ -43,7 +43,7 @@
 	// fresh tells that a scan begun after the last conflict has succeeded.
 	fresh bool
 	lane  lane
-	next     sapphiredrum.Instant
+	next  sapphiredrum.Instant
 }
 
 // lane holds the one request of a kind that is in flight.
--- a/leaser/writer.go
+++ b/leaser/writer.go
@@ -149,7 +149,7 @@
 
 // apply records that an attempt took effect in the given commit.
 func (s *State) apply(now sapphiredrum.Instant, a attempt, sequence sapphiredrum.Sequence) {
-	s.writer.attempts, s.writer.unsettled = nil, false
+	s.writer.attempts, s.writer.unsettled, s.writer.lane.busy = nil, false, false
 	for _, write := range a.transaction.Writes {
 		row := sapphiredrum.Row{
 			Key: write.Key, Version: write.Expect + 1, Sequence: sequence,
