--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -28,9 +28,22 @@
 	// sealed is the lowest epoch whose records are still accepted.
 	sealed  root.Epoch
 	records []Record
+	known   map[position]bool
 }
 
-// Hold keeps records of the shard's owner of the given epoch. It refuses all of
+// position identifies a record of a shard.
+type position struct {
+	tree   root.ProgramID
+	epoch  root.Epoch
+	number uint64
+}
+
+func (r *Record) position() position {
+	return position{tree: r.Tree, epoch: r.Epoch, number: r.Number}
+}
+
+// Hold keeps records of the shard's owner of the given epoch; those that are held
+// already count once. It refuses all of
 // them as KeeperMoving after a later owner has sealed the shard, and as
 // Overloaded when they do not fit.
 func (c *Copies) Hold(shard root.ShardID, epoch root.Epoch, records []Record) error {
@@ -40,13 +53,20 @@
 	}
 	var size root.Bytes
 	for i := range records {
-		size += records[i].Size()
+		if !h.known[records[i].position()] {
+			size += records[i].Size()
+		}
 	}
 	if c.held+size > c.Bound {
 		return root.Refuse(root.Overloaded, root.Second, "no room for copies")
 	}
 	c.held += size
-	h.records = append(h.records, records...)
+	for i := range records {
+		if r := &records[i]; !h.known[r.position()] {
+			h.known[r.position()] = true
+			h.records = append(h.records, *r)
+		}
+	}
 	return nil
 }
 
@@ -61,13 +81,26 @@
 // Drop removes the tree's records up to number and of epochs up to the given
 // one: they are durable.
 func (c *Copies) Drop(shard root.ShardID, tree root.ProgramID, epoch root.Epoch, number uint64) {
+	c.remove(shard, func(r *Record) bool {
+		return r.Tree == tree && r.Epoch <= epoch && r.Number <= number
+	})
+}
+
+// Clear removes the records of owners before epoch: that owner has stored the
+// whole shard itself.
+func (c *Copies) Clear(shard root.ShardID, epoch root.Epoch) {
+	c.remove(shard, func(r *Record) bool { return r.Epoch < epoch })
+}
+
+func (c *Copies) remove(shard root.ShardID, drops func(r *Record) bool) {
 	h := c.shard(shard)
 	h.records = slices.DeleteFunc(h.records, func(r Record) bool {
-		drop := r.Tree == tree && r.Epoch <= epoch && r.Number <= number
-		if drop {
-			c.held -= r.Size()
+		if !drops(&r) {
+			return false
 		}
-		return drop
+		c.held -= r.Size()
+		delete(h.known, r.position())
+		return true
 	})
 }
 
@@ -76,16 +109,6 @@
 	return c.held
 }
 
-// Forget drops what is held for shards that no live owner answers for. It keeps
-// the seals.
-func (c *Copies) Forget(shard root.ShardID) {
-	h := c.shard(shard)
-	for i := range h.records {
-		c.held -= h.records[i].Size()
-	}
-	h.records = nil
-}
-
 // Shards returns the shards with copies.
 func (c *Copies) Shards() []root.ShardID {
 	shards := slices.Collect(maps.Keys(c.shards))
@@ -99,7 +122,7 @@
 	}
 	h := c.shards[shard]
 	if h == nil {
-		h = &copied{}
+		h = &copied{known: make(map[position]bool)}
 		c.shards[shard] = h
 	}
 	return h
--- a/keeper/finish.go
+++ b/keeper/finish.go
@@ -91,7 +91,7 @@
 	if model {
 		r.Messages = c.call.Messages
 		if result.Prompt > 0 {
-			r.Known = result.Prompt + result.Completion
+			r.Known = result.Prompt + result.Completion + messageTokens
 		}
 	}
 	r.Head = p.Head.next(r.Call, r.Digest, r.Messages, r.Answer)
--- a/keeper/shelf.go
+++ b/keeper/shelf.go
@@ -113,17 +113,18 @@
 	return idle
 }
 
-// Image returns the shard's state as one record a tree, for a checkpoint.
-func (s *Shelf) Image(shard root.ShardID) []Record {
+// Image returns the shard's state as one record a tree, for a checkpoint, and
+// the epoch that the shelf keeps it under; epoch 0 means that it does not.
+func (s *Shelf) Image(shard root.ShardID) (root.Epoch, []Record) {
 	h := s.shards[shard]
 	if h == nil {
-		return nil
+		return 0, nil
 	}
 	records := make([]Record, 0, len(h.trees))
 	for _, id := range slices.Sorted(maps.Keys(h.trees)) {
 		records = append(records, h.trees[id].image())
 	}
-	return records
+	return h.epoch, records
 }
 
 // image returns the tree's state; it shares the histories, which only grow.
