--- a/connector/answer.go
+++ b/connector/answer.go
@@ -13,6 +13,7 @@
 
 // answer reads the server-sent events of a streamed answer.
 type answer struct {
+	stream sapphiredrum.StreamID
 	body   io.ReadCloser
 	reader *bufio.Reader
 	cancel context.CancelFunc
@@ -23,8 +24,9 @@
 
 // chunk is one event of a streamed answer.
 type chunk struct {
-	Offset  *sapphiredrum.Tokens `json:"offset"`
-	Count   *sapphiredrum.Tokens `json:"count"`
+	ID      sapphiredrum.StreamID `json:"id"`
+	Offset  *sapphiredrum.Tokens  `json:"offset"`
+	Count   *sapphiredrum.Tokens  `json:"count"`
 	Choices []struct {
 		Delta completionMessage `json:"delta"`
 	} `json:"choices"`
@@ -43,9 +45,9 @@
 	maxLine   = 1 << 20
 )
 
-// newAnswer reads a body whose first token has the given offset.
-func newAnswer(body io.ReadCloser, cancel context.CancelFunc, offset sapphiredrum.Tokens) *answer {
-	return &answer{body: body, reader: bufio.NewReader(body), cancel: cancel, offset: offset}
+// newAnswer reads a stream's body whose first token has the given offset.
+func newAnswer(stream sapphiredrum.StreamID, body io.ReadCloser, cancel context.CancelFunc, offset sapphiredrum.Tokens) *answer {
+	return &answer{stream: stream, body: body, reader: bufio.NewReader(body), cancel: cancel, offset: offset}
 }
 
 // Next returns the next piece. When ctx ends, so does the answer.
@@ -83,8 +85,8 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return sapphiredrum.Piece{}, sapphiredrum.BrokenAnswer.Wrap(err, "the event at offset %d does not parse", a.offset)
 	}
-	if c.Offset == nil || c.Count == nil || len(c.Choices) != 1 || *c.Offset != a.offset || *c.Count < 0 {
-		return sapphiredrum.Piece{}, sapphiredrum.BrokenAnswer.New("the event at offset %d does not follow", a.offset)
+	if !a.follows(c) {
+		return sapphiredrum.Piece{}, sapphiredrum.BrokenAnswer.New("the event at offset %d of stream %q does not follow", a.offset, a.stream)
 	}
 	a.offset += *c.Count
 	return sapphiredrum.Piece{
@@ -96,6 +98,13 @@
 	}, nil
 }
 
+// follows reports whether a chunk is the answer's next one. An answer of another
+// stream, crossed with this one, does not.
+func (a *answer) follows(c chunk) bool {
+	return c.ID == a.stream && c.Offset != nil && c.Count != nil && len(c.Choices) == 1 &&
+		*c.Offset == a.offset && *c.Count >= 0
+}
+
 // event returns the data of the next event. An event counts only with the empty
 // line that ends it, so that one cut inside is not taken for whole.
 func (a *answer) event() ([]byte, error) {
--- a/connector/engine.go
+++ b/connector/engine.go
@@ -65,13 +65,13 @@
 	header.Set(streamHeader, string(call.Stream))
 	header.Set(programHeader, string(call.Program))
 	header.Set(fenceHeader, strconv.FormatUint(uint64(call.Fence), 10))
-	return e.stream(ctx, order{method: http.MethodPost, target: "/v1/chat/completions", header: header, body: data}, 0)
+	return e.stream(ctx, order{method: http.MethodPost, target: "/v1/chat/completions", header: header, body: data}, call.Stream, 0)
 }
 
 // Resume continues a stream. The context bounds the whole answer.
 func (e *Engine) Resume(ctx context.Context, stream sapphiredrum.StreamID, offset sapphiredrum.Tokens) (sapphiredrum.Answer, error) {
 	target := "/streams/" + url.PathEscape(string(stream)) + "?offset=" + strconv.FormatInt(int64(offset), 10)
-	answer, err := e.stream(ctx, order{method: http.MethodGet, target: target}, offset)
+	answer, err := e.stream(ctx, order{method: http.MethodGet, target: target}, stream, offset)
 	return answer, settle(err)
 }
 
@@ -101,7 +101,7 @@
 }
 
 // stream sends an order whose successful answer is a stream of events.
-func (e *Engine) stream(ctx context.Context, o order, offset sapphiredrum.Tokens) (sapphiredrum.Answer, error) {
+func (e *Engine) stream(ctx context.Context, o order, stream sapphiredrum.StreamID, offset sapphiredrum.Tokens) (sapphiredrum.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	o.address = e.Address
 	response, err := e.Pool.send(ctx, o)
@@ -113,7 +113,7 @@
 		defer cancel()
 		return nil, failure(response)
 	}
-	return newAnswer(response.Body, cancel, offset), nil
+	return newAnswer(stream, response.Body, cancel, offset), nil
 }
 
 // exchange sends a body as JSON and reads the answer's JSON unless answer is nil.
--- a/connector/platform.go
+++ b/connector/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -145,7 +144,7 @@
 		return nil, failure(response)
 	}
 	defer response.Body.Close()
-	value, err := io.ReadAll(response.Body)
+	value, err := whole(response, 0)
 	if err != nil {
 		return nil, sapphiredrum.Uncertain.Wrap(err, "%s %s: the answer was cut", o.method, o.target)
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -114,6 +114,9 @@
 	}
 	request.Body = io.NopCloser(bytes.NewReader(o.body))
 	request.ContentLength = int64(len(o.body))
+	// A body that a faulty server sends after HEAD must not be read as the answer
+	// to another request.
+	request.Close = o.method == http.MethodHead
 	return request, nil
 }
 
--- a/connector/service.go
+++ b/connector/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/textproto"
 	"sort"
@@ -51,16 +50,9 @@
 
 // read returns a response as a whole answer.
 func (s *Service) read(response *http.Response) (sapphiredrum.ServiceAnswer, error) {
-	var reader io.Reader = response.Body
-	if s.Limit > 0 {
-		reader = io.LimitReader(reader, int64(s.Limit)+1)
-	}
-	body, err := io.ReadAll(reader)
+	body, err := whole(response, s.Limit)
 	if err != nil {
-		return sapphiredrum.ServiceAnswer{}, sapphiredrum.BrokenAnswer.Wrap(err, "the answer was cut after %d bytes", len(body))
-	}
-	if s.Limit > 0 && len(body) > int(s.Limit) {
-		return sapphiredrum.ServiceAnswer{}, sapphiredrum.BrokenAnswer.New("the answer is longer than %d bytes", s.Limit)
+		return sapphiredrum.ServiceAnswer{}, sapphiredrum.BrokenAnswer.Wrap(err, "status %d", response.StatusCode)
 	}
 	return sapphiredrum.ServiceAnswer{Status: response.StatusCode, Headers: lines(response.Header), Body: body}, nil
 }
--- a/faker/batch.go
+++ b/faker/batch.go
@@ -89,10 +89,10 @@
 	}
 	s.state = streamFinished
 	e.counters.Finished++
-	e.leave(s)
 	history := append([]sapphiredrum.Message(nil), s.call.Messages...)
 	history = append(history, sapphiredrum.Message{Role: Role, Content: span(s.digest, 0, s.length)})
 	e.hold(s.call.Program, history)
+	e.leave(s)
 	e.fill()
 }
 
@@ -136,7 +136,7 @@
 		e.counters.Cached += s.cached
 		b.running = append(b.running, s)
 		e.hold(s.call.Program, s.call.Messages)
-		e.memory.pin(s.call.Program, 1)
+		e.memory.pin(s.call.Program)
 		crowding := e.crowding()
 		s.due = b.at + crowding*(float64(e.settings.Prefill)*float64(s.prompt-s.cached)+float64(e.settings.Token))
 	}
@@ -146,7 +146,7 @@
 // leave takes a stream that ended out of the batch.
 func (e *Engine) leave(s *stream) {
 	e.batch.remove(s)
-	e.memory.pin(s.call.Program, -1)
+	e.evicted(e.memory.unpin(s.call.Program))
 	s.ended = e.clock.Now()
 	e.ended = append(e.ended, s)
 }
--- a/faker/engineweb.go
+++ b/faker/engineweb.go
@@ -129,7 +129,11 @@
 	if err != nil {
 		return err
 	}
-	stream := sapphiredrum.StreamID(c.Param("stream"))
+	name, err := parameter(c, "stream")
+	if err != nil {
+		return err
+	}
+	stream := sapphiredrum.StreamID(name)
 	answer, err := w.engine.Resume(c.Request().Context(), stream, sapphiredrum.Tokens(offset))
 	if err != nil {
 		return err
@@ -139,7 +143,11 @@
 
 // cancel serves POST /streams/ID/cancel.
 func (w *engineWeb) cancel(c echo.Context) error {
-	if err := w.engine.Cancel(detached(c), sapphiredrum.StreamID(c.Param("stream"))); err != nil {
+	stream, err := parameter(c, "stream")
+	if err != nil {
+		return err
+	}
+	if err := w.engine.Cancel(detached(c), sapphiredrum.StreamID(stream)); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
--- a/faker/memory.go
+++ b/faker/memory.go
@@ -11,16 +11,17 @@
 	limit  sapphiredrum.Tokens
 	held   sapphiredrum.Tokens
 	prefix map[sapphiredrum.ProgramID]*prefix
-	uses   uint64
+	// pins counts the running calls of each program; their prefixes stay.
+	pins map[sapphiredrum.ProgramID]int
+	uses uint64
 }
 
 // prefix is what an engine holds of a program.
 type prefix struct {
 	// chains holds the digest and tokens after each message held.
 	chains []chain
-	// used orders prefixes by their last use; pinned ones belong to running calls.
-	used   uint64
-	pinned int
+	// used orders prefixes by their last use.
+	used uint64
 }
 
 // chain is the state of a history after one of its messages.
@@ -72,11 +73,21 @@
 	return m.evict(program)
 }
 
-// pin changes the number of running calls of a program.
-func (m *memory) pin(program sapphiredrum.ProgramID, change int) {
-	if p, found := m.prefix[program]; found {
-		p.pinned = max(p.pinned+change, 0)
+// pin counts a running call of a program.
+func (m *memory) pin(program sapphiredrum.ProgramID) {
+	if m.pins == nil {
+		m.pins = make(map[sapphiredrum.ProgramID]int)
 	}
+	m.pins[program]++
+}
+
+// unpin counts the end of a running call and returns the programs dropped.
+func (m *memory) unpin(program sapphiredrum.ProgramID) []sapphiredrum.ProgramID {
+	m.pins[program]--
+	if m.pins[program] <= 0 {
+		delete(m.pins, program)
+	}
+	return m.evict("")
 }
 
 // drop forgets a program and reports whether it was held.
@@ -90,7 +101,7 @@
 }
 
 // evict drops the least recently used prefixes that no call pins until the rest
-// fits, the one just stored last.
+// fits, sparing the one just stored.
 func (m *memory) evict(stored sapphiredrum.ProgramID) []sapphiredrum.ProgramID {
 	var dropped []sapphiredrum.ProgramID
 	for m.limit > 0 && m.held > m.limit {
@@ -109,7 +120,7 @@
 	var victim sapphiredrum.ProgramID
 	var found *prefix
 	for program, p := range m.prefix {
-		if p.pinned > 0 || program == stored {
+		if m.pins[program] > 0 || program == stored {
 			continue
 		}
 		if found == nil || p.used < found.used {
--- a/faker/platformweb.go
+++ b/faker/platformweb.go
@@ -108,11 +108,15 @@
 
 // put serves PUT /objects/NAME.
 func (w *platformWeb) put(c echo.Context) error {
+	name, err := parameter(c, "*")
+	if err != nil {
+		return err
+	}
 	value, err := readBytes(c)
 	if err != nil {
 		return err
 	}
-	if err := w.platform.Put(detached(c), c.Param("*"), value); err != nil {
+	if err := w.platform.Put(detached(c), name, value); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
@@ -120,7 +124,11 @@
 
 // get serves GET /objects/NAME.
 func (w *platformWeb) get(c echo.Context) error {
-	value, err := w.platform.Get(c.Request().Context(), c.Param("*"))
+	name, err := parameter(c, "*")
+	if err != nil {
+		return err
+	}
+	value, err := w.platform.Get(c.Request().Context(), name)
 	if err != nil {
 		return err
 	}
@@ -129,7 +137,11 @@
 
 // remove serves DELETE /objects/NAME.
 func (w *platformWeb) remove(c echo.Context) error {
-	if err := w.platform.Delete(detached(c), c.Param("*")); err != nil {
+	name, err := parameter(c, "*")
+	if err != nil {
+		return err
+	}
+	if err := w.platform.Delete(detached(c), name); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
--- a/faker/upkeep.go
+++ b/faker/upkeep.go
@@ -70,12 +70,16 @@
 
 // hold stores a program's history in the prefix memory.
 func (e *Engine) hold(program sapphiredrum.ProgramID, messages []sapphiredrum.Message) {
-	dropped := e.memory.store(program, messages)
-	for _, d := range dropped {
+	e.evicted(e.memory.store(program, messages))
+	e.publish(program, e.memory.prefix[program].size(), false)
+}
+
+// evicted tells of programs dropped for want of memory.
+func (e *Engine) evicted(programs []sapphiredrum.ProgramID) {
+	for _, program := range programs {
 		e.counters.Evicted++
-		e.publish(d, 0, true)
+		e.publish(program, 0, true)
 	}
-	e.publish(program, e.memory.prefix[program].size(), false)
 }
 
 // publish adds a cache event unless it falls into a gap.
--- a/faker/web.go
+++ b/faker/web.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 
@@ -140,6 +141,18 @@
 	_ = c.JSON(status, errorBody{Error: errorDetail{Type: kind, Message: err.Error()}})
 }
 
+// parameter returns an unescaped part of the request's path.
+func parameter(c echo.Context, name string) (string, error) {
+	if c.Request().URL.RawPath == "" {
+		return c.Param(name), nil
+	}
+	text, err := url.PathUnescape(c.Param(name))
+	if err != nil {
+		return "", echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return text, nil
+}
+
 // detached returns the request's context without its end: what was received
 // takes effect even if the client gives up.
 func detached(c echo.Context) context.Context {
