--- /dev/null
+++ b/measurer/variant.go
@@ -0,0 +1,60 @@
+package measurer
+
+import (
+	"sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/picker"
+	"sapphiredrum.example/sapphiredrum/scheduler"
+)
+
+// Variant is a policy to measure.
+type Variant struct {
+	Name string
+	// Order names the order of the queues.
+	Order string
+	// Chooser returns the chooser of keepers in a zone.
+	Chooser func(home sapphiredrum.ZoneName) sapphiredrum.Chooser
+	// PerTarget gives every target its own cell and queue.
+	PerTarget bool
+	// Patience is Settings.Patience.
+	Patience sapphiredrum.Millis
+	// Split divides every rate evenly and for good between the hosts.
+	Split bool
+	// Direct sends calls to the engines at once, without permits.
+	Direct bool
+	// Moves moves prefixes where Costs.Moves says so.
+	Moves bool
+	// Wait and Queue replace the deployment's policy unless zero.
+	Wait, Queue sapphiredrum.Millis
+}
+
+func random(sapphiredrum.ZoneName) sapphiredrum.Chooser      { return picker.Random{} }
+func leastLoaded(sapphiredrum.ZoneName) sapphiredrum.Chooser { return picker.LeastLoaded{} }
+func prefix(home sapphiredrum.ZoneName) sapphiredrum.Chooser {
+	return picker.Prefix{Costs: picker.DefaultCosts(), Home: home}
+}
+
+// Shipped returns the policy that the system uses in the deployment.
+func Shipped(d Deployment) Variant {
+	return Variant{Name: "shipped (" + d.Policy.Order + ")", Order: d.Policy.Order, Chooser: prefix}
+}
+
+// Naive returns the baselines.
+func Naive() []Variant {
+	return []Variant{
+		{Name: "random, fcfs", Order: scheduler.OrderArrival, Chooser: random, PerTarget: true, Patience: -1},
+		{Name: "least loaded, fcfs", Order: scheduler.OrderArrival, Chooser: leastLoaded, PerTarget: true, Patience: -1},
+		{Name: "least loaded, fcfs, split rates", Order: scheduler.OrderArrival, Chooser: leastLoaded, PerTarget: true, Patience: -1, Split: true},
+		{Name: "least loaded, no permits", Order: scheduler.OrderArrival, Chooser: leastLoaded, PerTarget: true, Patience: -1, Direct: true},
+	}
+}
+
+// Orders returns the shipped policy with each of the orders.
+func Orders() []Variant {
+	var variants []Variant
+	for _, order := range []string{
+		scheduler.OrderArrival, scheduler.OrderAttained, scheduler.OrderWorking, scheduler.OrderShare,
+	} {
+		variants = append(variants, Variant{Name: "cells, " + order, Order: order, Chooser: prefix})
+	}
+	return variants
+}
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -39,6 +39,7 @@
 	return &Cell{
 		settings: settings.withDefaults(),
 		now:      now,
+		last:     PermitNumber(settings.Epoch) << epochShift,
 		calls:    make(map[sapphiredrum.StreamID]*entry),
 		granted:  make(map[sapphiredrum.StreamID]*permit),
 		numbers:  make(map[PermitNumber]*permit),
@@ -211,6 +212,19 @@
 	}
 }
 
+// Summary returns the cell's load.
+func (c *Cell) Summary(now sapphiredrum.Instant) Summary {
+	c.advance(now)
+	s := Summary{Waiting: sapphiredrum.Slots(len(c.waiting)), Hold: sapphiredrum.Millis(c.hold)}
+	for _, t := range c.targets {
+		s.Running += t.permits + t.strays
+		if t.usable(c.now) {
+			s.Limit += t.bears()
+		}
+	}
+	return s
+}
+
 // target returns the target with the given id, or nil.
 func (c *Cell) target(id sapphiredrum.TargetID) *target {
 	for _, t := range c.targets {
--- a/scheduler/example_test.go
+++ b/scheduler/example_test.go
@@ -27,6 +27,6 @@
 	fmt.Println(len(cell.Tick(now+500)), "after the first call ended")
 	// Output:
 	// 0 before a report
-	// a.1 runner-1 1 7
+	// a.1 runner-1 30064771073 7
 	// 1 after the first call ended
 }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -9,9 +9,12 @@
 	Number int
 }
 
-// PermitNumber numbers the permits of one guard. It is unique within an epoch.
+// PermitNumber numbers the permits of a cell. Its upper half is the epoch of
+// the guard, so that permits of different guards never share a number.
 type PermitNumber uint64
 
+const epochShift = 32
+
 // Settings are fixed for the life of a Cell. Zero lengths of time take the
 // defaults of this package.
 type Settings struct {
@@ -83,6 +86,17 @@
 	Refusal *sapphiredrum.Refusal
 }
 
+// Summary is a cell's load, as it is told to keepers.
+type Summary struct {
+	Waiting sapphiredrum.Slots
+	// Running counts permits and strays.
+	Running sapphiredrum.Slots
+	// Limit is what the cell's targets bear now; zero means no new work.
+	Limit sapphiredrum.Slots
+	// Hold is the mean time that a permit is held, zero before the first.
+	Hold sapphiredrum.Millis
+}
+
 // Usage tells what a granted call used.
 type Usage struct {
 	Prompt sapphiredrum.Tokens
