--- a/granter/cells.go
+++ b/granter/cells.go
@@ -31,7 +31,7 @@
 			delete(g.cells, id)
 		}
 	}
-	for _, id := range cellsOf(config, g.parts.Zone) {
+	for _, id := range CellsOf(config, g.parts.Zone, "") {
 		if epoch, held := g.parts.Locator.Holds(ShardOf(id)); held {
 			g.open(id, epoch)
 		}
@@ -142,13 +142,14 @@
 	c.decide(now)
 }
 
-// cellsOf lists the cells of an availability zone.
-func cellsOf(config *follower.Config, zone sd.ZoneName) []scheduler.CellID {
+// CellsOf lists the cells of a group in an availability zone; an empty group
+// stands for all groups.
+func CellsOf(config *follower.Config, zone sd.ZoneName, group sd.GroupName) []scheduler.CellID {
 	var cells []scheduler.CellID
 	seen := make(map[scheduler.CellID]bool)
 	for _, t := range config.Sheet.Targets {
 		id := scheduler.CellID{Group: t.Group, Zone: zone, Number: NumberOf(t.ID, config.Sheet.Policy.Cells)}
-		if t.Zone != zone || seen[id] {
+		if t.Zone != zone || seen[id] || group != "" && t.Group != group {
 			continue
 		}
 		seen[id] = true
@@ -157,6 +158,17 @@
 	return cells
 }
 
+// SlotsOf returns the slots of a cell's targets when warm.
+func SlotsOf(config *follower.Config, cell scheduler.CellID) sd.Slots {
+	slots := sd.Slots(0)
+	for _, t := range config.Targets(cell.Zone, cell.Group) {
+		if NumberOf(t.ID, config.Sheet.Policy.Cells) == cell.Number {
+			slots += t.Slots
+		}
+	}
+	return slots
+}
+
 // servesModels reports whether a group is that of a model route.
 func servesModels(config *follower.Config, group sd.GroupName) bool {
 	for _, r := range config.Sheet.Routes {
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -83,17 +83,18 @@
 }
 
 // permit answers a request for a permit when its cell has decided.
-func (g *Granter) permit(ctx context.Context, r permitRequest) (Permit, error) {
+func (g *Granter) permit(ctx context.Context, r permitRequest) (permitAnswer, error) {
 	decided, refusal := g.enter(r)
 	if refusal != nil {
-		return Permit{}, refusal
+		return permitAnswer{}, refusal
 	}
 	select {
 	case <-ctx.Done():
 		g.withdraw(withdrawal{Cell: r.Cell, Call: r.Request.Call})
-		return Permit{}, sd.Refuse(sd.CallCancelled, 0, "the call was given up while it waited")
+		return permitAnswer{}, sd.Refuse(sd.CallCancelled, 0, "the call was given up while it waited")
 	case decision := <-decided:
-		return permitOf(r.Cell, decision)
+		permit, err := permitOf(r.Cell, decision)
+		return permitAnswer{Permit: permit, Load: g.load(r.Cell)}, err
 	}
 }
 
@@ -108,6 +109,17 @@
 	return Permit{}, sd.Refuse(sd.KeeperMoving, movePause, "the target's guard is moving to another host")
 }
 
+// load returns a cell's load.
+func (g *Granter) load(cell scheduler.CellID) scheduler.Summary {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.cells[cell]
+	if c == nil {
+		return scheduler.Summary{}
+	}
+	return c.cell.Summary(g.parts.Clock.Now())
+}
+
 // enter puts a request into its cell's queue.
 func (g *Granter) enter(r permitRequest) (chan scheduler.Decision, *sd.Refusal) {
 	epoch, held := g.parts.Locator.Holds(ShardOf(r.Cell))
--- a/granter/seeker.go
+++ b/granter/seeker.go
@@ -22,16 +22,19 @@
 	client  *messenger.Client
 	clock   sd.Clock
 	group   *worker.Group
+	// heard takes the load that guards tell.
+	heard func(cell scheduler.CellID, load scheduler.Summary)
 
 	// mu guards held.
 	mu   sync.Mutex
 	held map[Permit]bool
 }
 
-// NewSeeker returns a seeker that asks local for the cells of held shards.
-func NewSeeker(local *Granter, locator sd.Locator, client *messenger.Client, clock sd.Clock) *Seeker {
+// NewSeeker returns a seeker that asks local for the cells of held shards, and
+// passes the load that guards tell on to heard.
+func NewSeeker(local *Granter, locator sd.Locator, client *messenger.Client, clock sd.Clock, heard func(scheduler.CellID, scheduler.Summary)) *Seeker {
 	return &Seeker{
-		local: local, locator: locator, client: client, clock: clock,
+		local: local, locator: locator, client: client, clock: clock, heard: heard,
 		group: worker.NewGroup(context.Background()), held: make(map[Permit]bool),
 	}
 }
@@ -49,10 +52,11 @@
 	patience := s.clock.Now().Add(min(left, guardPatience))
 	for {
 		now := s.clock.Now()
-		permit, err := s.seek(ctx, permitRequest{Cell: cell, Request: request, Left: deadline.Since(now)})
+		answer, err := s.seek(ctx, permitRequest{Cell: cell, Request: request, Left: deadline.Since(now)})
 		if err == nil {
-			s.hold(permit)
-			return permit, nil
+			s.hold(answer.Permit)
+			s.heard(cell, answer.Load)
+			return answer.Permit, nil
 		}
 		refusal := refusalOf(err)
 		if refusal.Reason != sd.KeeperMoving || s.clock.Now().Add(movePause) > patience || !pause(ctx, movePause) {
@@ -62,20 +66,20 @@
 }
 
 // seek asks once.
-func (s *Seeker) seek(ctx context.Context, r permitRequest) (Permit, error) {
+func (s *Seeker) seek(ctx context.Context, r permitRequest) (permitAnswer, error) {
 	shard := ShardOf(r.Cell)
 	if _, held := s.locator.Holds(shard); held {
 		return s.local.permit(ctx, r)
 	}
 	address, found := s.locator.Locate(shard)
 	if !found {
-		return Permit{}, sd.Refuse(sd.KeeperMoving, movePause, "no host guards the target")
+		return permitAnswer{}, sd.Refuse(sd.KeeperMoving, movePause, "no host guards the target")
 	}
-	permit, err := messenger.Ask[permitRequest, Permit](ctx, s.client, address, "permit", r)
+	answer, err := messenger.Ask[permitRequest, permitAnswer](ctx, s.client, address, "permit", r)
 	if err != nil && errorx.IsOfType(err, sd.Uncertain) {
 		s.tell(cellOwner{cell: r.Cell}, "withdraw", withdrawal{Cell: r.Cell, Call: r.Request.Call})
 	}
-	return permit, err
+	return answer, err
 }
 
 // Done reports how a call with a permit ended. It returns at once.
--- a/granter/wire.go
+++ b/granter/wire.go
@@ -25,6 +25,12 @@
 	Fence  sd.Epoch
 }
 
+// permitAnswer carries a permit and the cell's load.
+type permitAnswer struct {
+	Permit Permit
+	Load   scheduler.Summary
+}
+
 // doneReport tells how a call with a permit ended.
 type doneReport struct {
 	Permit Permit
--- /dev/null
+++ b/launcher/copier.go
@@ -0,0 +1,281 @@
+package launcher
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/keeper"
+	"sapphiredrum.example/sapphiredrum/messenger"
+	"sapphiredrum.example/sapphiredrum/recorder"
+)
+
+// copier sends records to the zone peer that the recorder's log names, so that
+// they are safe before they are durable, and holds the records of other hosts.
+// One message is under way at a time, so that what is told safe leaves no gap.
+type copier struct {
+	host *Host
+	wake chan struct{}
+	// named is the peer that the sender chose last.
+	named keeper.Peer
+
+	// mu guards what follows.
+	mu      sync.Mutex
+	pending []keeper.Record
+	drops   []dropped
+	copies  keeper.Copies
+	failing bool
+}
+
+// copyMessage carries records to a peer, and which of its copies are durable.
+type copyMessage struct {
+	Records []keeper.Record
+	Drops   []dropped
+}
+
+// dropped names copies that are durable.
+type dropped struct {
+	Shard  sd.ShardID
+	Tree   sd.ProgramID
+	Epoch  sd.Epoch
+	Number uint64
+}
+
+// sealMessage takes the copies of a shard over for a new owner.
+type sealMessage struct {
+	Shard sd.ShardID
+	Epoch sd.Epoch
+}
+
+// sealAnswer holds the copies found.
+type sealAnswer struct {
+	Records []keeper.Record
+}
+
+// nothing is the answer to messages that need none.
+type nothing struct{}
+
+// newCopier returns a copier without records.
+func newCopier(h *Host) *copier {
+	return &copier{host: h, wake: make(chan struct{}, 1), copies: keeper.Copies{Bound: copiesBound}}
+}
+
+// register adds the copies' messages to a router.
+func (c *copier) register(router messenger.Router) {
+	messenger.Handle(router, "copy", func(_ context.Context, m copyMessage) (nothing, error) {
+		return nothing{}, c.hold(m)
+	})
+	messenger.Handle(router, "seal", func(_ context.Context, m sealMessage) (sealAnswer, error) {
+		return sealAnswer{Records: c.seal(m.Shard, m.Epoch)}, nil
+	})
+	messenger.Handle(router, "clear", func(_ context.Context, m sealMessage) (nothing, error) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.copies.Clear(m.Shard, m.Epoch)
+		return nothing{}, nil
+	})
+}
+
+// add queues records for the peer.
+func (c *copier) add(records []keeper.Record) {
+	c.mu.Lock()
+	c.pending = append(c.pending, records...)
+	c.mu.Unlock()
+	c.signal()
+}
+
+// durable drops records that no longer need a copy.
+func (c *copier) durable(r recorder.Recorded) {
+	c.mu.Lock()
+	kept := c.pending[:0]
+	for _, p := range c.pending {
+		if p.Tree != r.Tree || p.Epoch > r.Epoch || p.Number > r.Number {
+			kept = append(kept, p)
+		}
+	}
+	c.pending = kept
+	c.drops = append(c.drops, dropped{Shard: r.Shard, Tree: r.Tree, Epoch: r.Epoch, Number: r.Number})
+	if len(c.drops) > maxDrops {
+		c.drops = c.drops[len(c.drops)-maxDrops:]
+	}
+	c.mu.Unlock()
+	c.signal()
+}
+
+// hold keeps a peer's records while this host holds its lease.
+func (c *copier) hold(m copyMessage) error {
+	if c.host.leaser.Deadline() <= c.host.outside.Clock.Now() {
+		return sd.Unavailable.New("this host holds no lease")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range m.Drops {
+		c.copies.Drop(d.Shard, d.Tree, d.Epoch, d.Number)
+	}
+	for _, r := range m.Records {
+		shard, err := r.Tree.Shard()
+		if err != nil {
+			return sd.Refuse(sd.BadRequest, 0, "a record names no shard")
+		}
+		if err := c.copies.Hold(shard, r.Epoch, []keeper.Record{r}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// seal refuses earlier owners of a shard and returns its copies.
+func (c *copier) seal(shard sd.ShardID, epoch sd.Epoch) []keeper.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies.Seal(shard, epoch)
+}
+
+// run sends records until ctx ends.
+func (c *copier) run(ctx context.Context) error {
+	for {
+		rest := idleRest
+		if !c.send(ctx) {
+			rest = failureRest
+		}
+		timer := time.NewTimer(rest.Duration())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-c.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// send makes one attempt to copy what is pending. It returns false after a failure.
+func (c *copier) send(ctx context.Context) bool {
+	c.choosePeer()
+	c.mu.Lock()
+	records := append([]keeper.Record(nil), c.pending...)
+	drops := c.drops
+	c.drops = nil
+	c.mu.Unlock()
+	if len(records) == 0 && len(drops) == 0 {
+		return true
+	}
+	address, found := c.peer()
+	if !found {
+		return false
+	}
+	attempt, cancel := context.WithTimeout(ctx, copyTimeout.Duration())
+	defer cancel()
+	_, err := messenger.Ask[copyMessage, nothing](attempt, c.host.client, address, "copy", copyMessage{Records: records, Drops: drops})
+	if c.report(err); err != nil {
+		return false
+	}
+	c.settle(records)
+	return true
+}
+
+// settle tells what became safe by a copy.
+func (c *copier) settle(records []keeper.Record) {
+	type place struct {
+		tree   sd.ProgramID
+		epoch  sd.Epoch
+		number uint64
+	}
+	sent := make(map[place]bool, len(records))
+	for _, r := range records {
+		sent[place{tree: r.Tree, epoch: r.Epoch, number: r.Number}] = true
+	}
+	c.mu.Lock()
+	c.pending = slices.DeleteFunc(c.pending, func(r keeper.Record) bool {
+		return sent[place{tree: r.Tree, epoch: r.Epoch, number: r.Number}]
+	})
+	c.mu.Unlock()
+	for i, r := range records {
+		if i+1 == len(records) || records[i+1].Tree != r.Tree {
+			c.host.performer.Safe(r.Tree, r.Epoch, r.Number)
+		}
+	}
+}
+
+// choosePeer names the next host of the zone that does not leave.
+func (c *copier) choosePeer() {
+	var first, next *keeper.Peer
+	for _, m := range c.host.leaser.Members() {
+		if m.Leaving {
+			continue
+		}
+		peer := keeper.Peer{Host: m.Host, Incarnation: m.Incarnation}
+		if first == nil {
+			first = &peer
+		}
+		if next == nil && m.Host > c.host.settings.Name {
+			next = &peer
+		}
+	}
+	if next == nil {
+		next = first
+	}
+	if next == nil {
+		next = &keeper.Peer{}
+	}
+	if *next == c.named {
+		return
+	}
+	c.named = *next
+	if c.named.Host == "" {
+		c.host.recorder.SetPeers()
+		return
+	}
+	c.host.recorder.SetPeers(c.named)
+}
+
+// peer returns the address of the peer that the log names.
+func (c *copier) peer() (sd.Address, bool) {
+	peer, found := c.host.recorder.CopyTo()
+	if !found {
+		return "", false
+	}
+	return c.host.addressOf(peer)
+}
+
+// report logs the first failure of a row of them.
+func (c *copier) report(err error) {
+	c.mu.Lock()
+	first := err != nil && !c.failing
+	c.failing = err != nil
+	c.mu.Unlock()
+	if first {
+		c.host.outside.Log.Warn("copies do not reach the peer", zap.Int("event", eventCopyFails), zap.Error(err))
+	}
+}
+
+// signal wakes the sender.
+func (c *copier) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// addressOf returns the address of a live process of this zone.
+func (h *Host) addressOf(peer keeper.Peer) (sd.Address, bool) {
+	for _, m := range h.leaser.Members() {
+		if m.Host == peer.Host && m.Incarnation == peer.Incarnation {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+const (
+	copiesBound sd.Bytes = 48 << 20
+	maxDrops             = 10_000
+	copyTimeout          = sd.Second
+	idleRest             = sd.Second
+	failureRest          = 50 * sd.Millisecond
+)
--- a/performer/exchange.go
+++ b/performer/exchange.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/granter"
 	"sapphiredrum.example/sapphiredrum/keeper"
+	"sapphiredrum.example/sapphiredrum/recorder"
 	"sapphiredrum.example/sapphiredrum/scheduler"
 )
 
@@ -64,25 +66,56 @@
 // runService runs a call of a plain service. A call that must not be repeated is
 // intended first, and runs to its end even if its caller leaves.
 func (p *Performer) runService(ctx context.Context, request sd.CallRequest, call keeper.Call, start keeper.Start) ended {
-	intent := Intent{Program: call.Program, Call: call.ID, Digest: call.Digest}
-	once := !request.Route.Idempotent
-	if once {
-		if refusal := p.parts.Journal.Intend(ctx, intent); refusal != nil {
-			return ended{refusal: refusal}
-		}
-	}
 	seek := p.seekRequest(request, start.Program, start.Attained, 0, request.Route.Cost)
 	seek.Call = start.Attempt.Stream(start.Program, start.Call)
-	done := p.serve(ctx, request, seek)
-	if once {
-		p.parts.Journal.Settle(intent, done.result(start.Attempt).Outcome)
+	if request.Route.Idempotent {
+		return charge(p.serve(ctx, request, seek), request.Route)
+	}
+	shard, _ := call.Program.Shard()
+	intent := recorder.Intent{
+		Key:   recorder.Key{Workspace: call.Workspace, Program: call.Program, Call: call.ID},
+		Shard: shard, Digest: call.Digest,
 	}
+	intended, err := p.parts.Journal.Intend(ctx, intent)
+	if err != nil {
+		return ended{refusal: refusalOf(err)}
+	}
+	if !intended.Fresh {
+		return charge(earlier(intended), request.Route)
+	}
+	done := p.serve(ctx, request, seek)
+	p.parts.Journal.Settle(intent, intended.Ticket, done.result(start.Attempt).Outcome, done.text)
+	return charge(done, request.Route)
+}
+
+// charge adds the cost of a call that ran or may have run.
+func charge(done ended, route sd.Route) ended {
 	if done.refusal == nil || done.refusal.Outcome != sd.NotRun {
-		done.used = request.Route.Cost
+		done.used = route.Cost
 	}
 	return done
 }
 
+// earlier answers for a call that an earlier attempt intended.
+func earlier(intended recorder.Intended) ended {
+	var answer sd.ServiceAnswer
+	if intended.Kept && json.Unmarshal([]byte(intended.Answer), &answer) == nil {
+		return ended{text: intended.Answer, answer: &answer}
+	}
+	return ended{refusal: &sd.Refusal{
+		Reason: sd.CallRepeated, Outcome: intended.Outcome, Detail: "an earlier attempt of the call was sent; its answer is not kept",
+	}}
+}
+
+// refusalOf returns the refusal that an error of the journal stands for.
+func refusalOf(err error) *sd.Refusal {
+	var refusal *sd.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return sd.Refuse(sd.PlatformAway, sd.Second, "the call could not be recorded")
+}
+
 // serve gets a permit for a service call and makes it.
 func (p *Performer) serve(ctx context.Context, request sd.CallRequest, seek scheduler.Request) ended {
 	permit, refusal := p.permit(ctx, request.Route, seek)
--- a/performer/performer.go
+++ b/performer/performer.go
@@ -11,6 +11,7 @@
 	"sapphiredrum.example/sapphiredrum/follower"
 	"sapphiredrum.example/sapphiredrum/granter"
 	"sapphiredrum.example/sapphiredrum/keeper"
+	"sapphiredrum.example/sapphiredrum/recorder"
 	"sapphiredrum.example/sapphiredrum/scheduler"
 	"sapphiredrum.example/sapphiredrum/worker"
 )
@@ -29,21 +30,12 @@
 
 // Journal keeps what has to last.
 type Journal interface {
-	// Append makes a shard's records safe and then calls safe for the last one of
-	// each tree. It returns at once.
-	Append(shard sd.ShardID, records []keeper.Record)
-	// Intend records that a call is about to run, and returns nil if it is the
-	// first to say so.
-	Intend(ctx context.Context, intent Intent) *sd.Refusal
-	// Settle records what came of an intended call.
-	Settle(intent Intent, outcome sd.Outcome)
-}
-
-// Intent names a call that must run at most once.
-type Intent struct {
-	Program sd.ProgramID
-	Call    sd.CallID
-	Digest  keeper.Digest
+	// Append makes records safe and then tells Performer.Safe. It returns at once.
+	Append(records []keeper.Record)
+	// Intend records that a call is about to run. Only a fresh answer permits it.
+	Intend(ctx context.Context, intent recorder.Intent) (recorder.Intended, error)
+	// Settle records what came of a call that Intend permitted.
+	Settle(intent recorder.Intent, ticket recorder.Ticket, outcome sd.Outcome, answer string)
 }
 
 // Placer chooses the cells that a call may run in.
@@ -205,8 +197,8 @@
 	return p.shelf.Living(program)
 }
 
-// Image returns a shard's state for a checkpoint.
-func (p *Performer) Image(shard sd.ShardID) []keeper.Record {
+// Image returns the epoch and the state of a kept shard, and epoch 0 for another.
+func (p *Performer) Image(shard sd.ShardID) (sd.Epoch, []keeper.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.shelf.Image(shard)
@@ -224,24 +216,10 @@
 	p.flush()
 }
 
-// flush hands the shelf's new records to the journal, by shard. mu is held.
+// flush hands the shelf's new records to the journal. mu is held.
 func (p *Performer) flush() {
-	records := p.shelf.Drain()
-	for len(records) > 0 {
-		shard, err := records[0].Tree.Shard()
-		if err != nil {
-			return
-		}
-		var own, rest []keeper.Record
-		for _, r := range records {
-			if other, err := r.Tree.Shard(); err == nil && other == shard {
-				own = append(own, r)
-				continue
-			}
-			rest = append(rest, r)
-		}
-		p.parts.Journal.Append(shard, own)
-		records = rest
+	if records := p.shelf.Drain(); len(records) > 0 {
+		p.parts.Journal.Append(records)
 	}
 }
 
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,126 @@
+package placer
+
+import (
+	"sync"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/follower"
+	"sapphiredrum.example/sapphiredrum/granter"
+	"sapphiredrum.example/sapphiredrum/performer"
+	"sapphiredrum.example/sapphiredrum/scheduler"
+)
+
+// Parts are what a Placer works with.
+type Parts struct {
+	Zone    sd.ZoneName
+	Config  func() *follower.Config
+	Chooser sd.Chooser
+	Clock   sd.Clock
+	// Draw returns a random number below n.
+	Draw func(n int) int
+}
+
+// Placer implements performer.Placer. New makes one.
+type Placer struct {
+	parts Parts
+
+	// mu guards hints and loads.
+	mu    sync.Mutex
+	hints map[sd.ProgramID]hint
+	loads map[scheduler.CellID]heard
+}
+
+// hint tells where a program's prefix was last used.
+type hint struct {
+	cell   scheduler.CellID
+	target sd.TargetID
+	held   sd.Tokens
+	at     sd.Instant
+}
+
+// heard is a cell's load and when it was told.
+type heard struct {
+	load scheduler.Summary
+	at   sd.Instant
+}
+
+// New returns a placer that knows no prefixes.
+func New(parts Parts) *Placer {
+	return &Placer{parts: parts, hints: make(map[sd.ProgramID]hint), loads: make(map[scheduler.CellID]heard)}
+}
+
+// Place returns the cells that may run a call: the chosen one, then the others
+// in order of the zone's own first.
+func (p *Placer) Place(route sd.Route, program sd.ProgramID, prompt sd.Tokens) []performer.Place {
+	config := p.parts.Config()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.parts.Clock.Now()
+	known := p.hints[program]
+	places, candidates := p.candidates(now, config, route.Group, known)
+	if len(places) == 0 {
+		return nil
+	}
+	chosen := p.parts.Chooser.Choose(prompt, candidates, p.parts.Draw)
+	if chosen > 0 {
+		places[0], places[chosen] = places[chosen], places[0]
+	}
+	return places
+}
+
+// Note tells that a target now holds a program's prefix.
+func (p *Placer) Note(program sd.ProgramID, cell scheduler.CellID, target sd.TargetID, held sd.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hints[program] = hint{cell: cell, target: target, held: held, at: p.parts.Clock.Now()}
+}
+
+// Forget drops what is known of a program.
+func (p *Placer) Forget(program sd.ProgramID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hints, program)
+}
+
+// Hear takes a cell's load as its guard told it.
+func (p *Placer) Hear(cell scheduler.CellID, load scheduler.Summary) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads[cell] = heard{load: load, at: p.parts.Clock.Now()}
+}
+
+// candidates lists the cells of a group in zones that take work, those of this
+// host's zone first, and what the Chooser needs to know of each.
+func (p *Placer) candidates(now sd.Instant, config *follower.Config, group sd.GroupName, known hint) ([]performer.Place, []sd.Candidate) {
+	var places []performer.Place
+	var candidates []sd.Candidate
+	for _, own := range []bool{true, false} {
+		for _, z := range config.Sheet.Zones {
+			if (z.Name == p.parts.Zone) != own || z.Leaves(p.parts.Clock.Today()) {
+				continue
+			}
+			for _, cell := range granter.CellsOf(config, z.Name, group) {
+				place, candidate := p.describe(now, config, cell, known)
+				places, candidates = append(places, place), append(candidates, candidate)
+			}
+		}
+	}
+	return places, candidates
+}
+
+// describe tells what is known of one cell.
+func (p *Placer) describe(now sd.Instant, config *follower.Config, cell scheduler.CellID, known hint) (performer.Place, sd.Candidate) {
+	place := performer.Place{Cell: cell}
+	candidate := sd.Candidate{Zone: cell.Zone, Limit: granter.SlotsOf(config, cell)}
+	if latest, found := p.loads[cell]; found && now.Since(latest.at) < loadLife {
+		candidate.Queued, candidate.Running, candidate.Limit = latest.load.Waiting, latest.load.Running, latest.load.Limit
+	}
+	if known.cell == cell && known.held > 0 {
+		place.Target, place.Held = known.target, known.held
+		candidate.Target, candidate.Cached, candidate.Age = known.target, known.held, now.Since(known.at)
+	}
+	return place, candidate
+}
+
+// loadLife is how long a cell's load counts after it was heard.
+const loadLife = 5 * sd.Second
