--- a/launcher/host.go
+++ b/launcher/host.go
@@ -71,6 +71,7 @@
 	members   *members
 	meter     *meter
 	streams   server.Streams
+	activity  activity
 	ready     atomic.Bool
 }
 
@@ -81,6 +82,7 @@
 	if h.client == nil {
 		h.client = messenger.NewClient(nil)
 	}
+	h.activity.clock = outside.Clock
 	h.members = &members{roster: outside.Roster}
 	h.follower = follower.New(follower.Settings{Poll: settings.Poll}, outside.Table, outside.Objects, outside.Clock, outside.Log)
 	h.leaser = leaser.NewRunner(settings.lease(h.incarnation), outside.Table, outside.Clock, outside.Log,
@@ -199,16 +201,17 @@
 	}, func(error) { close(stop) })
 }
 
-// drain hands the host's shards over and lets running requests end.
+// drain hands the host's shards over and lets running requests end. It goes on
+// serving until no caller has come for a while: the balancer needs time to see
+// that the host is not ready.
 func (h *Host) drain() {
 	h.outside.Log.Info("host drains", zap.Int("event", eventDrains), zap.Int("open", h.streams.Count()))
 	h.ready.Store(false)
+	h.activity.leave()
 	deadline := h.outside.Clock.Now().Add(h.settings.Drain)
-	linger := h.outside.Clock.Now().Add(h.settings.Linger)
 	h.leaser.Leave()
 	for h.outside.Clock.Now() < deadline {
-		now := h.outside.Clock.Now()
-		if now >= linger && h.leaser.Drained() && h.streams.Count() == 0 {
+		if h.leaser.Drained() && h.activity.quiet() >= h.settings.Linger {
 			break
 		}
 		time.Sleep(drainStep.Duration())
--- a/launcher/listen.go
+++ b/launcher/listen.go
@@ -67,6 +67,7 @@
 // callerRouter returns the handler of the callers' port.
 func (h *Host) callerRouter() http.Handler {
 	router := newRouter()
+	router.Use(h.activity.watch)
 	callers := &server.Callers{
 		Calls: h.forwarder, Config: h.follower.Current, Streams: &h.streams,
 		Meter: h.meter, Clock: h.outside.Clock, Body: h.settings.Body,
--- a/launcher/settings.go
+++ b/launcher/settings.go
@@ -29,7 +29,8 @@
 	Writes sd.Rate
 	// Body bounds a caller's request.
 	Body sd.Bytes
-	// Linger is the time from the end of readiness to the end of listening.
+	// Linger is how long no caller must have come before a host that leaves stops
+	// listening.
 	Linger sd.Millis
 	// Drain bounds a graceful shutdown.
 	Drain sd.Millis
--- a/launcher/status.go
+++ b/launcher/status.go
@@ -18,9 +18,10 @@
 	Ready    bool
 	Reaches  bool
 	Revision sd.Revision
-	Shards   int
-	Open     int
-	Peers    []sd.HostID
+	// Shards counts those that the host holds with their programs restored.
+	Shards int
+	Open   int
+	Peers  []sd.HostID
 }
 
 // StatusQuestion asks a host for its status.
@@ -33,7 +34,8 @@
 		Reaches: h.leaser.Reaches(), Revision: h.follower.Current().Revision, Open: h.streams.Count(),
 	}
 	for number := range sd.ShardsPerZone {
-		if _, held := h.leaser.Holds(sd.ShardID{Zone: h.settings.Zone, Number: number}); held {
+		shard := sd.ShardID{Zone: h.settings.Zone, Number: number}
+		if _, held := h.leaser.Holds(shard); held && h.performer.Keeps(shard) {
 			s.Shards++
 		}
 	}
--- a/launcher/takeovers.go
+++ b/launcher/takeovers.go
@@ -21,11 +21,12 @@
 type takeovers struct {
 	host *Host
 
-	// mu guards what follows.
+	// mu guards what follows; it comes before the locks of the leaser and the
+	// performer.
 	mu sync.Mutex
 	// held is the epoch under which each shard was gained last.
 	held map[sd.ShardID]sd.Epoch
-	// yielding are the shards that are to move.
+	// yielding are the shards that are to move, true once they were released.
 	yielding map[sd.ShardID]bool
 	// sealed are the peers whose copies of a shard were taken over.
 	sealed map[sd.ShardID][]keeper.Peer
@@ -80,7 +81,7 @@
 		group.Go("lose", func(ctx context.Context) error { t.host.admitter.Lose(ctx, e.Shard); return nil })
 	case leaser.Asked:
 		t.mu.Lock()
-		t.yielding[e.Shard] = true
+		t.yielding[e.Shard] = false
 		t.mu.Unlock()
 	}
 }
@@ -166,23 +167,23 @@
 	}
 }
 
-// yield releases the shards that are to move once their calls have ended.
+// yield releases the shards that are to move once their calls have ended. While
+// the platform is away nothing can move, so they stay open here.
 func (t *takeovers) yield() {
+	reaches := t.host.leaser.Reaches()
 	t.mu.Lock()
-	shards := make([]sd.ShardID, 0, len(t.yielding))
-	for shard := range t.yielding {
-		shards = append(shards, shard)
-	}
-	t.mu.Unlock()
-	for _, shard := range shards {
-		if !t.host.performer.Yield(shard) {
-			continue
+	defer t.mu.Unlock()
+	for shard, released := range t.yielding {
+		switch {
+		case !reaches:
+			delete(t.yielding, shard)
+			t.host.leaser.Retract(shard)
+			t.host.performer.Reopen(shard)
+		case !released && t.host.performer.Yield(shard):
+			t.yielding[shard] = true
+			t.host.outside.Log.Info("shard handed over", zap.Int("event", eventHandOver), zap.Stringer("shard", shard))
+			t.host.leaser.Release(shard)
 		}
-		t.mu.Lock()
-		delete(t.yielding, shard)
-		t.mu.Unlock()
-		t.host.outside.Log.Info("shard handed over", zap.Int("event", eventHandOver), zap.Stringer("shard", shard))
-		t.host.leaser.Release(shard)
 	}
 }
 
--- a/leaser/deadline.go
+++ b/leaser/deadline.go
@@ -24,3 +24,21 @@
 	defer r.mutex.Unlock()
 	return r.state.Deadline(r.clock.Now())
 }
+
+// Retract takes Release back while nothing was written yet: the table cannot be
+// reached and the process goes on with the shard. Asked comes again later.
+func (s *State) Retract(shard sapphiredrum.ShardID) {
+	if shard.Zone != s.settings.Zone || s.leaving {
+		return
+	}
+	if h := &s.holds[shard.Number]; !h.releasing {
+		h.asked, h.ready = false, false
+	}
+}
+
+// Retract takes Release back while nothing was written yet.
+func (r *Runner) Retract(shard sapphiredrum.ShardID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.state.Retract(shard)
+}
--- a/performer/performer.go
+++ b/performer/performer.go
@@ -160,14 +160,21 @@
 	}
 }
 
-// Yield prepares a shard's hand-over and reports whether it is idle and all its
-// records are handed to the journal.
+// Yield prepares a shard's hand-over and reports whether no call of it runs and
+// all its records are safe; call it again until so.
 func (p *Performer) Yield(shard sd.ShardID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.shelf.Yield(shard)
 	p.flush()
-	return idle
+	return idle && p.shelf.AllSafe(shard)
+}
+
+// Reopen ends a hand-over that did not take place.
+func (p *Performer) Reopen(shard sd.ShardID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shelf.Reopen(shard)
 }
 
 // Safe tells that a tree's records up to number are safe.
@@ -190,6 +197,13 @@
 	}
 }
 
+// Keeps reports whether a shard's programs are restored here.
+func (p *Performer) Keeps(shard sd.ShardID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shelf.Keeps(shard)
+}
+
 // Living tells whether a program still lives, for the release of engine memory.
 func (p *Performer) Living(program sd.ProgramID) keeper.Life {
 	p.mu.Lock()
