--- a/keeper/finish.go
+++ b/keeper/finish.go
@@ -124,12 +124,31 @@
 func (s *Shelf) refuseQueue(p *program, from int, reason root.Reason, detail string) []Event {
 	events := make([]Event, 0, len(p.queue)-from)
 	for _, call := range p.queue[from:] {
-		events = append(events, Refused{Program: p.ID, Call: call.ID, Refusal: root.Refuse(reason, 0, detail)})
+		events = append(events, Refused{Program: p.ID, Call: call.ID, Refusal: root.Refuse(reason, s.comeBack(reason), detail)})
 	}
 	p.queue = p.queue[:from]
 	return events
 }
 
+// refuseWaiting refuses all calls of the program that were not handed out.
+func (s *Shelf) refuseWaiting(p *program, reason root.Reason, detail string) []Event {
+	var events []Event
+	if c := p.current; c != nil && !c.started {
+		refusal := root.Refuse(reason, s.comeBack(reason), detail)
+		events = append(events, Refused{Program: p.ID, Call: c.call.ID, Refusal: refusal})
+		p.current = nil
+	}
+	return append(events, s.refuseQueue(p, 0, reason, detail)...)
+}
+
+// comeBack is the time to come back after a refusal of a call that waited.
+func (s *Shelf) comeBack(reason root.Reason) root.Millis {
+	if reason == root.KeeperMoving {
+		return s.rules.Retry
+	}
+	return 0
+}
+
 // Abandoned tells what an abandoned call leaves to do.
 type Abandoned struct {
 	// Running is set when the attempt was handed out: the host cancels it and
@@ -139,15 +158,19 @@
 	Events  []Event
 }
 
-// Abandon tells that a call's caller has gone. A call that waits is dropped with
-// those behind it.
-func (s *Shelf) Abandon(id root.ProgramID, call root.CallID) Abandoned {
+// Abandon tells that a call's caller has gone. Attempt is that of the call's
+// Start, or zero while it waits. A call that waits is dropped with those behind
+// it.
+func (s *Shelf) Abandon(id root.ProgramID, call root.CallID, attempt Attempt) Abandoned {
 	_, t := s.tree(id)
 	if t == nil {
 		return Abandoned{}
 	}
 	p := t.programs[id]
 	if c := p.current; c != nil && c.call.ID == call {
+		if c.started != (attempt != Attempt{}) || (c.started && c.id != attempt) {
+			return Abandoned{}
+		}
 		if c.started {
 			c.abandoned = true
 			return Abandoned{Running: true, Attempt: c.id}
--- a/keeper/life.go
+++ b/keeper/life.go
@@ -181,12 +181,8 @@
 	if c := p.current; c != nil && c.started {
 		spent += c.reserve
 		stopped.Running = append(stopped.Running, Running{Program: p.ID, Call: c.call.ID, Attempt: c.id})
-	} else if c != nil {
-		refusal := root.Refuse(root.ProgramEnded, 0, "the program was closed")
-		stopped.Events = append(stopped.Events, Refused{Program: p.ID, Call: c.call.ID, Refusal: refusal})
-		p.current = nil
 	}
-	stopped.Events = append(stopped.Events, s.refuseQueue(p, 0, root.ProgramEnded, "the program was closed")...)
+	stopped.Events = append(stopped.Events, s.refuseWaiting(p, root.ProgramEnded, "the program was closed")...)
 	if s.emit(p.tree, Record{Program: p.ID, Kind: Closed, State: state, Spent: spent}) == nil {
 		p.usable, p.raises = p.Spent, nil
 		stopped.Closed = append(stopped.Closed, p.ID)
--- a/keeper/shelf.go
+++ b/keeper/shelf.go
@@ -80,13 +80,25 @@
 	return nil
 }
 
-// Lose drops a shard at once, with the records of it that were not drained.
-func (s *Shelf) Lose(shard root.ShardID) {
+// Lose drops a shard at once, with the records of it that were not drained. It
+// refuses the calls that wait; what running ones report later is ignored.
+func (s *Shelf) Lose(shard root.ShardID) []Event {
+	h := s.shards[shard]
+	if h == nil {
+		return nil
+	}
+	var events []Event
+	for _, id := range slices.Sorted(maps.Keys(h.trees)) {
+		for _, member := range h.trees[id].order {
+			events = append(events, s.refuseWaiting(h.trees[id].programs[member], root.KeeperMoving, "the program's shard has moved")...)
+		}
+	}
 	delete(s.shards, shard)
 	s.pending = slices.DeleteFunc(s.pending, func(r Record) bool {
 		kept, err := r.Tree.Shard()
 		return err == nil && kept == shard
 	})
+	return events
 }
 
 // Yield prepares a shard's hand-over: new calls are refused, and what resting
