--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -27,7 +27,7 @@
 		b.at = now.Add(sapphiredrum.Millisecond)
 	}
 	b.rate, b.burst = rate, burst
-	b.tokens = math.Min(b.tokens, float64(burst))
+	b.clip(now)
 }
 
 // Take spends one token and reports whether there was one. If not, it returns
@@ -52,21 +52,29 @@
 }
 
 // add puts tokens into the bucket, up to its burst.
-func (b *Bucket) add(tokens float64) {
-	b.tokens = math.Min(b.tokens+tokens, float64(b.burst))
+func (b *Bucket) add(now sapphiredrum.Instant, tokens float64) {
+	b.advance(now)
+	b.tokens += tokens
+	b.clip(now)
 }
 
 // advance adds the tokens gained since the last call. A now that lies before
-// the last call changes nothing. A bucket that may be full counts from the next
-// millisecond: now may be almost one old, and a full bucket gains nothing in it.
+// the last call changes nothing.
 func (b *Bucket) advance(now sapphiredrum.Instant) {
-	if now <= b.at {
-		return
+	if b.at < now {
+		b.tokens += float64(b.rate) * float64(now.Since(b.at)) / float64(sapphiredrum.Second)
+		b.at = now
 	}
-	perMilli := float64(b.rate) / float64(sapphiredrum.Second)
-	b.tokens = math.Min(b.tokens+perMilli*float64(now.Since(b.at)), float64(b.burst))
-	b.at = now
-	if b.tokens+perMilli >= float64(b.burst) {
-		b.at = now.Add(sapphiredrum.Millisecond)
+	b.clip(now)
+}
+
+// clip drops tokens above the burst. A bucket that may be full counts from the
+// next millisecond: now may be almost one old, and a full bucket gains nothing
+// in it.
+func (b *Bucket) clip(now sapphiredrum.Instant) {
+	b.tokens = math.Min(b.tokens, float64(b.burst))
+	next := now.Add(sapphiredrum.Millisecond)
+	if b.tokens+float64(b.rate)/float64(sapphiredrum.Second) >= float64(b.burst) && b.at < next {
+		b.at = next
 	}
 }
--- a/limiter/lend.go
+++ b/limiter/lend.go
@@ -191,7 +191,7 @@
 	a.refresh(now, s.deadline, s.scale)
 	a.parts[i].until = max(a.parts[i].until, until)
 	a.reshape(now, s.deadline, s.scale)
-	a.bucket.add(loan.Tokens)
+	a.bucket.add(now, loan.Tokens)
 }
 
 // outbox collects what is to be sent to each lender.
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -42,9 +42,9 @@
 	deadline sapphiredrum.Instant
 	number   uint64
 
-	revision   sapphiredrum.Revision
-	zones      []sapphiredrum.Zone
-	workspaces map[int][]sapphiredrum.Workspace
+	// plans holds the revision in force and before it those that other hosts may
+	// still follow.
+	plans []revision
 
 	shards map[sapphiredrum.ShardID]*shard
 	// lenders are known to the homes of this host, borrowers to its lenders.
@@ -92,7 +92,6 @@
 	s := &State{
 		settings:    settings.complete(),
 		incarnation: incarnation,
-		workspaces:  map[int][]sapphiredrum.Workspace{},
 		shards:      map[sapphiredrum.ShardID]*shard{},
 		lenders:     map[pair]*lender{},
 		borrowers:   map[pair]*seen{},
@@ -128,9 +127,7 @@
 		h.rested = now.Add(s.term())
 	}
 	s.shards[id] = h
-	for _, w := range s.workspaces[id.Number] {
-		h.accounts = append(h.accounts, s.open(now, h, w, h.rested))
-	}
+	s.reopen(now, h, h.rested)
 }
 
 // Lose tells that the host no longer holds the shard. It returns messages that
