--- a/measurer/keeper.go
+++ b/measurer/keeper.go
@@ -244,7 +244,7 @@
 		}
 	}
 	slices.Sort(numbers)
-	c.guard.Renew(w.now, numbers)
+	c.guard.Renew(w.now, "h", numbers)
 }
 
 func sortCalls(calls []*call) {
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -27,6 +27,8 @@
 	accounts accounts
 	// pending are decisions made between two Ticks.
 	pending []Decision
+	// heard is when each keeper last asked or renewed.
+	heard map[sapphiredrum.HostID]sapphiredrum.Instant
 	// passed counts the grants that passed over the longest waiting aged call.
 	passed int
 	// hold is the mean time that a permit is held.
@@ -43,6 +45,7 @@
 		calls:    make(map[sapphiredrum.StreamID]*entry),
 		granted:  make(map[sapphiredrum.StreamID]*permit),
 		numbers:  make(map[PermitNumber]*permit),
+		heard:    make(map[sapphiredrum.HostID]sapphiredrum.Instant),
 	}
 }
 
@@ -113,6 +116,7 @@
 	}
 	t.cold = load.Cold
 	t.queued = load.Waiting
+	t.strayed = c.now
 	c.reconcile(t, load.Running+load.Waiting)
 	if load.Running > 0 {
 		t.prove(c.now)
@@ -200,6 +204,15 @@
 // and its permits end, but their work counts until reports no longer show it.
 func (c *Cell) Forget(now sapphiredrum.Instant, keeper sapphiredrum.HostID) {
 	c.advance(now)
+	c.pending = slices.DeleteFunc(c.pending, func(decision Decision) bool {
+		switch d := decision.(type) {
+		case Granted:
+			return d.Keeper == keeper
+		case Refused:
+			return d.Keeper == keeper
+		}
+		return false
+	})
 	for _, e := range slices.Clone(c.waiting) {
 		if e.request.Keeper == keeper {
 			c.leave(e)
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -22,7 +22,8 @@
 // # Permits
 //
 // A permit is granted to a call for one target. It ends with Done, with
-// Withdraw, or when its keeper has not renewed it for Settings.Lease; work whose
+// Withdraw, or when its keeper has not renewed it for Settings.Lease (a keeper
+// silent for as long loses its waiting calls too); work whose
 // permit ended without Done, and work that an earlier guard granted, is a stray:
 // it counts against the target until the target's reports no longer show it.
 // A keeper sends a granted call within Settings.Start or gives the permit back.
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	c.end(p)
-	if p.shadow {
+	if p.shadow || usage.Uncertain {
 		p.target.stray(c.now, p.granted, &c.settings)
 	}
 	c.accounts.settle(c.now)
@@ -98,9 +98,11 @@
 	}
 }
 
-// Renew keeps permits alive and returns the numbers that are not outstanding.
-func (c *Cell) Renew(now sapphiredrum.Instant, numbers []PermitNumber) []PermitNumber {
+// Renew is a keeper's heartbeat: it keeps the keeper's waiting calls and the
+// given permits alive. It returns the numbers that are not outstanding.
+func (c *Cell) Renew(now sapphiredrum.Instant, keeper sapphiredrum.HostID, numbers []PermitNumber) []PermitNumber {
 	c.advance(now)
+	c.hear(keeper)
 	var unknown []PermitNumber
 	for _, number := range numbers {
 		p := c.numbers[number]
@@ -113,8 +115,29 @@
 	return unknown
 }
 
-// expire ends the permits that were not renewed.
+// hear notes that a keeper lives.
+func (c *Cell) hear(keeper sapphiredrum.HostID) {
+	c.heard[keeper] = c.now
+}
+
+// silent reports whether nothing was heard from a keeper for a whole lease.
+func (c *Cell) silent(keeper sapphiredrum.HostID) bool {
+	return c.now.Since(c.heard[keeper]) >= c.settings.Lease
+}
+
+// expire ends the permits that were not renewed and refuses the waiting calls
+// of keepers that fell silent.
 func (c *Cell) expire() {
+	for _, e := range slices.Clone(c.waiting) {
+		if c.silent(e.request.Keeper) {
+			c.refuse(e, sapphiredrum.Refuse(sapphiredrum.KeeperAway, shortestRetry, "the keeper was silent while the call waited"))
+		}
+	}
+	for keeper := range c.heard {
+		if c.silent(keeper) {
+			delete(c.heard, keeper)
+		}
+	}
 	for _, p := range slices.Clone(c.permits) {
 		if c.now.Since(p.renewed) >= c.settings.Lease {
 			c.abandon(p)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -24,6 +24,7 @@
 // Tick announces that permit again.
 func (c *Cell) Ask(now sapphiredrum.Instant, request Request) Verdict {
 	c.advance(now)
+	c.hear(request.Keeper)
 	if p := c.granted[request.Call]; p != nil {
 		c.announce(p)
 		return Verdict{}
@@ -31,6 +32,9 @@
 	if c.calls[request.Call] != nil {
 		return Verdict{}
 	}
+	if refusal := c.retract(request.Call); refusal != nil {
+		return Verdict{Refusal: refusal}
+	}
 	if refusal := c.hopeless(request); refusal != nil {
 		return Verdict{Refusal: refusal}
 	}
@@ -51,21 +55,37 @@
 // later. It reports whether the call was known.
 func (c *Cell) Withdraw(now sapphiredrum.Instant, call sapphiredrum.StreamID) bool {
 	c.advance(now)
+	refusal := c.retract(call)
 	if e := c.calls[call]; e != nil {
 		c.leave(e)
 		return true
 	}
 	p := c.granted[call]
 	if p == nil {
-		return false
+		return refusal != nil
 	}
-	c.pending = slices.DeleteFunc(c.pending, func(d Decision) bool {
-		g, ok := d.(Granted)
-		return ok && g.Permit == p.number
-	})
 	return c.Done(now, p.number, Usage{Unused: true})
 }
 
+// retract removes the decisions about the call that no Tick has returned yet.
+// It returns the refusal among them.
+func (c *Cell) retract(call sapphiredrum.StreamID) *sapphiredrum.Refusal {
+	var refusal *sapphiredrum.Refusal
+	c.pending = slices.DeleteFunc(c.pending, func(decision Decision) bool {
+		switch d := decision.(type) {
+		case Granted:
+			return d.Call == call
+		case Refused:
+			if d.Call == call {
+				refusal = d.Refusal
+			}
+			return d.Call == call
+		}
+		return false
+	})
+	return refusal
+}
+
 // Waiting returns the number of calls in the queue.
 func (c *Cell) Waiting() int {
 	return len(c.waiting)
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -28,7 +28,8 @@
 	Lag sapphiredrum.Millis
 	// Start bounds the time from a grant until its keeper has sent the call.
 	Start sapphiredrum.Millis
-	// Lease is how long a permit lasts without being renewed.
+	// Lease is how long a permit lasts without being renewed, and a waiting call
+	// without a word from its keeper.
 	Lease sapphiredrum.Millis
 	// Blind is how long a new guard waits for a target's first report.
 	Blind sapphiredrum.Millis
@@ -104,6 +105,8 @@
 	Answer sapphiredrum.Tokens
 	// Failed is set when the target did not answer as it should.
 	Failed bool
+	// Uncertain is set when the target may still be running the call.
+	Uncertain bool
 	// Unused is set when the call never reached the target.
 	Unused bool
 }
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -42,7 +42,7 @@
 	prefixes prefixes
 	// quiet is the instant from which reports show every stray.
 	quiet sapphiredrum.Instant
-	// strayed is when the latest stray was counted.
+	// strayed is when the latest stray was counted or the latest report came.
 	strayed sapphiredrum.Instant
 	// doubt is when a report first showed none of the work granted earlier.
 	doubt sapphiredrum.Instant
