--- a/scheduler/actions_test.go
+++ b/scheduler/actions_test.go
@@ -131,8 +131,11 @@
 // restart turns a target cold without warning; its work is gone.
 func (m *machine) restart(t *rapid.T) {
 	b := rapid.SampledFrom(m.boxes).Draw(t, "target")
-	b.process++
+	// Some targets turn cold within one process, and then say so.
 	b.cold = rapid.Bool().Draw(t, "says")
+	if !b.cold || rapid.Bool().Draw(t, "anew") {
+		b.process++
+	}
 	for _, j := range m.jobs {
 		if j.target == b {
 			j.running = false
@@ -244,7 +247,7 @@
 			"finish": m.finish, "finish more": m.finish, "late done": m.late, "uncertain": rare(m.uncertain),
 			"renew": m.renew, "renew more": m.renew, "renew again": m.renew,
 			"report": m.report, "report more": m.report, "report again": m.report, "report on": m.report,
-			"restart": rare(m.restart), "warm": rare(m.warm), "close": rare(m.close), "keeper dies": rare(m.die),
+			"restart": rare(m.restart), "warm": m.warm, "close": rare(m.close), "keeper dies": rare(m.die), "other dies": rare(m.die),
 			"guard changes": rare(func(*rapid.T) { m.takeOver() }), "cache events": m.events,
 		}
 		for range repeats {
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -114,17 +114,25 @@
 
 // overdue refuses the calls whose deadline has passed.
 func (c *Cell) overdue() {
-	for _, e := range slices.Clone(c.waiting) {
-		if e.request.Deadline > 0 && c.now >= e.request.Deadline {
-			c.refuse(e, sapphiredrum.Refuse(sapphiredrum.TimedOut, 0, "the deadline passed while the call waited"))
-		}
-	}
+	c.refuseWhere(func(e *entry) bool { return e.request.Deadline > 0 && c.now >= e.request.Deadline },
+		sapphiredrum.Refuse(sapphiredrum.TimedOut, 0, "the deadline passed while the call waited"))
 }
 
 // refuseAll refuses every waiting call, so that it is served elsewhere.
 func (c *Cell) refuseAll() {
+	c.refuseWhere(func(*entry) bool { return true },
+		sapphiredrum.Refuse(sapphiredrum.NoTarget, shortestRetry, "no target of the cell takes new work"))
+}
+
+// refuseWhere refuses the waiting calls that satisfy the condition.
+func (c *Cell) refuseWhere(condition func(*entry) bool, refusal *sapphiredrum.Refusal) {
+	if !slices.ContainsFunc(c.waiting, condition) {
+		return
+	}
 	for _, e := range slices.Clone(c.waiting) {
-		c.refuse(e, sapphiredrum.Refuse(sapphiredrum.NoTarget, shortestRetry, "no target of the cell takes new work"))
+		if condition(e) {
+			c.refuse(e, refusal)
+		}
 	}
 }
 
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -122,24 +122,26 @@
 
 // silent reports whether nothing was heard from a keeper for a whole lease.
 func (c *Cell) silent(keeper sapphiredrum.HostID) bool {
-	return c.now.Since(c.heard[keeper]) >= c.settings.Lease
+	heard, known := c.heard[keeper]
+	return !known || c.now.Since(heard) >= c.settings.Lease
 }
 
 // expire ends the permits that were not renewed and refuses the waiting calls
 // of keepers that fell silent.
 func (c *Cell) expire() {
-	for _, e := range slices.Clone(c.waiting) {
-		if c.silent(e.request.Keeper) {
-			c.refuse(e, sapphiredrum.Refuse(sapphiredrum.KeeperAway, shortestRetry, "the keeper was silent while the call waited"))
-		}
-	}
+	fell := false
 	for keeper := range c.heard {
 		if c.silent(keeper) {
 			delete(c.heard, keeper)
+			fell = true
 		}
 	}
-	for _, p := range slices.Clone(c.permits) {
-		if c.now.Since(p.renewed) >= c.settings.Lease {
+	if fell {
+		c.refuseWhere(func(e *entry) bool { return c.silent(e.request.Keeper) },
+			sapphiredrum.Refuse(sapphiredrum.KeeperAway, shortestRetry, "the keeper was silent while the call waited"))
+	}
+	for i := len(c.permits) - 1; i >= 0; i-- {
+		if p := c.permits[i]; c.now.Since(p.renewed) >= c.settings.Lease {
 			c.abandon(p)
 		}
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -116,7 +116,7 @@
 
 // grantAll grants until no target has a free permit for a call that may use it.
 func (c *Cell) grantAll() {
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == 0 || len(c.byFree()) == 0 {
 		return
 	}
 	c.accounts.settle(c.now)
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -174,10 +174,11 @@
 	})
 }
 
-// A target whose reports lose sight of all work, or that fails in a row, is
-// taken for cold although its incarnation stays the same.
+// A target whose reports lose sight of all work, that fails in a row, or that
+// says it was cold for a moment is taken for cold although its incarnation stays
+// the same.
 func TestColdWithoutWarning(t *testing.T) {
-	for _, fails := range []bool{false, true} {
+	for _, sign := range []string{"lost work", "failures", "report"} {
 		cell := scheduler.New(0, scheduler.Settings{Lease: sapphiredrum.Hour})
 		cell.SetTargets(0, []scheduler.Member{{Target: sapphiredrum.Target{ID: "t", Slots: 8, Cold: 2, Ramp: 10000}}})
 		now, made := sapphiredrum.Instant(0), 0
@@ -200,18 +201,22 @@
 			t.Fatalf("%d permits when warm", len(permits))
 		}
 		for i, number := range permits[:7] {
-			if !fails && i == 0 {
+			if sign == "lost work" && i == 0 {
 				step(0)
 				step(0)
 			}
-			cell.Done(now, number, scheduler.Usage{Failed: fails})
+			if sign == "report" && i == 0 {
+				cell.Report(now, sapphiredrum.Load{Target: "t", Incarnation: 1, Running: 8, Cold: true})
+				cell.Report(now, sapphiredrum.Load{Target: "t", Incarnation: 1, Running: 8})
+			}
+			cell.Done(now, number, scheduler.Usage{Failed: sign == "failures"})
 		}
 		permits = permits[7:]
 		for range 3 {
 			step(0)
 		}
 		if len(permits) > 2 {
-			t.Fatalf("%d permits after the target lost its work, fails %v", len(permits), fails)
+			t.Fatalf("%d permits after the target turned cold, by its %s", len(permits), sign)
 		}
 	}
 }
