--- a/granter/granter.go
+++ b/granter/granter.go
@@ -177,7 +177,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c := g.cells[r.Cell]; c != nil && c.epoch == r.Fence {
-		c.cell.Renew(g.parts.Clock.Now(), r.Permits)
+		c.cell.Renew(g.parts.Clock.Now(), r.Keeper, r.Permits)
 	}
 }
 
--- a/granter/seeker.go
+++ b/granter/seeker.go
@@ -17,6 +17,7 @@
 
 // Seeker asks guards for permits on behalf of this host's calls. NewSeeker makes one.
 type Seeker struct {
+	host    sd.HostID
 	local   *Granter
 	locator sd.Locator
 	client  *messenger.Client
@@ -32,9 +33,9 @@
 
 // NewSeeker returns a seeker that asks local for the cells of held shards, and
 // passes the load that guards tell on to heard.
-func NewSeeker(local *Granter, locator sd.Locator, client *messenger.Client, clock sd.Clock, heard func(scheduler.CellID, scheduler.Summary)) *Seeker {
+func NewSeeker(host sd.HostID, local *Granter, locator sd.Locator, client *messenger.Client, clock sd.Clock, heard func(scheduler.CellID, scheduler.Summary)) *Seeker {
 	return &Seeker{
-		local: local, locator: locator, client: client, clock: clock, heard: heard,
+		host: host, local: local, locator: locator, client: client, clock: clock, heard: heard,
 		group: worker.NewGroup(context.Background()), held: make(map[Permit]bool),
 	}
 }
@@ -164,7 +165,7 @@
 	renewals := make([]renewal, 0, len(groups))
 	for k, numbers := range groups {
 		sort.Slice(numbers, func(a, b int) bool { return numbers[a] < numbers[b] })
-		renewals = append(renewals, renewal{Cell: k.cell, Fence: k.fence, Permits: numbers})
+		renewals = append(renewals, renewal{Keeper: s.host, Cell: k.cell, Fence: k.fence, Permits: numbers})
 	}
 	return renewals
 }
--- a/granter/wire.go
+++ b/granter/wire.go
@@ -45,6 +45,7 @@
 
 // renewal keeps the permits of one cell alive.
 type renewal struct {
+	Keeper  sd.HostID
 	Cell    scheduler.CellID
 	Fence   sd.Epoch
 	Permits []scheduler.PermitNumber
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -119,7 +119,7 @@
 		Zone: h.settings.Zone, Config: h.follower.Current, Clock: h.outside.Clock, Draw: rand.IntN,
 		Chooser: picker.Prefix{Costs: picker.DefaultCosts(), Home: h.settings.Zone},
 	})
-	h.seeker = granter.NewSeeker(h.granter, locator{runner: h.leaser}, h.client, h.outside.Clock, place.Hear)
+	h.seeker = granter.NewSeeker(h.settings.Name, h.granter, locator{runner: h.leaser}, h.client, h.outside.Clock, place.Hear)
 	rules := recorder.DefaultRules
 	rules.Writes = h.settings.Writes
 	journal := &journal{}
