granter, performer: follow the changed rules of cells and shelves

Cause: a cell now drops the waiting calls of a keeper that it does not hear, and a shelf wants the attempt of a started call that is given up. Measured: TestWholePath passes.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -172,11 +172,11 @@
 	c.decide(now)
 }
 
-// renew keeps permits alive.
+// renew keeps permits and the keeper's waiting calls alive.
 func (g *Granter) renew(r renewal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c := g.cells[r.Cell]; c != nil && c.epoch == r.Fence {
+	if c := g.cells[r.Cell]; c != nil && (r.Fence == 0 || c.epoch == r.Fence) {
 		c.cell.Renew(g.parts.Clock.Now(), r.Keeper, r.Permits)
 	}
 }
--- a/granter/seeker.go
+++ b/granter/seeker.go
@@ -26,9 +26,11 @@
 	// heard takes the load that guards tell.
 	heard func(cell scheduler.CellID, load scheduler.Summary)
 
-	// mu guards held.
+	// mu guards held and waiting.
 	mu   sync.Mutex
 	held map[Permit]bool
+	// waiting counts the requests that are open at each cell.
+	waiting map[scheduler.CellID]int
 }
 
 // NewSeeker returns a seeker that asks local for the cells of held shards, and
@@ -36,7 +38,7 @@
 func NewSeeker(host sd.HostID, local *Granter, locator sd.Locator, client *messenger.Client, clock sd.Clock, heard func(scheduler.CellID, scheduler.Summary)) *Seeker {
 	return &Seeker{
 		host: host, local: local, locator: locator, client: client, clock: clock, heard: heard,
-		group: worker.NewGroup(context.Background()), held: make(map[Permit]bool),
+		group: worker.NewGroup(context.Background()), held: make(map[Permit]bool), waiting: make(map[scheduler.CellID]int),
 	}
 }
 
@@ -49,6 +51,8 @@
 // the guard moves to another host it asks again, within the time left. Its error
 // is a refusal with outcome NotRun.
 func (s *Seeker) Seek(ctx context.Context, cell scheduler.CellID, request scheduler.Request, left sd.Millis) (Permit, *sd.Refusal) {
+	s.wait(cell, 1)
+	defer s.wait(cell, -1)
 	deadline := s.clock.Now().Add(left)
 	patience := s.clock.Now().Add(min(left, guardPatience))
 	for {
@@ -149,7 +153,18 @@
 	s.held[permit] = true
 }
 
-// renewals groups the permits in use by cell and guard.
+// wait counts a request that waits at a cell.
+func (s *Seeker) wait(cell scheduler.CellID, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[cell] += change
+	if s.waiting[cell] == 0 {
+		delete(s.waiting, cell)
+	}
+}
+
+// renewals groups the permits in use by cell and guard. Cells at which requests
+// only wait hear of this host too, with the zero fence.
 func (s *Seeker) renewals() []renewal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,6 +177,9 @@
 		k := key{cell: p.Cell, fence: p.Fence}
 		groups[k] = append(groups[k], p.Number)
 	}
+	for cell := range s.waiting {
+		groups[key{cell: cell}] = nil
+	}
 	renewals := make([]renewal, 0, len(groups))
 	for k, numbers := range groups {
 		sort.Slice(numbers, func(a, b int) bool { return numbers[a] < numbers[b] })
--- a/performer/call.go
+++ b/performer/call.go
@@ -95,7 +95,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.waiters, callKey{program: call.Program, call: call.ID})
-	abandoned := p.shelf.Abandon(call.Program, call.ID)
+	p.abandon(call, waiter)
+	p.flush()
+	return nil, nil, sd.Refuse(sd.TimedOut, sd.Second, "the call was given up while it waited for its turn")
+}
+
+// abandon gives a queued call up; it may have been started a moment ago. mu is held.
+func (p *Performer) abandon(call keeper.Call, waiter chan keeper.Event) {
+	var started keeper.Attempt
+	select {
+	case event := <-waiter:
+		start, isStart := event.(keeper.Start)
+		if !isStart {
+			return
+		}
+		started = start.Attempt
+	default:
+	}
+	abandoned := p.shelf.Abandon(call.Program, call.ID, started)
 	p.deliver(abandoned.Events)
 	if abandoned.Running {
 		finished := p.shelf.Finish(p.parts.Clock.Now(), call.Program, call.ID, keeper.Result{
@@ -103,8 +120,6 @@
 		})
 		p.deliver(finished.Events)
 	}
-	p.flush()
-	return nil, nil, sd.Refuse(sd.TimedOut, sd.Second, "the call was given up while it waited for its turn")
 }
 
 // decided turns an event into the decision that it stands for.
