recorder: a stricter account in the state machine

The account now knows each call's named head and predecessor, safe heads, other requests under a known identifier, rows' references, and shards that a host drops by itself. Peers name their lease: a peer whose lease had lapsed must not go on under its old name. Recall checks the digest.

--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -7,16 +7,23 @@
 	root "sapphiredrum.example/sapphiredrum"
 )
 
-// Peer names one process that holds copies. A restarted process is another peer,
-// since it has forgotten what it held and which shards it had sealed.
+// Peer names one process that holds copies, and its host lease. A restarted
+// process is another peer, since it has forgotten what it held and which shards
+// it had sealed. So is one whose lease had lapsed, since a takeover may have
+// gone on without it.
 type Peer struct {
 	Host        root.HostID
 	Incarnation root.Incarnation
+	// Lease is the epoch of the host's lease.
+	Lease root.Epoch
 }
 
 // Copies holds the records of other hosts' shards until they are durable. The
-// process must hold its own host lease while it accepts any.
+// process must hold the host lease that Self names while it accepts any; with
+// another lease it starts with fresh Copies.
 type Copies struct {
+	// Self is the peer that others know this process as.
+	Self Peer
 	// Bound limits what is held.
 	Bound  root.Bytes
 	held   root.Bytes
@@ -43,10 +50,13 @@
 }
 
 // Hold keeps records of the shard's owner of the given epoch; those that are held
-// already count once. It refuses all of
-// them as KeeperMoving after a later owner has sealed the shard, and as
-// Overloaded when they do not fit.
-func (c *Copies) Hold(shard root.ShardID, epoch root.Epoch, records []Record) error {
+// already count once. It refuses all of them as KeeperMoving when they are for
+// another peer than Self or a later owner has sealed the shard, and as Overloaded
+// when they do not fit.
+func (c *Copies) Hold(to Peer, shard root.ShardID, epoch root.Epoch, records []Record) error {
+	if to != c.Self {
+		return root.Refuse(root.KeeperMoving, 0, "the copies are for an earlier peer")
+	}
 	h := c.shard(shard)
 	if epoch < h.sealed {
 		return root.Refuse(root.KeeperMoving, 0, "a later owner has taken the shard over")
--- a/recorder/flow_test.go
+++ b/recorder/flow_test.go
@@ -24,14 +24,20 @@
 
 // flow is one submission of a call, or of a program's creation or end, at a host.
 type flow struct {
-	call   *call
-	host   *host
-	stage  stage
+	call  *call
+	host  *host
+	stage stage
+	// head is the one that the call names, behind the call that it was queued
+	// behind.
+	head   *keeper.Head
+	behind *call
 	start  keeper.Start
 	ticket recorder.Ticket
 	sent   bool
 	// gone is set when the caller has hung up.
-	gone   bool
+	gone bool
+	// after is the head after the call.
+	after  keeper.Head
 	tree   root.ProgramID
 	epoch  root.Epoch
 	number uint64
@@ -48,6 +54,9 @@
 func (w *world) await(h *host, f *flow, tree root.ProgramID, epoch root.Epoch, number uint64, told func(o *oracle)) {
 	f.stage, f.tree, f.epoch, f.number = waiting, tree, epoch, number
 	f.acknowledge = func(o *oracle) {
+		if f.after != (keeper.Head{}) {
+			f.call.program.secure(f.after)
+		}
 		if !f.gone {
 			told(o)
 		}
@@ -59,10 +68,10 @@
 
 // begin submits a call at a host.
 func (w *world) begin(h *host, c *call, head *keeper.Head) {
-	f := &flow{call: c, host: h}
+	f := &flow{call: c, host: h, head: head, behind: h.last(c.program.id)}
 	if !c.idempotent {
-		if in, found := h.state.Recall(c.intent()); found {
-			if in.Outcome == root.NotRun {
+		if in, found, err := h.state.Recall(c.intent()); found || err != nil {
+			if found && in.Outcome == root.NotRun {
 				w.t.Fatalf("call %s: a recorded intent is recalled as not run", c.id)
 			}
 			return
@@ -115,7 +124,7 @@
 		case keeper.Start:
 			f := h.flow(e.Program, e.Call, queued)
 			f.stage, f.start = started, e
-			w.oracle.started(f.call, e)
+			w.oracle.started(f, e)
 		case keeper.Refused:
 			f := h.flow(e.Program, e.Call, queued)
 			w.end(h, f)
@@ -133,6 +142,21 @@
 	return nil
 }
 
+// last returns the call that a new one of the program would queue behind.
+func (h *host) last(program root.ProgramID) *call {
+	shard, _ := program.Shard()
+	epoch, _ := h.shelf.Image(shard)
+	for _, f := range slices.Backward(h.flows) {
+		if f.call == nil || f.call.program.id != program || f.stage == waiting {
+			continue
+		}
+		if f.stage == queued || f.start.Attempt.Epoch == epoch {
+			return f.call
+		}
+	}
+	return nil
+}
+
 // advance moves a running submission on by one step.
 func (w *world) advance(h *host, f *flow, draw func(n int) int) {
 	switch f.stage {
@@ -168,6 +192,8 @@
 		w.finish(h, f, keeper.Result{Failed: true, Outcome: root.NotRun})
 	case wait:
 		f.stage, f.ticket = intending, in.Ticket
+	case in.Fresh:
+		f.stage, f.ticket = permitted, in.Ticket
 	default:
 		// Recorded before: its outcome counts and nothing is sent.
 		whole := in.Outcome == root.Ran && in.Kept
@@ -215,6 +241,7 @@
 		if f.gone && !f.call.service {
 			w.t.Fatalf("call %s: the answer of an abandoned attempt was accepted", f.call.id)
 		}
+		f.after = finished.Head
 		w.oracle.finished(f.call, f.start.Head, finished.Head, result.Answer)
 		w.await(h, f, finished.Tree, finished.Epoch, finished.Number, func(o *oracle) {
 			o.answered(f.call, finished.Head, result.Answer)
--- a/recorder/machine_test.go
+++ b/recorder/machine_test.go
@@ -46,6 +46,8 @@
 			"step2":   m.step,
 			"step3":   m.step,
 			"hangup":  m.hang,
+			"misuse":  m.misuse,
+			"lapse":   m.lapse,
 			"stop":    m.stopAny,
 			"tick":    m.tick,
 			"calm":    m.calm,
@@ -197,6 +199,7 @@
 	p := &program{
 		id:     root.ProgramID(shard.String() + "." + itoa(m.serial)),
 		budget: root.Tokens(rapid.IntRange(20, 1500).Draw(t, "budget")), turns: make(map[keeper.Head]turn),
+		safe: make(map[keeper.Head]bool),
 	}
 	creation := keeper.Creation{Program: p.id, Workspace: "w", Budget: p.budget}
 	if len(m.oracle.programs) > 0 && rapid.Bool().Draw(t, "child") {
@@ -245,6 +248,32 @@
 	m.begin(m.near(t, p.id), c, m.head(t, p))
 }
 
+// misuse submits another request under the identifier of an earlier call.
+func (m *machine) misuse(t *rapid.T) {
+	p := m.program(t)
+	if len(p.calls) == 0 {
+		t.Skip("no call")
+	}
+	other := *rapid.SampledFrom(p.calls).Draw(t, "call")
+	if !other.idempotent {
+		t.Skip("not repeatable")
+	}
+	m.serial++
+	other.answered, other.digest = false, keeper.DigestOf(string(other.id), itoa(m.serial))
+	m.begin(m.near(t, p.id), &other, m.head(t, p))
+}
+
+// lapse makes a host drop a shard whose lease it could not renew.
+func (m *machine) lapse(t *rapid.T) {
+	h, shard := m.host(t), rapid.SampledFrom(shards).Draw(t, "shard")
+	if m.owners[shard] == h || rapid.IntRange(0, 3).Draw(t, "lapse") > 0 {
+		return
+	}
+	m.drain(h)
+	m.happened(h, h.shelf.Lose(shard))
+	delete(h.boxes, shard)
+}
+
 // head draws the head that a call names: none, the latest told, or a wrong one.
 func (m *machine) head(t *rapid.T, p *program) *keeper.Head {
 	switch rapid.IntRange(0, 5).Draw(t, "head") {
--- a/recorder/oracle_test.go
+++ b/recorder/oracle_test.go
@@ -36,6 +36,8 @@
 	stopping bool
 	// turns are all answers that a keeper accepted, by the head after them.
 	turns map[keeper.Head]turn
+	// safe are the heads that no failure can take back.
+	safe map[keeper.Head]bool
 	// tip is the latest head that a caller was told.
 	tip   keeper.Head
 	calls []*call
@@ -101,6 +103,25 @@
 	return append(slices.Concat(messages, t.call.messages), root.Message{Role: "assistant", Content: t.answer})
 }
 
+// secure notes that a head and those before it are safe.
+func (p *program) secure(head keeper.Head) {
+	for head.Turn > 0 && !p.safe[head] {
+		p.safe[head] = true
+		head = p.turns[head].before
+	}
+}
+
+// secured notes the heads that a takeover has restored.
+func (o *oracle) secured(shelf *keeper.Shelf, shard root.ShardID) {
+	for _, p := range o.programs {
+		if s, _ := p.id.Shard(); s == shard {
+			if status, err := shelf.Status(p.id, "w"); err == nil {
+				p.secure(status.Head)
+			}
+		}
+	}
+}
+
 // follows reports whether the head a is b or comes after it.
 func (p *program) follows(a, b keeper.Head) bool {
 	for a.Turn > b.Turn {
@@ -109,8 +130,18 @@
 	return a == b
 }
 
-// started checks the prompt against the history before the call's head.
-func (o *oracle) started(c *call, start keeper.Start) {
+// started checks a call's place and its prompt against the history before the call's head.
+func (o *oracle) started(f *flow, start keeper.Start) {
+	c, p := f.call, f.call.program
+	if f.head != nil && *f.head != start.Head {
+		o.t.Fatalf("call %s names the head %v and runs on %v", c.id, *f.head, start.Head)
+	}
+	if start.Head.Turn > 0 && !p.safe[start.Head] {
+		o.t.Fatalf("call %s starts on turn %d, which may still be lost", c.id, start.Head.Turn)
+	}
+	if f.behind != nil && p.turns[start.Head].call != f.behind {
+		o.t.Fatalf("call %s was issued after %s and does not follow it", c.id, f.behind.id)
+	}
 	if c.service {
 		return
 	}
--- a/recorder/platform_test.go
+++ b/recorder/platform_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 
 	root "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/recorder"
@@ -81,6 +83,9 @@
 			w.log("  %s after %d: %s", write.Key, write.Expect, write.Value)
 		}
 	case recorder.Delete:
+		if w.platform.refers(a.Name) {
+			w.t.Fatalf("%s deletes %s, to which a row refers", h, a.Name)
+		}
 		w.log("%s deletes %s: %v", h, a.Name, err)
 	case recorder.Get:
 		w.log("%s reads %s: %v", h, a.Name, err)
@@ -117,6 +122,18 @@
 	return nil
 }
 
+// refers reports whether a row refers to the object.
+func (p *platform) refers(name string) bool {
+	for key, row := range p.rows {
+		if strings.HasPrefix(string(key), "index/") || strings.HasPrefix(string(key), "log/") {
+			if strings.Contains(string(row.Value), strconv.Quote(name)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (p *platform) read(keys []root.RowKey, old bool) []root.Row {
 	rows := make([]root.Row, 0, len(keys))
 	for _, key := range keys {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -151,10 +151,11 @@
 }
 
 // Recall returns what is recorded of an earlier submission of the call. A host
-// asks before it refuses a non-idempotent call as not run.
-func (r *Recorder) Recall(intent Intent) (intended Intended, found bool) {
-	r.change(func(s *State) { intended, found = s.Recall(intent) })
-	return intended, found
+// asks before it refuses a non-idempotent call as not run. The error is a
+// CallConflict refusal.
+func (r *Recorder) Recall(intent Intent) (intended Intended, found bool, err error) {
+	r.change(func(s *State) { intended, found, err = s.Recall(intent) })
+	return intended, found, err
 }
 
 // Settle records what became of a call that Intend permitted.
--- a/recorder/request.go
+++ b/recorder/request.go
@@ -42,17 +42,21 @@
 }
 
 // Recall returns what is recorded of an earlier submission of the call. A host
-// asks before it refuses a non-idempotent call as not run.
-func (s *State) Recall(request Intent) (Intended, bool) {
+// asks before it refuses a non-idempotent call as not run. The error is a
+// CallConflict refusal.
+func (s *State) Recall(request Intent) (intended Intended, found bool, err error) {
 	t := s.shards[request.Shard]
 	if t == nil {
-		return Intended{}, false
+		return Intended{}, false, nil
 	}
 	i := t.intents[request.Key]
 	if i == nil || i.stage == queued || i.free() {
-		return Intended{}, false
+		return Intended{}, false, nil
 	}
-	return i.intended(), true
+	if i.digest != request.Digest {
+		return Intended{}, false, root.Refuse(root.CallConflict, 0, "the call's identifier was used for another request")
+	}
+	return i.intended(), true, nil
 }
 
 // Withdraw gives a waiting intent up, or settles a decided one that its caller
--- a/recorder/world_test.go
+++ b/recorder/world_test.go
@@ -89,9 +89,10 @@
 	w.serial++
 	h := &host{
 		name: name, inc: root.Incarnation(w.serial), alive: true,
-		shelf: keeper.NewShelf(shelfRules), copies: keeper.Copies{Bound: 1 << 20},
+		shelf: keeper.NewShelf(shelfRules),
 		boxes: make(map[root.ShardID]*keeper.Outbox), sealed: make(map[root.ShardID][]keeper.Peer),
 	}
+	h.copies = keeper.Copies{Self: h.peer(), Bound: 1 << 20}
 	h.state = recorder.NewState(worldRules, h.name, h.inc)
 	h.state.SetLive(3)
 	return h
@@ -226,6 +227,7 @@
 		w.t.Fatalf("restore %v: %v", l.Tenure, err)
 	}
 	w.log("%s restores %v from %d records, peers %v", h, l.Tenure, len(records), l.Peers)
+	w.oracle.secured(h.shelf, shard)
 	h.sealed[shard] = l.Peers
 	h.boxes[shard] = &keeper.Outbox{}
 	_, images := h.shelf.Image(shard)
@@ -262,7 +264,7 @@
 	w.log("%s copies %v of epoch %d to %v through %d: %d", h, shard, epoch, p, c.Through, len(c.Records))
 	records, from := copyOf(c.Records), h.peer()
 	w.send(p, func(to *host) {
-		if to.copies.Hold(shard, epoch, records) != nil {
+		if to.copies.Hold(p, shard, epoch, records) != nil {
 			return
 		}
 		w.send(from, func(back *host) { w.held(back, shard, p, c.Through) })
@@ -313,13 +315,14 @@
 
 // safe tells the shelf and the calls that wait for it.
 func (w *world) safe(h *host, tree root.ProgramID, epoch root.Epoch, number uint64) {
-	w.happened(h, h.shelf.Safe(w.now, tree, epoch, number))
+	events := h.shelf.Safe(w.now, tree, epoch, number)
 	for _, f := range slices.Clone(h.flows) {
 		if f.stage == waiting && f.tree == tree && f.epoch == epoch && f.number <= number {
 			w.end(h, f)
 			f.acknowledge(w.oracle)
 		}
 	}
+	w.happened(h, events)
 	w.drain(h)
 }
 
