connector: stricter proofs of cut answers

Mutations survived that took the connection's end for the answer's, and that left Next waiting when its context ended: the cut test now also reads answers that end with their connection, and the reader's context is not the call's.

--- a/connector/faults_test.go
+++ b/connector/faults_test.go
@@ -282,7 +282,7 @@
 	var readers sync.WaitGroup
 	for i := range 20 {
 		ctx, cancel := context.WithCancel(context.Background())
-		answer, err := client.Start(ctx, sapphiredrum.EngineCall{Stream: sapphiredrum.StreamID(rune('a' + i))})
+		answer, err := client.Start(context.Background(), sapphiredrum.EngineCall{Stream: sapphiredrum.StreamID(rune('a' + i))})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/connector/wire_test.go
+++ b/connector/wire_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"pgregory.net/rapid"
@@ -67,8 +67,15 @@
 	return sapphiredrum.Address(c.listener.Addr().String())
 }
 
-// plan returns what to do with the next request.
-func (c *crude) plan() behaviour {
+// plan sets what to do with the next requests.
+func (c *crude) plan(next behaviour) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.next = next
+}
+
+// planned returns what to do with the next request.
+func (c *crude) planned() behaviour {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.next
@@ -78,7 +85,7 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
-		if c.plan().close {
+		if c.planned().close {
 			return
 		}
 		request, err := http.ReadRequest(reader)
@@ -134,9 +141,7 @@
 			if rapid.Bool().Draw(t, "cuts") {
 				next.cut = rapid.IntRange(0, len(next.answer)).Draw(t, "cut")
 			}
-			server.mutex.Lock()
-			server.next = next
-			server.mutex.Unlock()
+			server.plan(next)
 			stream := fmt.Sprint(number)
 			call := sapphiredrum.ServiceCall{Stream: sapphiredrum.StreamID(stream), Method: method, Path: "/x"}
 			if rapid.Bool().Draw(t, "body") {
@@ -145,7 +150,9 @@
 			if rapid.Bool().Draw(t, "key") {
 				call.Headers = append(call.Headers, sapphiredrum.Header{Name: "Idempotency-Key", Value: "k"})
 			}
-			answer, err := client.Call(context.Background(), call)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			answer, err := client.Call(ctx, call)
 			server.mutex.Lock()
 			seen := server.seen[stream]
 			server.mutex.Unlock()
@@ -179,30 +186,30 @@
 	if _, err := readAll(answer); !errorx.IsOfType(err, sapphiredrum.EndOfStream) {
 		t.Fatal(err)
 	}
-	recorded := record(t, address)
+	chunked := record(t, address, "HTTP/1.1")
+	unmarked := record(t, address, "HTTP/1.0")
 	server := newCrude(t)
 	client := &connector.Engine{Pool: pool, Address: server.address()}
-	mark := bytes.Index(recorded, []byte("data: [DONE]\n\n")) + len("data: [DONE]\n\n")
-	for cut := range len(recorded) + 1 {
-		server.mutex.Lock()
-		server.next = behaviour{answer: string(recorded), cut: cut}
-		server.mutex.Unlock()
-		answer, err := client.Start(context.Background(), call)
-		if err != nil {
-			expect(t, err, sapphiredrum.Uncertain)
-			continue
-		}
-		text, err := readAll(answer)
-		if !strings.HasPrefix(faker.Text(messages, 6), text) {
-			t.Fatalf("cut at %d reads %q", cut, text)
-		}
-		if errorx.IsOfType(err, sapphiredrum.EndOfStream) != (cut >= mark) || cut >= mark && text != faker.Text(messages, 6) {
-			t.Fatalf("cut at %d of %d ends with %v", cut, len(recorded), err)
+	for _, recorded := range []string{chunked, unmarked} {
+		const end = "data: [DONE]\n\n"
+		mark := strings.Index(recorded, end) + len(end)
+		for cut := range len(recorded) + 1 {
+			server.plan(behaviour{answer: recorded, cut: cut})
+			answer, err := client.Start(context.Background(), call)
+			if err != nil {
+				expect(t, err, sapphiredrum.Uncertain)
+				continue
+			}
+			text, err := readAll(answer)
+			if !strings.HasPrefix(faker.Text(messages, 6), text) {
+				t.Fatalf("cut at %d reads %q", cut, text)
+			}
+			if errorx.IsOfType(err, sapphiredrum.EndOfStream) != (cut >= mark) || cut >= mark && text != faker.Text(messages, 6) {
+				t.Fatalf("cut at %d of %d ends with %v", cut, len(recorded), err)
+			}
 		}
 	}
-	server.mutex.Lock()
-	server.next = behaviour{answer: string(recorded), cut: -1}
-	server.mutex.Unlock()
+	server.plan(behaviour{answer: chunked, cut: -1})
 	crossed, err := client.Start(context.Background(), sapphiredrum.EngineCall{Stream: "other"})
 	if err != nil {
 		t.Fatal(err)
@@ -211,26 +218,25 @@
 	if !errorx.IsOfType(err, sapphiredrum.BrokenAnswer) || text != "" {
 		t.Fatalf("another stream's answer was taken: %q, %v", text, err)
 	}
-	server.mutex.Lock()
-	server.next = behaviour{answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\nsteel", cut: -1}
-	server.mutex.Unlock()
+	server.plan(behaviour{answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\nsteel", cut: -1})
 	_, err = client.Start(context.Background(), call)
 	expect(t, err, sapphiredrum.Uncertain)
 	server.listener.Close()
 	server.all.Wait()
 }
 
-// record returns the bytes of the answer that resumes stream s from its start.
-func record(t *testing.T, address sapphiredrum.Address) []byte {
+// record returns the bytes of the answer that resumes stream s from its start;
+// that to HTTP/1.0 ends with its connection.
+func record(t *testing.T, address sapphiredrum.Address, version string) string {
 	conn, err := net.Dial("tcp", string(address))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_, _ = io.WriteString(conn, "GET /streams/s?offset=0 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	_, _ = io.WriteString(conn, "GET /streams/s?offset=0 "+version+"\r\nHost: x\r\nConnection: close\r\n\r\n")
 	data, err := io.ReadAll(conn)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return data
+	return string(data)
 }
