--- a/loader/faults_test.go
+++ b/loader/faults_test.go
@@ -85,6 +85,8 @@
 out = true
 from = tomorrow #!from
 share = 0.6 #!share
+[zone z3] x #!section
+region = r
 [level 7] #!section
 first = 1
 gap = 0 #!gap
