loader: settings of the host's launcher

Seeds, poll, linger, drain and body are settings of a host too. What the file leaves out is zero, so that defaults stand in one place, beside the code that uses them.

--- a/loader/reader.go
+++ b/loader/reader.go
@@ -124,6 +124,24 @@
 	return text[sapphiredrum.Address](r, key, validAddress, allowedAddress)
 }
 
+// addresses reads addresses with commas between.
+func addresses(r *reader, key string) []sapphiredrum.Address {
+	e, found := r.entry(key)
+	if !found {
+		return nil
+	}
+	var list []sapphiredrum.Address
+	for _, part := range strings.Split(e.value, ",") {
+		part = strings.TrimSpace(part)
+		if !validAddress(part) || unspecified(sapphiredrum.Address(part)) {
+			r.fault(e, allowedAddress+", or several with commas between")
+			return nil
+		}
+		list = append(list, sapphiredrum.Address(part))
+	}
+	return list
+}
+
 // flag reads true or false; a missing one is false.
 func flag(r *reader, key string) bool {
 	e, found := r.entry(key)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -14,13 +14,26 @@
 	Advertise sapphiredrum.Address
 	// Platform is the address of the table, the object store and the list.
 	Platform sapphiredrum.Address
-	Log      LogLevel
+	// Seeds are peers to ask for the configuration while the platform is away.
+	Seeds []sapphiredrum.Address
+	Log   LogLevel
+
+	// The following are zero where the file leaves them to the host's defaults.
+
 	// TTL is how long a lease lasts without renewal, Drift what clocks may differ
 	// by over that time.
 	TTL   sapphiredrum.Millis
 	Drift sapphiredrum.Millis
+	// Poll is the time between two looks for a new configuration.
+	Poll sapphiredrum.Millis
+	// Linger is how long a leaving host waits for late callers, Drain the bound on
+	// its graceful shutdown.
+	Linger sapphiredrum.Millis
+	Drain  sapphiredrum.Millis
 	// Writes is what all hosts together may write to the platform per second.
 	Writes sapphiredrum.Rate
+	// Body bounds a caller's request.
+	Body sapphiredrum.Bytes
 }
 
 // LogLevel is the least severity that is logged.
@@ -34,15 +47,15 @@
 	LogError LogLevel = "error"
 )
 
-// Values of settings left out, and bounds.
+// Bounds of settings.
 const (
-	defaultTTL                        = 3 * sapphiredrum.Second
-	defaultDrift                      = 100 * sapphiredrum.Millisecond
-	defaultWrites   sapphiredrum.Rate = 300
-	leastTTL                          = 100 * sapphiredrum.Millisecond
-	maxTTL                            = 10 * sapphiredrum.Minute
-	maxWrites       sapphiredrum.Rate = 1e5
-	settingsSection                   = "host"
+	leastTTL                       = 100 * sapphiredrum.Millisecond
+	maxTTL                         = 10 * sapphiredrum.Minute
+	maxPoll                        = sapphiredrum.Minute
+	maxDrain                       = sapphiredrum.Hour
+	maxWrites   sapphiredrum.Rate  = 1e5
+	maxBody     sapphiredrum.Bytes = 1 << 30
+	allowedHost                    = "one [host] section"
 )
 
 // ParseSettings reads a host's settings and names every bad line. The settings
@@ -53,15 +66,15 @@
 	found := false
 	for _, s := range d.sections {
 		in := &reader{document: d, section: s}
-		if s.header != settingsSection || found {
-			in.fault(entry{line: s.line, value: s.header}, "one [host] section")
+		if s.header != "host" || found {
+			in.fault(entry{line: s.line, value: s.header}, allowedHost)
 			continue
 		}
 		found = true
 		settings = readSettings(in)
 	}
 	if !found {
-		d.fault(Fault{Allowed: "one [host] section"})
+		d.fault(Fault{Allowed: allowedHost})
 	}
 	return settings, sortFaults(d.faults)
 }
@@ -77,13 +90,18 @@
 		Operator:  address(in, "operator"),
 		Advertise: address(in, "advertise"),
 		Platform:  address(in, "platform"),
+		Seeds:     addresses(in, "seeds"),
 		Log:       choice(in, "log", LogInfo, LogDebug, LogWarn, LogError),
-		TTL:       whole(in, "ttl", leastTTL, maxTTL, defaultTTL),
+		TTL:       whole(in, "ttl", leastTTL, maxTTL, 0),
+		Poll:      whole(in, "poll", 1, maxPoll, 0),
+		Linger:    whole(in, "linger", 1, maxDrain, 0),
+		Drain:     whole(in, "drain", 1, maxDrain, 0),
+		Writes:    fraction(in, "writes", 1, maxWrites),
+		Body:      whole(in, "body", 1, maxBody, 0),
 	}
-	s.Drift = whole(in, "drift", 0, s.TTL/2, min(defaultDrift, s.TTL/2))
-	s.Writes = fraction(in, "writes", 1, maxWrites)
-	if s.Writes == 0 {
-		s.Writes = defaultWrites
+	s.Drift = whole(in, "drift", 1, max(s.TTL/2, 1), 0)
+	if s.TTL == 0 {
+		in.refuse("drift", "no drift without a ttl")
 	}
 	if s.Advertise == "" {
 		s.Advertise = s.Peer
