--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -55,6 +55,7 @@
 			"later":  pass,
 			"flood":  func(*rapid.T) { w.flood() },
 			"cut":    func(t *rapid.T) { w.cut[[2]sapphiredrum.ZoneName{zone(t), zone(t)}] = true },
+			"part":   func(t *rapid.T) { w.part(rapid.IntRange(0, 2).Draw(t, "zone"), true) },
 			"heal":   func(*rapid.T) { clear(w.cut) },
 			"freeze": func(t *rapid.T) { pick(t).frozen = true },
 			"thaw": func(t *rapid.T) {
