--- a/limiter/lend.go
+++ b/limiter/lend.go
@@ -28,7 +28,7 @@
 	if a.self < 0 || now >= s.deadline {
 		return
 	}
-	if a.self > 0 && now < a.lent.Add(s.patience(a.self)) {
+	if a.self > 0 && (now < a.lent.Add(s.patience(a.self)) || a.wantedBefore(now, a.self, s.settings.Loan)) {
 		return
 	}
 	if now < a.lent && a.borrower != (borrower{}) {
@@ -52,9 +52,16 @@
 	}
 }
 
-// patience is how long a home of the given rank waits for better ones to ask.
+// patience is how long a home of the given rank waits for better ones to ask
+// after its own share has come back.
 func (s *State) patience(rank int) sapphiredrum.Millis {
-	return s.settings.renewal() * sapphiredrum.Millis(rank+1)
+	return s.settings.renewal() * sapphiredrum.Millis(rank-1)
+}
+
+// wantedBefore reports whether a home better than the given rank has asked for
+// the own share lately.
+func (a *account) wantedBefore(now sapphiredrum.Instant, rank int, lately sapphiredrum.Millis) bool {
+	return a.wanted != 0 && a.suitor < rank && now < a.wanted.Add(lately)
 }
 
 // Lend answers an Ask at the host that holds the lender's shard. A repeated or
@@ -113,17 +120,14 @@
 	a.refresh(now, s.deadline, s.scale)
 	loan := Loan{Workspace: a.workspace.ID}
 	rank, until := a.rank(to.home.Zone), now.Add(ask.Loan+s.settings.Drift)
-	wanted := a.wanted != 0 && now < a.wanted.Add(s.settings.Loan)
 	switch {
-	case rank >= a.self, wanted && a.suitor < rank:
+	case rank >= a.self, a.wantedBefore(now, rank, s.settings.Loan):
 		return loan, false
 	case a.lent <= now:
 		loan.Tokens = a.release()
 		a.giveBack(now, s.number)
 	case a.borrower != to:
-		if !wanted || rank <= a.suitor {
-			a.wanted, a.suitor = now, rank
-		}
+		a.wanted, a.suitor = now, rank
 		return loan, false
 	}
 	a.borrower, a.number, a.lent = to, ask.Number, max(a.lent, until)
--- a/limiter/measure_test.go
+++ b/limiter/measure_test.go
@@ -138,11 +138,30 @@
 	return least
 }
 
+// condition is what a run of the shipped code meets.
+type condition struct {
+	// cut is the zone cut off, -1 for none.
+	cut  int
+	wait int64
+	// planned gives the zones shares like their load.
+	planned bool
+	loan    sapphiredrum.Millis
+}
+
 // pooled runs the shipped code.
-func (l load) pooled(seed uint64, arrivals []arrival, cut int, wait int64, fail func(string, ...any)) []bool {
+func (l load) pooled(seed uint64, arrivals []arrival, c condition, fail func(string, ...any)) []bool {
 	settings := limiter.Settings{Skew: limiter.DefaultSkew, Loan: limiter.DefaultLoan, Drift: limiter.DefaultDrift, Settle: limiter.DefaultSettle}
-	w := newWorld(seed, perZone, settings, plan(1, l.rate, l.burst), fail)
-	return replay(arrivals, wait, func(a arrival, at int64) (bool, int64) {
+	if c.loan > 0 {
+		settings.Loan = c.loan
+	}
+	first, cut := plan(1, l.rate, l.burst), c.cut
+	for i := range first.zones {
+		if c.planned {
+			first.zones[i].Share = sapphiredrum.Share(l.weights[i])
+		}
+	}
+	w := newWorld(seed, perZone, settings, first, fail)
+	return replay(arrivals, c.wait, func(a arrival, at int64) (bool, int64) {
 		for _, edge := range []int64{cutFrom, cutTo} {
 			if cut >= 0 && w.now < edge && edge <= at {
 				w.pass(edge - w.now)
@@ -217,7 +236,7 @@
 	l := load{rate: 40, burst: 40, offered: 0.9, weights: [3]float64{3, 1, 1}}
 	arrivals := l.arrivals(1)
 	global := l.fixed(arrivals, 1, 0, func(arrival) int { return 0 })
-	if share := wrong(global, l.pooled(1, arrivals, -1, 0, t.Fatalf)); share > 0.1 {
+	if share := wrong(global, l.pooled(1, arrivals, condition{cut: -1}, t.Fatalf)); share > 0.1 {
 		t.Fatalf("%.2f%% of %d requests wrongly refused, want at most 0.1%%", share, len(arrivals))
 	}
 }
@@ -225,14 +244,14 @@
 // BenchmarkTable prints the table of docs/LIMITER.md; run it with -benchtime 1x.
 func BenchmarkTable(b *testing.B) {
 	one := func(arrival) int { return 0 }
-	b.Log("rate burst load skew | 12 parts | 3 parts | 2 parts | pooled | cut: home only | cut: best split in hindsight | cut: pooled | cut: pooled, wait 1 s | cut: pooled, wait 3 s")
+	b.Log("rate burst load skew | 12 parts | 3 parts | 2 parts | pooled | cut: home only | cut: best split in hindsight | cut: pooled | same, shares as the load | same, loan 1 s | shares as the load, wait 1 s | wait 3 s")
 	for _, l := range []load{
 		{40, 40, 0.6, [3]float64{1, 1, 1}},
 		{40, 40, 0.9, [3]float64{3, 1, 1}},
 		{4, 8, 0.6, [3]float64{1, 1, 1}},
 		{4, 8, 0.9, [3]float64{3, 1, 1}},
 	} {
-		sums := [9]float64{}
+		sums := [11]float64{}
 		for seed := range uint64(seeds) {
 			arrivals, cut := l.arrivals(seed), int(seed)%len(zoneNames)
 			global := l.fixed(arrivals, 1, 0, one)
@@ -240,12 +259,14 @@
 				wrong(global, l.fixed(arrivals, 12, 0, func(a arrival) int { return a.zone*perZone + a.host })),
 				wrong(global, l.fixed(arrivals, 3, 0, func(a arrival) int { return a.zone })),
 				wrong(global, l.fixed(arrivals, 2, 0, func(a arrival) int { return min(a.zone, 1) })),
-				wrong(global, l.pooled(seed, arrivals, -1, 0, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{cut: -1}, b.Fatalf)),
 				wrong(global, l.central(arrivals, cut)),
 				l.hindsight(arrivals, cut, global),
-				wrong(global, l.pooled(seed, arrivals, cut, 0, b.Fatalf)),
-				wrong(l.fixed(arrivals, 1, 1000, one), l.pooled(seed, arrivals, cut, 1000, b.Fatalf)),
-				wrong(l.fixed(arrivals, 1, 3000, one), l.pooled(seed, arrivals, cut, 3000, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{cut: cut}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{cut: cut, planned: true}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{cut: cut, planned: true, loan: 1000}, b.Fatalf)),
+				wrong(l.fixed(arrivals, 1, 1000, one), l.pooled(seed, arrivals, condition{cut: cut, planned: true, wait: 1000}, b.Fatalf)),
+				wrong(l.fixed(arrivals, 1, 3000, one), l.pooled(seed, arrivals, condition{cut: cut, planned: true, wait: 3000}, b.Fatalf)),
 			} {
 				sums[i] += share / seeds
 			}
