--- a/limiter/account.go
+++ b/limiter/account.go
@@ -30,8 +30,8 @@
 	suitor int
 	// barrier is the number of the last Ask whose Grant must not be used.
 	barrier uint64
-	// returning holds the zones whose loans are to be returned with the next Ask.
-	returning []sapphiredrum.ZoneName
+	// returning holds the loans to be given back with the next Ask.
+	returning []giving
 
 	bucket Bucket
 	// next is the first instant at which a part comes or goes.
@@ -47,6 +47,12 @@
 	until sapphiredrum.Instant
 }
 
+// giving is a share on its way back to its lender.
+type giving struct {
+	zone sapphiredrum.ZoneName
+	loan Loan
+}
+
 // borrower identifies one process in its role as the holder of a home's shard.
 type borrower struct {
 	home        sapphiredrum.ShardID
@@ -70,12 +76,7 @@
 			a.parts[i].fraction = a.parts[i].planned
 		}
 	}
-	fraction := 0.0
-	for i, p := range a.parts {
-		if i == a.self && a.lent <= at && at < deadline || i != a.self && at < p.until {
-			fraction += p.fraction
-		}
-	}
+	fraction := a.inForce(at, deadline)
 	a.next = a.following(at, deadline)
 	rate := sapphiredrum.Rate(float64(a.workspace.Rate) * fraction * scale)
 	a.bucket.Set(at, rate, sapphiredrum.Burst(float64(a.workspace.Burst)*fraction))
@@ -98,12 +99,20 @@
 	return next
 }
 
-// active reports whether any part is in force now.
-func (a *account) active(now, deadline sapphiredrum.Instant) bool {
-	if a.self >= 0 && a.lent <= now && now < deadline && a.parts[a.self].fraction > 0 {
-		return true
+// inForce sums the fractions of the parts in force at the instant.
+func (a *account) inForce(at, deadline sapphiredrum.Instant) float64 {
+	fraction := 0.0
+	for i, p := range a.parts {
+		if i == a.self && a.owns(at, deadline) || i != a.self && at < p.until {
+			fraction += p.fraction
+		}
 	}
-	return slices.ContainsFunc(a.parts, func(p part) bool { return now < p.until && p.fraction > 0 })
+	return fraction
+}
+
+// owns reports whether the own share is here at the instant.
+func (a *account) owns(at, deadline sapphiredrum.Instant) bool {
+	return a.self >= 0 && a.lent <= at && at < deadline
 }
 
 // rank returns the zone's place in the order of homes; unknown zones are last.
--- a/limiter/lend.go
+++ b/limiter/lend.go
@@ -76,12 +76,8 @@
 	if s.shards[ask.Lender] == nil || !s.fresh(pair{lender: ask.Lender, home: ask.Home}, from, ask.Number) {
 		return grant
 	}
-	for _, w := range ask.Returned {
-		if a := s.find(ask.Lender, w); a != nil && a.borrower == from && a.number < ask.Number && now < a.lent {
-			a.refresh(now, s.deadline, s.scale)
-			a.lent = now
-			a.reshape(now, s.deadline, s.scale)
-		}
+	for _, loan := range ask.Returned {
+		s.takeBack(now, s.find(ask.Lender, loan.Workspace), from, ask.Number, loan.Tokens)
 	}
 	heard := ask.Heard.Incarnation == s.incarnation && now.Since(ask.Heard.At) <= s.settings.Loan
 	if now >= s.deadline || !heard || ask.Loan > s.settings.Loan {
@@ -99,6 +95,17 @@
 	return grant
 }
 
+// takeBack ends the loan of the own share before its time.
+func (s *State) takeBack(now sapphiredrum.Instant, a *account, from borrower, number uint64, tokens float64) {
+	if a == nil || a.borrower != from || number <= a.number || a.lent <= now {
+		return
+	}
+	a.refresh(now, s.deadline, s.scale)
+	a.lent = now
+	a.reshape(now, s.deadline, s.scale)
+	a.bucket.add(now, tokens)
+}
+
 // fresh reports whether the Ask is the newest of the newest holder of its home,
 // and notes it.
 func (s *State) fresh(p pair, from borrower, number uint64) bool {
@@ -124,8 +131,7 @@
 	case rank >= a.self, a.wantedBefore(now, rank, s.settings.Loan):
 		return loan, false
 	case a.lent <= now:
-		loan.Tokens = a.release()
-		a.giveBack(now, s.number)
+		loan.Tokens = a.giveBack(now, s.deadline, s.number)
 	case a.borrower != to:
 		a.wanted, a.suitor = now, rank
 		return loan, false
@@ -135,24 +141,28 @@
 	return loan, true
 }
 
-// release returns the tokens that go with the own share; none are left.
-func (a *account) release() float64 {
-	own := float64(a.workspace.Burst) * a.parts[a.self].fraction
-	tokens := min(a.bucket.tokens, own)
-	a.bucket.tokens = 0
-	return tokens
-}
-
-// giveBack ends all borrowing at once and notes the loans to return. Grants of
-// Asks up to the given number are not used any more.
-func (a *account) giveBack(now sapphiredrum.Instant, number uint64) {
+// giveBack ends all borrowing at once and notes the loans to return. It empties
+// the bucket: every returned share takes its part of the tokens along, and the
+// own share's part is returned. Grants of Asks up to the number are void.
+func (a *account) giveBack(now, deadline sapphiredrum.Instant, number uint64) float64 {
 	a.barrier = number
+	each, own := 0.0, 0.0
+	if total := a.inForce(now, deadline); total > 0 {
+		each = a.bucket.tokens / total
+	}
 	for i := range a.parts {
-		if now < a.parts[i].until {
-			a.parts[i].until = now
-			a.returning = append(a.returning, a.zones[i])
+		p := &a.parts[i]
+		switch {
+		case i == a.self && a.owns(now, deadline):
+			own = each * p.fraction
+		case now < p.until:
+			p.until = now
+			loan := Loan{Workspace: a.workspace.ID, Tokens: each * p.fraction}
+			a.returning = append(a.returning, giving{zone: a.zones[i], loan: loan})
 		}
 	}
+	a.bucket.tokens = 0
+	return own
 }
 
 // Receive takes a lender's answer at the home. It tolerates late, repeated and
@@ -203,10 +213,10 @@
 
 // collectReturned adds the loans that the account has ended.
 func (o outbox) collectReturned(a *account) {
-	for _, z := range a.returning {
-		p := pair{lender: sapphiredrum.ShardID{Zone: z, Number: a.shard.Number}, home: a.shard}
+	for _, g := range a.returning {
+		p := pair{lender: sapphiredrum.ShardID{Zone: g.zone, Number: a.shard.Number}, home: a.shard}
 		m := o[p]
-		m.Returned = append(m.Returned, a.workspace.ID)
+		m.Returned = append(m.Returned, g.loan)
 		o[p] = m
 	}
 	a.returning = nil
--- a/limiter/measure_test.go
+++ b/limiter/measure_test.go
@@ -138,11 +138,22 @@
 	return least
 }
 
+// event is what happens to a zone between cutFrom and cutTo.
+type event int
+
+const (
+	nothing event = iota
+	cutOff
+	takenOut
+	// hostDies kills the holder of the zone's account for good.
+	hostDies
+)
+
 // condition is what a run of the shipped code meets.
 type condition struct {
-	// cut is the zone cut off, -1 for none.
-	cut  int
-	wait int64
+	event event
+	zone  int
+	wait  int64
 	// planned gives the zones shares like their load.
 	planned bool
 	loan    sapphiredrum.Millis
@@ -154,18 +165,19 @@
 	if c.loan > 0 {
 		settings.Loan = c.loan
 	}
-	first, cut := plan(1, l.rate, l.burst), c.cut
+	first := plan(1, l.rate, l.burst)
 	for i := range first.zones {
 		if c.planned {
 			first.zones[i].Share = sapphiredrum.Share(l.weights[i])
 		}
 	}
 	w := newWorld(seed, perZone, settings, first, fail)
+	w.lease = 15_000
 	return replay(arrivals, c.wait, func(a arrival, at int64) (bool, int64) {
 		for _, edge := range []int64{cutFrom, cutTo} {
-			if cut >= 0 && w.now < edge && edge <= at {
+			if w.now < edge && edge <= at {
 				w.pass(edge - w.now)
-				w.part(cut, edge == cutFrom)
+				w.happen(c, edge == cutFrom)
 			}
 		}
 		if at > w.now {
@@ -176,6 +188,23 @@
 	})
 }
 
+// happen begins or ends the condition's event.
+func (w *world) happen(c condition, begins bool) {
+	switch c.event {
+	case cutOff:
+		w.part(c.zone, begins)
+	case takenOut:
+		s := w.sheets[0]
+		s.zones, s.reaches = slices.Clone(s.zones), nil
+		s.zones[c.zone].Out = begins
+		w.publish(s, 2000)
+	case hostDies:
+		if begins {
+			w.kill(w.hosts[c.zone])
+		}
+	}
+}
+
 // part cuts the zone off from the others, or heals the cut.
 func (w *world) part(zone int, cut bool) {
 	for _, z := range zoneNames {
@@ -186,21 +215,25 @@
 	}
 }
 
-// admit asks as a keeper in the zone does: the home, then the zone's own account,
-// then whoever borrowed its share.
+// admit asks as a keeper in the zone does: the accounts in order of preference
+// until one has something to spend, or whoever borrowed its share.
 func (w *world) admit(zone int) limiter.Verdict {
-	c, from := w.sheets[0].workspaces[0].ID, zoneNames[zone]
-	own := sapphiredrum.ShardID{Zone: from, Number: limiter.AccountShard(c)}
-	verdict := w.ask(from, c, limiter.Accounts(c, w.sheets[0].zones)[0])
-	if verdict.NotHere {
-		verdict = w.ask(from, c, own)
-	}
-	if verdict.NotHere && verdict.Holder != (sapphiredrum.ShardID{}) {
-		if there := w.ask(from, c, verdict.Holder); !there.NotHere {
-			return there
+	sheet := w.sheets[len(w.sheets)-1]
+	c, from := sheet.workspaces[0].ID, zoneNames[zone]
+	least := limiter.Verdict{NotHere: true, RetryAfter: limiter.Never}
+	for _, id := range limiter.Accounts(c, sheet.zones) {
+		verdict := w.ask(from, c, id)
+		if verdict.NotHere && verdict.Holder != (sapphiredrum.ShardID{}) {
+			if there := w.ask(from, c, verdict.Holder); !there.NotHere {
+				verdict = there
+			}
+		}
+		if !verdict.NotHere {
+			return verdict
 		}
+		least.RetryAfter = min(least.RetryAfter, verdict.RetryAfter)
 	}
-	return verdict
+	return least
 }
 
 func (w *world) ask(from sapphiredrum.ZoneName, c sapphiredrum.WorkspaceID, id sapphiredrum.ShardID) limiter.Verdict {
@@ -208,6 +241,9 @@
 		return limiter.Verdict{NotHere: true, RetryAfter: 100}
 	}
 	h := w.hosts[w.shards[id].host]
+	if h.state == nil {
+		return limiter.Verdict{NotHere: true, RetryAfter: 100}
+	}
 	verdict := h.state.Admit(w.clock(h), c, id)
 	if verdict.Admitted {
 		if w.levels[c]--; w.levels[c] < -1e-6 {
@@ -236,7 +272,7 @@
 	l := load{rate: 40, burst: 40, offered: 0.9, weights: [3]float64{3, 1, 1}}
 	arrivals := l.arrivals(1)
 	global := l.fixed(arrivals, 1, 0, func(arrival) int { return 0 })
-	if share := wrong(global, l.pooled(1, arrivals, condition{cut: -1}, t.Fatalf)); share > 0.1 {
+	if share := wrong(global, l.pooled(1, arrivals, condition{}, t.Fatalf)); share > 0.1 {
 		t.Fatalf("%.2f%% of %d requests wrongly refused, want at most 0.1%%", share, len(arrivals))
 	}
 }
@@ -244,29 +280,32 @@
 // BenchmarkTable prints the table of docs/LIMITER.md; run it with -benchtime 1x.
 func BenchmarkTable(b *testing.B) {
 	one := func(arrival) int { return 0 }
-	b.Log("rate burst load skew | 12 parts | 3 parts | 2 parts | pooled | cut: home only | cut: best split in hindsight | cut: pooled | same, shares as the load | same, loan 1 s | shares as the load, wait 1 s | wait 3 s")
+	b.Log("rate burst load skew | 12 parts | 3 parts | 2 parts | pooled | cut: home only | cut: best split in hindsight | cut: pooled | same, shares as the load | same, loan 1 s | home zone out | home host dies | same, wait 1 s | cut: shares as the load, wait 1 s | wait 3 s")
 	for _, l := range []load{
 		{40, 40, 0.6, [3]float64{1, 1, 1}},
 		{40, 40, 0.9, [3]float64{3, 1, 1}},
 		{4, 8, 0.6, [3]float64{1, 1, 1}},
 		{4, 8, 0.9, [3]float64{3, 1, 1}},
 	} {
-		sums := [11]float64{}
+		sums := [14]float64{}
 		for seed := range uint64(seeds) {
 			arrivals, cut := l.arrivals(seed), int(seed)%len(zoneNames)
-			global := l.fixed(arrivals, 1, 0, one)
+			global, home := l.fixed(arrivals, 1, 0, one), l.home()
 			for i, share := range []float64{
 				wrong(global, l.fixed(arrivals, 12, 0, func(a arrival) int { return a.zone*perZone + a.host })),
 				wrong(global, l.fixed(arrivals, 3, 0, func(a arrival) int { return a.zone })),
 				wrong(global, l.fixed(arrivals, 2, 0, func(a arrival) int { return min(a.zone, 1) })),
-				wrong(global, l.pooled(seed, arrivals, condition{cut: -1}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{}, b.Fatalf)),
 				wrong(global, l.central(arrivals, cut)),
 				l.hindsight(arrivals, cut, global),
-				wrong(global, l.pooled(seed, arrivals, condition{cut: cut}, b.Fatalf)),
-				wrong(global, l.pooled(seed, arrivals, condition{cut: cut, planned: true}, b.Fatalf)),
-				wrong(global, l.pooled(seed, arrivals, condition{cut: cut, planned: true, loan: 1000}, b.Fatalf)),
-				wrong(l.fixed(arrivals, 1, 1000, one), l.pooled(seed, arrivals, condition{cut: cut, planned: true, wait: 1000}, b.Fatalf)),
-				wrong(l.fixed(arrivals, 1, 3000, one), l.pooled(seed, arrivals, condition{cut: cut, planned: true, wait: 3000}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{event: cutOff, zone: cut}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{event: cutOff, zone: cut, planned: true}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{event: cutOff, zone: cut, planned: true, loan: 1000}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{event: takenOut, zone: home}, b.Fatalf)),
+				wrong(global, l.pooled(seed, arrivals, condition{event: hostDies, zone: home}, b.Fatalf)),
+				wrong(l.fixed(arrivals, 1, 1000, one), l.pooled(seed, arrivals, condition{event: hostDies, zone: home, wait: 1000}, b.Fatalf)),
+				wrong(l.fixed(arrivals, 1, 1000, one), l.pooled(seed, arrivals, condition{event: cutOff, zone: cut, planned: true, wait: 1000}, b.Fatalf)),
+				wrong(l.fixed(arrivals, 1, 3000, one), l.pooled(seed, arrivals, condition{event: cutOff, zone: cut, planned: true, wait: 3000}, b.Fatalf)),
 			} {
 				sums[i] += share / seeds
 			}
@@ -281,12 +320,16 @@
 
 // central admits by one bucket in the first home zone that never lends back.
 func (l load) central(arrivals []arrival, cut int) []bool {
-	home := slices.Index(zoneNames, limiter.HomeZones("w-1", plan(1, 1, 1).zones)[0])
 	whole := tokens{l.rate, l.burst, l.burst, 0}
 	return replay(arrivals, 0, func(a arrival, at int64) (bool, int64) {
-		if at >= cutFrom && at < cutTo && (a.zone == cut) != (home == cut) {
+		if at >= cutFrom && at < cutTo && (a.zone == cut) != (l.home() == cut) {
 			return false, 1 << 40
 		}
 		return whole.take(at)
 	})
 }
+
+// home is the index of the home zone of every measured workspace.
+func (l load) home() int {
+	return slices.Index(zoneNames, limiter.HomeZones("w-1", plan(1, l.rate, l.burst).zones)[0])
+}
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -17,8 +17,8 @@
 	Heard Mark `json:",omitzero"`
 	// Workspaces are those whose share the home wants to borrow or keep.
 	Workspaces []sapphiredrum.WorkspaceID `json:",omitempty"`
-	// Returned are those whose loans the home has ended before their time.
-	Returned []sapphiredrum.WorkspaceID `json:",omitempty"`
+	// Returned are the loans that the home has ended before their time.
+	Returned []Loan `json:",omitempty"`
 }
 
 // Grant answers an Ask.
@@ -34,10 +34,11 @@
 	Lent []Loan `json:",omitempty"`
 }
 
-// Loan tells that a workspace's share is lent for the time that the Ask stated.
+// Loan is a lender's share of a workspace, lent for the time that the Ask stated
+// or given back.
 type Loan struct {
 	Workspace sapphiredrum.WorkspaceID
-	// Tokens come with a new loan; they have left the lender's account.
+	// Tokens move with the share; they have left the sender's account.
 	Tokens float64 `json:",omitempty"`
 }
 
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -140,7 +140,8 @@
 	}
 	outbox := outbox{}
 	for _, a := range h.accounts {
-		a.giveBack(now, s.number)
+		a.refresh(now, s.deadline, s.scale)
+		a.giveBack(now, s.deadline, s.number)
 		outbox.collectReturned(a)
 	}
 	asks := s.seal(now, outbox)
@@ -162,7 +163,7 @@
 		return Verdict{NotHere: true, RetryAfter: s.settings.renewal()}
 	}
 	a.refresh(now, s.deadline, s.scale)
-	if !a.active(now, s.deadline) {
+	if a.inForce(now, s.deadline) == 0 {
 		return s.absent(now, a)
 	}
 	admitted, wait := a.bucket.Take(now)
--- a/limiter/world_test.go
+++ b/limiter/world_test.go
@@ -26,6 +26,7 @@
 	// stale makes Asks go to the holder before the present one.
 	stale    bool
 	greedy   bool
+	lease    int64
 	sheets   []sheet
 	levels   map[sapphiredrum.WorkspaceID]float64
 	admitted int
@@ -45,8 +46,8 @@
 
 type owner struct {
 	host, previous int
-	epoch sapphiredrum.Epoch
-	told  map[int]bool
+	epoch          sapphiredrum.Epoch
+	told           map[int]bool
 }
 
 type packet struct {
@@ -63,9 +64,9 @@
 }
 
 const (
-	leaseTime  = 3000 // on the holder's clock
-	claimAfter = 3020 // in true time since the last renewal; covers the slowest clock
 	renewEvery = 700
+	// claimAfter is the true time by which the slowest clock is behind at a lease's end.
+	claimAfter = 20
 )
 
 var zoneNames = []sapphiredrum.ZoneName{"z-a", "z-b", "z-c"}
@@ -74,7 +75,7 @@
 	w := &world{
 		fail: fail, random: rand.New(rand.NewPCG(seed, 1)), settings: settings, now: 10_000,
 		shards: map[sapphiredrum.ShardID]*owner{}, cut: map[[2]sapphiredrum.ZoneName]bool{},
-		levels: map[sapphiredrum.WorkspaceID]float64{}, delay: 2,
+		levels: map[sapphiredrum.WorkspaceID]float64{}, delay: 2, lease: 3000,
 	}
 	for i := range perZone * len(zoneNames) {
 		h := &machine{index: i, zone: zoneNames[i%len(zoneNames)], origin: w.random.Int64N(1e9)}
@@ -131,10 +132,10 @@
 			delete(o.told, h.index)
 		}
 	}
-	h.state.Renew(w.clock(h), w.clock(h).Add(leaseTime))
+	h.state.Renew(w.clock(h), w.clock(h).Add(sapphiredrum.Millis(w.lease)))
 	h.renewed = w.now
 	for id, o := range w.shards {
-		dead := o.host != h.index && w.now-w.hosts[o.host].renewed >= claimAfter
+		dead := o.host != h.index && w.now-w.hosts[o.host].renewed >= w.lease+claimAfter
 		first := o.epoch == 0 && o.host == h.index
 		again := o.host == h.index && !o.told[h.index]
 		if id.Zone == h.zone && (dead || first || again) {
