--- a/limiter/world_test.go
+++ b/limiter/world_test.go
@@ -23,7 +23,10 @@
 	cut      map[[2]sapphiredrum.ZoneName]bool
 	loss     float64
 	delay    int64
+	// stale makes Asks go to the holder before the present one.
+	stale    bool
 	greedy   bool
+	lease    int64
 	sheets   []sheet
 	levels   map[sapphiredrum.WorkspaceID]float64
 	admitted int
@@ -42,9 +45,9 @@
 }
 
 type owner struct {
-	host  int
-	epoch sapphiredrum.Epoch
-	told  map[int]bool
+	host, previous int
+	epoch          sapphiredrum.Epoch
+	told           map[int]bool
 }
 
 type packet struct {
@@ -61,9 +64,9 @@
 }
 
 const (
-	leaseTime  = 3000 // on the holder's clock
-	claimAfter = 3020 // in true time since the last renewal; covers the slowest clock
 	renewEvery = 700
+	// claimAfter is the true time by which the slowest clock is behind at a lease's end.
+	claimAfter = 20
 )
 
 var zoneNames = []sapphiredrum.ZoneName{"z-a", "z-b", "z-c"}
@@ -72,11 +75,11 @@
 	w := &world{
 		fail: fail, random: rand.New(rand.NewPCG(seed, 1)), settings: settings, now: 10_000,
 		shards: map[sapphiredrum.ShardID]*owner{}, cut: map[[2]sapphiredrum.ZoneName]bool{},
-		levels: map[sapphiredrum.WorkspaceID]float64{}, delay: 2,
+		levels: map[sapphiredrum.WorkspaceID]float64{}, delay: 2, lease: 3000,
 	}
 	for i := range perZone * len(zoneNames) {
 		h := &machine{index: i, zone: zoneNames[i%len(zoneNames)], origin: w.random.Int64N(1e9)}
-		h.speed = 1 + (w.random.Float64()*2-1)*float64(settings.Skew)
+		h.speed = 1 + float64(w.random.IntN(3)-1)*float64(settings.Skew)
 		w.hosts = append(w.hosts, h)
 	}
 	w.publish(first, 0)
@@ -84,7 +87,7 @@
 		w.levels[c.ID] = float64(c.Burst)
 		for z, n := range zoneNames {
 			id := sapphiredrum.ShardID{Zone: n, Number: limiter.AccountShard(c.ID)}
-			w.shards[id] = &owner{host: z, told: map[int]bool{}}
+			w.shards[id] = &owner{host: z, previous: z, told: map[int]bool{}}
 		}
 	}
 	for _, h := range w.hosts {
@@ -129,10 +132,10 @@
 			delete(o.told, h.index)
 		}
 	}
-	h.state.Renew(w.clock(h), w.clock(h).Add(leaseTime))
+	h.state.Renew(w.clock(h), w.clock(h).Add(sapphiredrum.Millis(w.lease)))
 	h.renewed = w.now
 	for id, o := range w.shards {
-		dead := o.host != h.index && w.now-w.hosts[o.host].renewed >= claimAfter
+		dead := o.host != h.index && w.now-w.hosts[o.host].renewed >= w.lease+claimAfter
 		first := o.epoch == 0 && o.host == h.index
 		again := o.host == h.index && !o.told[h.index]
 		if id.Zone == h.zone && (dead || first || again) {
@@ -143,7 +146,7 @@
 
 func (w *world) gain(id sapphiredrum.ShardID, o *owner, h *machine) {
 	o.epoch++
-	o.host = h.index
+	o.host, o.previous = h.index, o.host
 	o.told[h.index] = true
 	h.state.Gain(w.clock(h), id, o.epoch, o.epoch == 1)
 }
@@ -166,9 +169,11 @@
 
 func (w *world) send(from *machine, asks []limiter.Ask) {
 	for _, a := range asks {
-		if o := w.shards[a.Lender]; o != nil {
-			w.post(packet{from: from.index, to: o.host, message: a})
+		to := w.shards[a.Lender].host
+		if w.stale {
+			to = w.shards[a.Lender].previous
 		}
+		w.post(packet{from: from.index, to: to, message: a})
 	}
 }
 
