--- a/measurer/result.go
+++ b/measurer/result.go
@@ -17,6 +17,8 @@
 	Latencies map[sapphiredrum.Tier][]sapphiredrum.Millis
 	// All are the latencies of all these programs, sorted.
 	All []sapphiredrum.Millis
+	// Total are the latencies of all programs, those of the flooder included.
+	Total []sapphiredrum.Millis
 	// Slowdown is each workspace's mean of latency over ideal latency.
 	Slowdown map[sapphiredrum.WorkspaceID]float64
 	// Flooder is the workspace that exceeded its rate, if any.
@@ -110,6 +112,7 @@
 		id := p.tenant.ID
 		counts[id]++
 		r.Slowdown[id] += (float64(latency)/float64(max(p.ideal, 1)) - r.Slowdown[id]) / float64(counts[id])
+		r.Total = append(r.Total, latency)
 		if id != r.Flooder {
 			r.Latencies[p.tier] = append(r.Latencies[p.tier], latency)
 			r.All = append(r.All, latency)
@@ -119,4 +122,5 @@
 		slices.Sort(latencies)
 	}
 	slices.Sort(r.All)
+	slices.Sort(r.Total)
 }
--- a/measurer/table.go
+++ b/measurer/table.go
@@ -98,6 +98,8 @@
 	return []Column{
 		Latency(-1, 0.5), Latency(-1, 0.95), Latency(-1, 0.99),
 		{"worst slowdown", func(r *Result) float64 { _, x := r.Worst(); return x }},
+		{"flooder slowdown", func(r *Result) float64 { return r.Slowdown[r.Flooder] }},
+		{"total p95 s", func(r *Result) float64 { return float64(Percentile(r.Total, 0.95)) / float64(sapphiredrum.Second) }},
 		{"mean slowdown", func(r *Result) float64 { return r.Mean() }},
 		{"wasted %", func(r *Result) float64 { return 100 * r.WastedShare() }},
 		{"wrong %", func(r *Result) float64 { return 100 * r.WrongShare() }},
--- a/measurer/variant.go
+++ b/measurer/variant.go
@@ -11,6 +11,8 @@
 	Name string
 	// Order names the order of the queues.
 	Order string
+	// Orderer replaces the order with that name unless nil.
+	Orderer sapphiredrum.Orderer
 	// Chooser returns the chooser of keepers in a zone.
 	Chooser func(home sapphiredrum.ZoneName) sapphiredrum.Chooser
 	// PerTarget gives every target its own cell and queue.
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -145,7 +145,7 @@
 	c.dead = false
 	c.guard = scheduler.New(w.now, scheduler.Settings{
 		Cell:  scheduler.CellID{Group: c.engines[0].target.Group, Zone: c.zone},
-		Epoch: c.epoch, Policy: policy, Patience: w.variant.Patience,
+		Epoch: c.epoch, Policy: policy, Patience: w.variant.Patience, Orderer: w.variant.Orderer,
 	})
 	w.setTargets(c)
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -10,9 +10,9 @@
 	OrderArrival  = "fcfs"
 )
 
-// Allowance is the service by which a workspace may exceed its weighted share
-// before its calls rank after those of the others in the same tier.
-const Allowance sapphiredrum.Tokens = 20000
+// DefaultAllowance is the service by which a workspace may exceed its weighted
+// share before its calls rank after those of the others in the same tier.
+const DefaultAllowance sapphiredrum.Tokens = 20000
 
 // OrderNamed returns the order with the given name; any other name gives
 // Working.
@@ -25,7 +25,7 @@
 	case OrderArrival:
 		return Arrival{}
 	}
-	return Working{}
+	return Working{Allowance: DefaultAllowance}
 }
 
 // Arrival serves calls first come, first served, whatever their tier.
@@ -50,15 +50,19 @@
 // Working serves by tier, then workspaces within their share, then calls whose
 // prefix the target holds, then the program with the least attained service.
 // So a target rotates no more programs than its memory holds.
-type Working struct{}
+type Working struct {
+	// Allowance is the service by which a workspace may exceed its weighted
+	// share before its calls rank after those of the others.
+	Allowance sapphiredrum.Tokens
+}
 
 // Before implements Orderer.
-func (Working) Before(_ sapphiredrum.Instant, a, b sapphiredrum.Waiting) bool {
+func (o Working) Before(_ sapphiredrum.Instant, a, b sapphiredrum.Waiting) bool {
 	if a.Tier != b.Tier {
 		return a.Tier < b.Tier
 	}
-	if beyond(a) != beyond(b) {
-		return beyond(b)
+	if o.beyond(a) != o.beyond(b) {
+		return o.beyond(b)
 	}
 	if holds(a) != holds(b) {
 		return holds(a)
@@ -88,8 +92,8 @@
 	return a.Since < b.Since
 }
 
-func beyond(w sapphiredrum.Waiting) bool {
-	return w.Excess > Allowance
+func (o Working) beyond(w sapphiredrum.Waiting) bool {
+	return w.Excess > o.Allowance
 }
 
 func holds(w sapphiredrum.Waiting) bool {
