--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -45,7 +45,7 @@
 	DefaultStart    = 500 * sapphiredrum.Millisecond
 	DefaultLease    = 10 * sapphiredrum.Second
 	DefaultBlind    = 10 * sapphiredrum.Second
-	DefaultPatience = 200 * sapphiredrum.Millisecond
+	DefaultPatience = 1000 * sapphiredrum.Millisecond
 	DefaultWait     = 30 * sapphiredrum.Second
 	DefaultQueue    = 60 * sapphiredrum.Second
 )
