--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -46,7 +46,7 @@
 	DefaultLease    = 10 * sapphiredrum.Second
 	DefaultBlind    = 10 * sapphiredrum.Second
 	DefaultPatience = 1000 * sapphiredrum.Millisecond
-	DefaultWait     = 30 * sapphiredrum.Second
+	DefaultWait     = 90 * sapphiredrum.Second
 	DefaultQueue    = 60 * sapphiredrum.Second
 )
 
