scheduler: a workspace ranks behind the others beyond 3000 tokens of excess

Cause: 20000 tokens are more than a flooding workspace ever exceeds its share by in a cell of four engines, so the flood pushed the others back. The choice favours the workspaces within their share over the one beyond.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -12,7 +12,7 @@
 
 // DefaultAllowance is the service by which a workspace may exceed its weighted
 // share before its calls rank after those of the others in the same tier.
-const DefaultAllowance sapphiredrum.Tokens = 20000
+const DefaultAllowance sapphiredrum.Tokens = 3000
 
 // OrderNamed returns the order with the given name; any other name gives
 // Working.
