--- a/measurer/result.go
+++ b/measurer/result.go
@@ -84,6 +84,25 @@
 	return float64(r.Wasted) / float64(max(r.Reusable, 1))
 }
 
+// Service returns the model calls that ended per second between two seconds.
+func (r *Result) Service(from, to int) float64 {
+	sum := 0
+	for i := max(from, 0); i < min(to, len(r.Served)); i++ {
+		sum += r.Served[i]
+	}
+	return float64(sum) / float64(to-from)
+}
+
+// LeastService returns the least service of any five seconds between two seconds.
+func (r *Result) LeastService(from, to int) float64 {
+	const window = 5
+	least := r.Service(from, from+window)
+	for i := from; i+window <= to; i++ {
+		least = min(least, r.Service(i, i+window))
+	}
+	return least
+}
+
 // workspaces returns the measured workspaces in order of name.
 func (r *Result) workspaces() []sapphiredrum.WorkspaceID {
 	var ids []sapphiredrum.WorkspaceID
--- a/measurer/table.go
+++ b/measurer/table.go
@@ -7,8 +7,6 @@
 	"math"
 	"slices"
 	"text/tabwriter"
-
-	"sapphiredrum.example/sapphiredrum"
 )
 
 // Row holds the runs of one variant over several seeds.
@@ -71,55 +69,6 @@
 	return s
 }
 
-// Column is a figure of the tables.
-type Column struct {
-	Name   string
-	Figure func(*Result) float64
-}
-
-// Latency returns the column of a percentile of the program latency in seconds,
-// of one tier or of all with tier -1.
-func Latency(tier sapphiredrum.Tier, part float64) Column {
-	name := fmt.Sprintf("p%.0f s", part*100)
-	if tier >= 0 {
-		name = fmt.Sprintf("t%d %s", tier, name)
-	}
-	return Column{Name: name, Figure: func(r *Result) float64 {
-		latencies := r.All
-		if tier >= 0 {
-			latencies = r.Latencies[tier]
-		}
-		return float64(Percentile(latencies, part)) / float64(sapphiredrum.Second)
-	}}
-}
-
-// Columns returns the figures that the brief asks for.
-func Columns() []Column {
-	return []Column{
-		Latency(-1, 0.5), Latency(-1, 0.95), Latency(-1, 0.99),
-		{"worst slowdown", func(r *Result) float64 { _, x := r.Worst(); return x }},
-		{"flooder slowdown", func(r *Result) float64 { return r.Slowdown[r.Flooder] }},
-		{"total p95 s", func(r *Result) float64 { return float64(Percentile(r.Total, 0.95)) / float64(sapphiredrum.Second) }},
-		{"mean slowdown", func(r *Result) float64 { return r.Mean() }},
-		{"wasted %", func(r *Result) float64 { return 100 * r.WastedShare() }},
-		{"wrong %", func(r *Result) float64 { return 100 * r.WrongShare() }},
-		{"unfinished", func(r *Result) float64 { return float64(r.Unfinished) }},
-	}
-}
-
-// TierColumns returns the program latency of each tier.
-func TierColumns(d Deployment) []Column {
-	var columns []Column
-	last := sapphiredrum.Tier(-1)
-	for _, t := range d.Tenants {
-		if t.Tier > last {
-			last = t.Tier
-			columns = append(columns, Latency(last, 0.5), Latency(last, 0.95), Latency(last, 0.99))
-		}
-	}
-	return columns
-}
-
 // Table prints rows as a Markdown table.
 func Table(out io.Writer, title string, columns []Column, rows []Row) error {
 	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
@@ -142,3 +91,31 @@
 	_, _ = fmt.Fprintln(w)
 	return w.Flush()
 }
+
+// Steps prints the model calls that ended in each second of a span, as the mean
+// over the seeds.
+func Steps(out io.Writer, title string, from, to int, rows []Row) error {
+	columns := make([]Column, 0, to-from)
+	for i := from; i < to; i++ {
+		columns = append(columns, Column{Name: fmt.Sprint(i), Figure: func(r *Result) float64 { return r.Service(i, i+1) }})
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	_, _ = fmt.Fprintf(w, "### %s\n\n| second", title)
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(w, "\t| %s", r.Variant)
+	}
+	_, _ = fmt.Fprint(w, "\t|\n|---")
+	for range rows {
+		_, _ = fmt.Fprint(w, "\t|---")
+	}
+	_, _ = fmt.Fprint(w, "\t|\n")
+	for _, c := range columns {
+		_, _ = fmt.Fprintf(w, "| %s", c.Name)
+		for _, r := range rows {
+			_, _ = fmt.Fprintf(w, "\t| %.1f", r.Over(c.Figure).Mean)
+		}
+		_, _ = fmt.Fprint(w, "\t|\n")
+	}
+	_, _ = fmt.Fprintln(w)
+	return w.Flush()
+}
