--- a/measurer/deployment.go
+++ b/measurer/deployment.go
@@ -86,8 +86,12 @@
 	Length sapphiredrum.Millis
 }
 
-// takeover is the time until a dead guard's cell is guarded again.
-const takeover = 17 * sapphiredrum.Second
+const (
+	// takeover is the time until a dead guard's cell is guarded again.
+	takeover = 17 * sapphiredrum.Second
+	// shun is the silence after which keepers ask another cell.
+	shun = 2 * sapphiredrum.Second
+)
 
 // The scenarios of the measures.
 func scenario(name string, load, flood float64) Scenario {
--- a/measurer/engine.go
+++ b/measurer/engine.go
@@ -132,10 +132,7 @@
 		w.decode = 0.001
 		return
 	}
-	place := slices.IndexFunc(e.memory, func(k kept) bool { return k.program == w.program.id })
-	if place >= 0 {
-		w.cached = min(e.memory[place].tokens, w.prompt)
-	}
+	w.cached = min(e.holds(w.program.id), w.prompt)
 	w.prefill = float64(max(w.prompt-w.cached, 1))
 	w.decode = float64(w.answer)
 	e.computed += w.prompt - w.cached
@@ -144,6 +141,16 @@
 	e.keep(now, w.program.id, w.prompt+w.answer)
 }
 
+// holds returns the tokens of the program's prefix.
+func (e *engine) holds(id sapphiredrum.ProgramID) sapphiredrum.Tokens {
+	for _, k := range e.memory {
+		if k.program == id {
+			return k.tokens
+		}
+	}
+	return 0
+}
+
 // keep stores a prefix and evicts others, least recently used first.
 func (e *engine) keep(now sapphiredrum.Instant, id sapphiredrum.ProgramID, tokens sapphiredrum.Tokens) {
 	if e.plain {
--- a/measurer/events.go
+++ b/measurer/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"slices"
+	"strings"
 
 	"sapphiredrum.example/sapphiredrum"
 )
@@ -57,6 +59,9 @@
 	if w.scenario.GuardDies {
 		dying := w.cells[0]
 		w.at(third, func() { dying.dead = true })
+		if !w.variant.Loyal {
+			w.at(third.Add(shun), func() { w.shun(dying) })
+		}
 		w.at(third.Add(takeover), func() { w.takeOver(dying) })
 	}
 }
@@ -82,15 +87,29 @@
 // takeOver starts a new guard of the cell, whom the keepers ask again.
 func (w *world) takeOver(c *cell) {
 	w.guard(c)
-	var again []*call
+	for _, x := range c.ungranted() {
+		delete(c.asked, x.stream)
+		w.ask(x, c)
+	}
+}
+
+// shun makes the keepers ask other cells.
+func (w *world) shun(c *cell) {
+	c.shunned = true
+	for _, x := range c.ungranted() {
+		delete(c.asked, x.stream)
+		w.place(x)
+	}
+}
+
+// ungranted returns the calls that wait for the cell's guard.
+func (c *cell) ungranted() []*call {
+	var calls []*call
 	for _, x := range c.asked {
 		if !x.running {
-			again = append(again, x)
+			calls = append(calls, x)
 		}
 	}
-	sortCalls(again)
-	for _, x := range again {
-		delete(c.asked, x.stream)
-		w.ask(x, c)
-	}
+	slices.SortFunc(calls, func(a, b *call) int { return strings.Compare(string(a.stream), string(b.stream)) })
+	return calls
 }
--- a/measurer/keeper.go
+++ b/measurer/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/scheduler"
@@ -57,7 +56,7 @@
 	var cells []*cell
 	var candidates []sapphiredrum.Candidate
 	for _, c := range w.cells {
-		if c.plain == x.plain && !c.out {
+		if c.plain == x.plain && !c.out && !c.shunned {
 			cells = append(cells, c)
 			candidates = append(candidates, w.candidate(x, c))
 		}
@@ -153,7 +152,27 @@
 		job.prompt = p.history + p.input(false)
 		job.answer = p.steps[p.next].answer
 	}
-	e.queue = append(e.queue, job)
+	w.carry(p, e, job)
+}
+
+// carry queues a call at its engine, after the program's prefix has been moved
+// there where that is worth it.
+func (w *world) carry(p *program, e *engine, job *work) {
+	source := w.engines[p.last]
+	if !w.variant.Moves || source == nil || source == e || e.plain {
+		e.queue = append(e.queue, job)
+		return
+	}
+	tokens := source.holds(p.id)
+	if !w.costs.Moves(tokens) {
+		e.queue = append(e.queue, job)
+		return
+	}
+	w.result.Moved++
+	w.at(w.now.Add(w.costs.Transfer(tokens)), func() {
+		e.keep(w.now, p.id, tokens)
+		e.queue = append(e.queue, job)
+	})
 }
 
 // done handles the end of a call.
@@ -204,6 +223,9 @@
 		return
 	}
 	w.at(w.now.Add(s.pause), func() { w.submit(p, false) })
+	if keep := w.variant.Keep; keep > 0 && s.pause > keep {
+		w.at(w.now.Add(keep), func() { w.engines[p.last].drop(p.id) })
+	}
 }
 
 // end ends a program and frees its memory.
@@ -246,7 +268,3 @@
 	slices.Sort(numbers)
 	c.guard.Renew(w.now, "h", numbers)
 }
-
-func sortCalls(calls []*call) {
-	slices.SortFunc(calls, func(a, b *call) int { return strings.Compare(string(a.stream), string(b.stream)) })
-}
--- a/measurer/variant.go
+++ b/measurer/variant.go
@@ -25,12 +25,22 @@
 	Direct bool
 	// Moves moves prefixes where Costs.Moves says so.
 	Moves bool
+	// Keep drops a prefix after that much of a pause unless zero.
+	Keep sapphiredrum.Millis
+	// Loyal keepers go on asking a guard that is silent.
+	Loyal bool
 	// Wait and Queue replace the deployment's policy unless zero.
 	Wait, Queue sapphiredrum.Millis
 }
 
 func random(sapphiredrum.ZoneName) sapphiredrum.Chooser      { return picker.Random{} }
 func leastLoaded(sapphiredrum.ZoneName) sapphiredrum.Chooser { return picker.LeastLoaded{} }
+
+// withCosts returns the shipped chooser with other costs.
+func withCosts(costs picker.Costs) func(sapphiredrum.ZoneName) sapphiredrum.Chooser {
+	return func(home sapphiredrum.ZoneName) sapphiredrum.Chooser { return picker.Prefix{Costs: costs, Home: home} }
+}
+
 func prefix(home sapphiredrum.ZoneName) sapphiredrum.Chooser {
 	return picker.Prefix{Costs: picker.DefaultCosts(), Home: home}
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -30,13 +30,15 @@
 
 // cell is a scheduler.Cell with its engines.
 type cell struct {
-	name    sapphiredrum.TargetID
-	zone    sapphiredrum.ZoneName
-	plain   bool
-	out     bool
-	guard   *scheduler.Cell
-	epoch   sapphiredrum.Epoch
-	dead    bool
+	name  sapphiredrum.TargetID
+	zone  sapphiredrum.ZoneName
+	plain bool
+	out   bool
+	guard *scheduler.Cell
+	epoch sapphiredrum.Epoch
+	dead  bool
+	// shunned cells' guards have been silent long enough to ask elsewhere.
+	shunned bool
 	engines []*engine
 	view    scheduler.Summary
 	// held are permits by stream, for renewal.
@@ -102,6 +104,7 @@
 	}
 	for _, c := range w.cells {
 		w.guard(c)
+		c.view = c.guard.Summary(w.now)
 	}
 	w.rate()
 }
@@ -142,7 +145,7 @@
 		policy.Queue = w.variant.Queue
 	}
 	c.epoch++
-	c.dead = false
+	c.dead, c.shunned = false, false
 	c.guard = scheduler.New(w.now, scheduler.Settings{
 		Cell:  scheduler.CellID{Group: c.engines[0].target.Group, Zone: c.zone},
 		Epoch: c.epoch, Policy: policy, Patience: w.variant.Patience, Orderer: w.variant.Orderer,
