--- a/measurer/result.go
+++ b/measurer/result.go
@@ -17,6 +17,8 @@
 	Latencies map[sapphiredrum.Tier][]sapphiredrum.Millis
 	// All are the latencies of all these programs, sorted.
 	All []sapphiredrum.Millis
+	// Total are the latencies of all programs, those of the flooder included.
+	Total []sapphiredrum.Millis
 	// Slowdown is each workspace's mean of latency over ideal latency.
 	Slowdown map[sapphiredrum.WorkspaceID]float64
 	// Flooder is the workspace that exceeded its rate, if any.
@@ -82,6 +84,25 @@
 	return float64(r.Wasted) / float64(max(r.Reusable, 1))
 }
 
+// Service returns the model calls that ended per second between two seconds.
+func (r *Result) Service(from, to int) float64 {
+	sum := 0
+	for i := max(from, 0); i < min(to, len(r.Served)); i++ {
+		sum += r.Served[i]
+	}
+	return float64(sum) / float64(to-from)
+}
+
+// LeastService returns the least service of any five seconds between two seconds.
+func (r *Result) LeastService(from, to int) float64 {
+	const window = 5
+	least := r.Service(from, from+window)
+	for i := from; i+window <= to; i++ {
+		least = min(least, r.Service(i, i+window))
+	}
+	return least
+}
+
 // workspaces returns the measured workspaces in order of name.
 func (r *Result) workspaces() []sapphiredrum.WorkspaceID {
 	var ids []sapphiredrum.WorkspaceID
@@ -110,6 +131,7 @@
 		id := p.tenant.ID
 		counts[id]++
 		r.Slowdown[id] += (float64(latency)/float64(max(p.ideal, 1)) - r.Slowdown[id]) / float64(counts[id])
+		r.Total = append(r.Total, latency)
 		if id != r.Flooder {
 			r.Latencies[p.tier] = append(r.Latencies[p.tier], latency)
 			r.All = append(r.All, latency)
@@ -119,4 +141,5 @@
 		slices.Sort(latencies)
 	}
 	slices.Sort(r.All)
+	slices.Sort(r.Total)
 }
--- a/measurer/variant.go
+++ b/measurer/variant.go
@@ -11,6 +11,8 @@
 	Name string
 	// Order names the order of the queues.
 	Order string
+	// Orderer replaces the order with that name unless nil.
+	Orderer sapphiredrum.Orderer
 	// Chooser returns the chooser of keepers in a zone.
 	Chooser func(home sapphiredrum.ZoneName) sapphiredrum.Chooser
 	// PerTarget gives every target its own cell and queue.
@@ -23,12 +25,22 @@
 	Direct bool
 	// Moves moves prefixes where Costs.Moves says so.
 	Moves bool
+	// Keep drops a prefix after that much of a pause unless zero.
+	Keep sapphiredrum.Millis
+	// Loyal keepers go on asking a guard that is silent.
+	Loyal bool
 	// Wait and Queue replace the deployment's policy unless zero.
 	Wait, Queue sapphiredrum.Millis
 }
 
 func random(sapphiredrum.ZoneName) sapphiredrum.Chooser      { return picker.Random{} }
 func leastLoaded(sapphiredrum.ZoneName) sapphiredrum.Chooser { return picker.LeastLoaded{} }
+
+// withCosts returns the shipped chooser with other costs.
+func withCosts(costs picker.Costs) func(sapphiredrum.ZoneName) sapphiredrum.Chooser {
+	return func(home sapphiredrum.ZoneName) sapphiredrum.Chooser { return picker.Prefix{Costs: costs, Home: home} }
+}
+
 func prefix(home sapphiredrum.ZoneName) sapphiredrum.Chooser {
 	return picker.Prefix{Costs: picker.DefaultCosts(), Home: home}
 }
