--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -25,10 +25,12 @@
 type Admitter struct {
 	parts Parts
 
-	// mu guards state; the clock is read while it is held.
+	// mu guards state and gained; the clock is read while it is held.
 	mu    sync.Mutex
 	state *limiter.State
-	away  absences
+	// gained is when each held shard came here.
+	gained map[sd.ShardID]sd.Instant
+	away   absences
 }
 
 // question asks the holder of an account to admit a request.
@@ -40,7 +42,7 @@
 // New returns an admitter without accounts. Deadlines of the host's lease come
 // by Renew.
 func New(parts Parts, settings limiter.Settings, incarnation sd.Incarnation) *Admitter {
-	return &Admitter{parts: parts, state: limiter.New(settings, incarnation)}
+	return &Admitter{parts: parts, state: limiter.New(settings, incarnation), gained: make(map[sd.ShardID]sd.Instant)}
 }
 
 // Register adds the admitter's messages to a router.
@@ -71,12 +73,15 @@
 func (a *Admitter) Gain(shard sd.ShardID, epoch sd.Epoch, clean bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.Gain(a.parts.Clock.Now(), shard, epoch, clean)
+	now := a.parts.Clock.Now()
+	a.gained[shard] = now
+	a.state.Gain(now, shard, epoch, clean)
 }
 
 // Lose gives a shard's accounts up; ctx bounds the return of its loans.
 func (a *Admitter) Lose(ctx context.Context, shard sd.ShardID) {
 	a.mu.Lock()
+	delete(a.gained, shard)
 	asks := a.state.Lose(a.parts.Clock.Now(), shard)
 	a.mu.Unlock()
 	for _, ask := range asks {
@@ -141,14 +146,21 @@
 	return verdict, true
 }
 
-// here puts a question to this host's own accounts.
+// here puts a question to this host's own accounts. An account that came here a
+// moment ago began empty, so a request that finds no token may wait for one
+// rather than be refused although its workspace is within its rate.
 func (a *Admitter) here(q question) limiter.Verdict {
 	if _, held := a.parts.Locator.Holds(q.Account); !held {
 		return limiter.Verdict{NotHere: true, RetryAfter: retryPause}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.state.Admit(a.parts.Clock.Now(), q.Workspace, q.Account)
+	now := a.parts.Clock.Now()
+	verdict := a.state.Admit(now, q.Workspace, q.Account)
+	if !verdict.Admitted && now.Since(a.gained[q.Account]) < freshAccount {
+		verdict.NotHere = true
+	}
+	return verdict
 }
 
 // lend answers an ask for loans.
@@ -225,5 +237,7 @@
 	// movePatience bounds the wait for an account that is on its way.
 	movePatience = 3 * sd.Second
 	retryPause   = 100 * sd.Millisecond
+	// freshAccount is how long an account counts as just taken over.
+	freshAccount = 5 * sd.Second
 	tickInterval = 100 * sd.Millisecond
 )
--- a/launcher/beats.go
+++ b/launcher/beats.go
@@ -9,6 +9,7 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/follower"
 	"sapphiredrum.example/sapphiredrum/leaser"
+	"sapphiredrum.example/sapphiredrum/loader"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/worker"
 )
@@ -16,7 +17,7 @@
 // beats exchanges heartbeats with peers: the lease's news within the zone, the
 // revision in force with everyone.
 type beats struct {
-	settings Settings
+	settings loader.Settings
 	runner   *leaser.Runner
 	follower *follower.Follower
 	client   *messenger.Client
--- a/launcher/copier.go
+++ b/launcher/copier.go
@@ -33,6 +33,7 @@
 
 // copyMessage carries records to a peer, and which of its copies are durable.
 type copyMessage struct {
+	To      keeper.Peer
 	Records []keeper.Record
 	Drops   []dropped
 }
@@ -47,6 +48,7 @@
 
 // sealMessage takes the copies of a shard over for a new owner.
 type sealMessage struct {
+	Peer  keeper.Peer
 	Shard sd.ShardID
 	Epoch sd.Epoch
 }
@@ -61,7 +63,7 @@
 
 // newCopier returns a copier without records.
 func newCopier(h *Host) *copier {
-	return &copier{host: h, wake: make(chan struct{}, 1), copies: keeper.Copies{Bound: copiesBound}}
+	return &copier{host: h, wake: make(chan struct{}, 1)}
 }
 
 // register adds the copies' messages to a router.
@@ -70,7 +72,7 @@
 		return nothing{}, c.hold(m)
 	})
 	messenger.Handle(router, "seal", func(_ context.Context, m sealMessage) (sealAnswer, error) {
-		return sealAnswer{Records: c.seal(m.Shard, m.Epoch)}, nil
+		return sealAnswer{Records: c.seal(m.Peer, m.Shard, m.Epoch)}, nil
 	})
 	messenger.Handle(router, "clear", func(_ context.Context, m sealMessage) (nothing, error) {
 		c.mu.Lock()
@@ -108,11 +110,11 @@
 
 // hold keeps a peer's records while this host holds its lease.
 func (c *copier) hold(m copyMessage) error {
-	if c.host.leaser.Deadline() <= c.host.outside.Clock.Now() {
-		return sd.Unavailable.New("this host holds no lease")
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.refresh() {
+		return sd.Unavailable.New("this host holds no lease")
+	}
 	for _, d := range m.Drops {
 		c.copies.Drop(d.Shard, d.Tree, d.Epoch, d.Number)
 	}
@@ -121,17 +123,34 @@
 		if err != nil {
 			return sd.Refuse(sd.BadRequest, 0, "a record names no shard")
 		}
-		if err := c.copies.Hold(shard, r.Epoch, []keeper.Record{r}); err != nil {
+		if err := c.copies.Hold(m.To, shard, r.Epoch, []keeper.Record{r}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// seal refuses earlier owners of a shard and returns its copies.
-func (c *copier) seal(shard sd.ShardID, epoch sd.Epoch) []keeper.Record {
+// refresh starts with fresh copies after a new lease, since a takeover may have
+// gone on without the old ones. It reports whether the host holds a lease. mu is
+// held.
+func (c *copier) refresh() bool {
+	lease, held := c.host.leaser.Registration()
+	self := keeper.Peer{Host: c.host.settings.Name, Incarnation: c.host.incarnation, Lease: lease}
+	if held && c.copies.Self != self {
+		c.copies = keeper.Copies{Self: self, Bound: copiesBound}
+	}
+	return held
+}
+
+// seal refuses earlier owners of a shard and returns its copies. A peer that
+// this process no longer is has none.
+func (c *copier) seal(as keeper.Peer, shard sd.ShardID, epoch sd.Epoch) []keeper.Record {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.refresh()
+	if c.copies.Self != as {
+		return nil
+	}
 	return c.copies.Seal(shard, epoch)
 }
 
@@ -165,13 +184,14 @@
 	if len(records) == 0 && len(drops) == 0 {
 		return true
 	}
-	address, found := c.peer()
-	if !found {
+	peer, named := c.host.recorder.CopyTo()
+	address, found := c.host.addressOf(peer)
+	if !named || !found {
 		return false
 	}
 	attempt, cancel := context.WithTimeout(ctx, copyTimeout.Duration())
 	defer cancel()
-	_, err := messenger.Ask[copyMessage, nothing](attempt, c.host.client, address, "copy", copyMessage{Records: records, Drops: drops})
+	_, err := messenger.Ask[copyMessage, nothing](attempt, c.host.client, address, "copy", copyMessage{To: peer, Records: records, Drops: drops})
 	if c.report(err); err != nil {
 		return false
 	}
@@ -209,7 +229,7 @@
 		if m.Leaving {
 			continue
 		}
-		peer := keeper.Peer{Host: m.Host, Incarnation: m.Incarnation}
+		peer := keeper.Peer{Host: m.Host, Incarnation: m.Incarnation, Lease: m.Epoch}
 		if first == nil {
 			first = &peer
 		}
@@ -234,15 +254,6 @@
 	c.host.recorder.SetPeers(c.named)
 }
 
-// peer returns the address of the peer that the log names.
-func (c *copier) peer() (sd.Address, bool) {
-	peer, found := c.host.recorder.CopyTo()
-	if !found {
-		return "", false
-	}
-	return c.host.addressOf(peer)
-}
-
 // report logs the first failure of a row of them.
 func (c *copier) report(err error) {
 	c.mu.Lock()
@@ -265,7 +276,7 @@
 // addressOf returns the address of a live process of this zone.
 func (h *Host) addressOf(peer keeper.Peer) (sd.Address, bool) {
 	for _, m := range h.leaser.Members() {
-		if m.Host == peer.Host && m.Incarnation == peer.Incarnation {
+		if m.Host == peer.Host && m.Incarnation == peer.Incarnation && m.Epoch == peer.Lease {
 			return m.Address, true
 		}
 	}
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -18,6 +18,7 @@
 	"sapphiredrum.example/sapphiredrum/keeper"
 	"sapphiredrum.example/sapphiredrum/leaser"
 	"sapphiredrum.example/sapphiredrum/limiter"
+	"sapphiredrum.example/sapphiredrum/loader"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/performer"
 	"sapphiredrum.example/sapphiredrum/picker"
@@ -52,7 +53,7 @@
 
 // Host is one entry host. New makes one and Run runs it once.
 type Host struct {
-	settings    Settings
+	settings    loader.Settings
 	outside     Outside
 	incarnation sd.Incarnation
 
@@ -76,8 +77,8 @@
 }
 
 // New builds a host that does nothing until Run.
-func New(settings Settings, outside Outside) *Host {
-	settings = settings.WithDefaults()
+func New(settings loader.Settings, outside Outside) *Host {
+	settings = complete(settings)
 	h := &Host{settings: settings, outside: outside, incarnation: sd.NewIncarnation(), client: outside.Client}
 	if h.client == nil {
 		h.client = messenger.NewClient(nil)
@@ -85,7 +86,7 @@
 	h.activity.clock = outside.Clock
 	h.members = &members{roster: outside.Roster}
 	h.follower = follower.New(follower.Settings{Poll: settings.Poll}, outside.Table, outside.Objects, outside.Clock, outside.Log)
-	h.leaser = leaser.NewRunner(settings.lease(h.incarnation), outside.Table, outside.Clock, outside.Log,
+	h.leaser = leaser.NewRunner(leaseSettings(settings, h.incarnation), outside.Table, outside.Clock, outside.Log,
 		relay{table: outside.Table, client: h.client})
 	h.meter = newMeter(h)
 	h.buildAccounts()
@@ -143,7 +144,7 @@
 			Zone: h.settings.Zone, Locator: locator{runner: h.leaser}, Local: h.performer,
 			Client: h.client, Config: h.follower.Current, Clock: h.outside.Clock,
 		},
-		Settings: h.settings.forward(),
+		Settings: forwardSettings(h.settings),
 	}
 	h.beats = &beats{
 		settings: h.settings, runner: h.leaser, follower: h.follower, client: h.client,
--- a/launcher/takeovers.go
+++ b/launcher/takeovers.go
@@ -136,16 +136,13 @@
 // seal takes the copies of a shard over from one peer.
 func (t *takeovers) seal(ctx context.Context, gained leaser.Gained, peer keeper.Peer) ([]keeper.Record, error) {
 	if peer.Host == t.host.settings.Name {
-		if peer.Incarnation != t.host.incarnation {
-			return nil, nil
-		}
-		return t.host.copier.seal(gained.Shard, gained.Epoch), nil
+		return t.host.copier.seal(peer, gained.Shard, gained.Epoch), nil
 	}
 	address, found := t.host.addressOf(peer)
 	if !found {
 		return nil, nil
 	}
-	message := sealMessage{Shard: gained.Shard, Epoch: gained.Epoch}
+	message := sealMessage{Peer: peer, Shard: gained.Shard, Epoch: gained.Epoch}
 	answer, err := messenger.Ask[sealMessage, sealAnswer](ctx, t.host.client, address, "seal", message)
 	return answer.Records, err
 }
--- a/leaser/deadline.go
+++ b/leaser/deadline.go
@@ -42,3 +42,12 @@
 	defer r.mutex.Unlock()
 	r.state.Retract(shard)
 }
+
+// Registration returns the epoch of this host's lease, and false while the host
+// holds none.
+func (r *Runner) Registration() (sapphiredrum.Epoch, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock.Now()
+	return r.state.lease.epoch, r.state.Deadline(now) > now
+}
