leaser: even placement, epochs that grow over deleted rows, old rows deleted

Registration epochs exceed the table's sequence, so a deleted row whose version comes again can't make a live owner's shards look ownerless.

--- a/leaser/doc.go
+++ b/leaser/doc.go
@@ -30,7 +30,7 @@
 // scan. A claim raises the shard's epoch by one.
 //
 // A shard is without an owner when its row names nobody, or names a host whose
-// row is absent, marked lapsed, or of another registration. That is judged only
+// row is absent, marked lapsed, or of a later registration. That is judged only
 // from a host scan at least as new as the shard row: a new host registers
 // before it claims, so an older scan could miss a live owner.
 //
@@ -40,7 +40,8 @@
 //
 // # Placement
 //
-// Shards are placed by rendezvous hashing over the zone's live hosts. An owner
+// Shards are placed by rendezvous hashing over the zone's live hosts, with no
+// host preferred for more than an even part, rounded up. An owner
 // asks its process to finish with a shard that another host is preferred for
 // (Asked), at most a few at a time, and then releases it: the row names nobody
 // and keeps its epoch, and the next owner claims it without waiting. A leaving
--- a/leaser/messages.go
+++ b/leaser/messages.go
@@ -25,7 +25,9 @@
 	Zone        sapphiredrum.ZoneName
 	Address     sapphiredrum.Address
 	Incarnation sapphiredrum.Incarnation
-	// Epoch counts the registrations under this name.
+	// Epoch numbers the registrations under this name. It is higher than the
+	// table's sequence that the host had seen, and so grows even if the row was
+	// deleted in between.
 	Epoch sapphiredrum.Epoch
 	// Counter counts the transactions of this process.
 	Counter uint64
--- a/leaser/placement.go
+++ b/leaser/placement.go
@@ -16,17 +16,51 @@
 	chosen [sapphiredrum.ShardsPerZone]sapphiredrum.HostID
 }
 
-// update computes the placement over hosts, which are in order.
+// update computes the placement over hosts, which are in order. Each shard goes
+// to the first host of its ranking that isn't full with shards that rank higher
+// there, so no host is preferred for more than an even part, rounded up.
 func (p *placement) update(hosts []sapphiredrum.HostID) {
 	if len(p.hosts) > 0 && slices.Equal(p.hosts, hosts) {
 		return
 	}
 	p.hosts = slices.Clone(hosts)
+	p.chosen = [sapphiredrum.ShardsPerZone]sapphiredrum.HostID{}
+	if len(hosts) == 0 {
+		return
+	}
+	limit := (sapphiredrum.ShardsPerZone + len(hosts) - 1) / len(hosts)
+	full := map[sapphiredrum.HostID][]int{}
 	for n := range p.chosen {
-		p.chosen[n] = ""
-		if order := ranking(strconv.Itoa(n), hosts); len(order) > 0 {
-			p.chosen[n] = order[0]
+		p.place(n, limit, full)
+	}
+	for host, shards := range full {
+		for _, n := range shards {
+			p.chosen[n] = host
+		}
+	}
+}
+
+// place offers a shard to hosts in the order of its ranking; a shard that it
+// displaces is offered further down its own ranking.
+func (p *placement) place(n, limit int, full map[sapphiredrum.HostID][]int) {
+	order := ranking(strconv.Itoa(n), p.hosts)
+	for len(order) > 0 {
+		host := order[0]
+		shards := append(full[host], n)
+		if len(shards) <= limit {
+			full[host] = shards
+			return
+		}
+		worst := slices.MinFunc(shards, func(a, b int) int {
+			return cmp.Or(cmp.Compare(score(strconv.Itoa(a), host), score(strconv.Itoa(b), host)), b-a)
+		})
+		full[host] = slices.DeleteFunc(shards, func(m int) bool { return m == worst })
+		if worst != n {
+			n, order = worst, ranking(strconv.Itoa(worst), p.hosts)
+			order = order[slices.Index(order, host)+1:]
+			continue
 		}
+		order = order[1:]
 	}
 }
 
--- a/leaser/plan.go
+++ b/leaser/plan.go
@@ -1,10 +1,17 @@
 package leaser
 
-import "sapphiredrum.example/sapphiredrum"
+import (
+	"slices"
+
+	"sapphiredrum.example/sapphiredrum"
+)
 
 // movesAtOnce bounds the shards that an owner is giving up to preferred hosts.
 const movesAtOnce = 4
 
+// forgetAfter is the number of TTLs after which a lapsed host's row is deleted.
+const forgetAfter = 40
+
 // plan returns the transaction that is due: the own row and, with it, releases,
 // marks of lapsed hosts and claims.
 func (s *State) plan(now sapphiredrum.Instant) (attempt, bool) {
@@ -14,10 +21,11 @@
 	if !s.lease.registered {
 		return s.planRegistration(now)
 	}
-	s.place.update(s.fresh(now))
+	extra, marked := s.marks(now)
+	s.place.update(s.staying(marked))
 	s.ask(now)
-	extra := s.releases(now)
-	extra = append(extra, s.claims(now)...)
+	extra = append(extra, s.claims(now, marked)...)
+	extra = append(extra, s.releases(now)...)
 	entry := s.view.hosts[s.settings.Host]
 	due := len(extra) > 0 || s.lease.stopped || entry.row.Leaving != s.leaving ||
 		now.Since(s.lease.sent) >= s.settings.TTL/3
@@ -36,13 +44,14 @@
 		return attempt{}, false
 	}
 	entry, found := s.view.hosts[s.settings.Host]
+	epoch := sapphiredrum.Epoch(s.view.hostScan.reached) + 1
 	if !found {
-		return s.attempt(now, 0, 1, false, nil), true
+		return s.attempt(now, 0, epoch, false, nil), true
 	}
 	if !entry.row.Lapsed && s.watched(now, entry) < s.watch() {
 		return attempt{}, false
 	}
-	return s.attempt(now, entry.version, entry.row.Epoch+1, false, nil), true
+	return s.attempt(now, entry.version, max(epoch, entry.row.Epoch+1), false, nil), true
 }
 
 // attempt builds a transaction around the own row.
@@ -70,17 +79,19 @@
 	return now.Since(max(entry.changed, s.reach.since))
 }
 
-// fresh returns the hosts that shards may be placed on, in order.
-func (s *State) fresh(now sapphiredrum.Instant) []sapphiredrum.HostID {
-	var fresh []sapphiredrum.HostID
-	for _, name := range s.view.names() {
-		entry := s.view.hosts[name]
-		live := name == s.settings.Host || !entry.row.Leaving && s.watched(now, entry) < 2*s.gap()
-		if live && !entry.row.Lapsed && (name != s.settings.Host || !s.leaving) {
-			fresh = append(fresh, name)
-		}
-	}
-	return fresh
+// fresh reports whether the host was lately seen to renew.
+func (s *State) fresh(now sapphiredrum.Instant, host sapphiredrum.HostID) bool {
+	entry, found := s.view.hosts[host]
+	return found && s.watched(now, entry) < 2*s.gap()
+}
+
+// staying returns the hosts that shards are placed on, in order: all that are
+// registered and neither leave nor are being marked.
+func (s *State) staying(marked map[sapphiredrum.HostID]bool) []sapphiredrum.HostID {
+	return slices.DeleteFunc(s.view.names(), func(name sapphiredrum.HostID) bool {
+		row := s.view.hosts[name].row
+		return row.Lapsed || row.Leaving || marked[name] || name == s.settings.Host && s.leaving
+	})
 }
 
 // ask tells the process of shards that are to move.
@@ -93,7 +104,8 @@
 	}
 	for n := range s.holds {
 		h := &s.holds[n]
-		elsewhere := s.place.chosen[n] != s.settings.Host && moving < movesAtOnce && s.Reaches(now)
+		chosen := s.place.chosen[n]
+		elsewhere := chosen != s.settings.Host && moving < movesAtOnce && s.Reaches(now) && s.fresh(now, chosen)
 		if !h.told || h.asked || !s.leaving && !elsewhere {
 			continue
 		}
@@ -123,22 +135,17 @@
 	return writes
 }
 
-// claims returns the writes that mark lapsed hosts and claim ownerless shards.
-func (s *State) claims(now sapphiredrum.Instant) []sapphiredrum.Write {
-	if s.leaving || s.lease.stopped || !s.Reaches(now) || !s.view.hostScan.fresh || !s.view.shardScan.fresh {
-		return nil
-	}
+// mayClaim reports whether this host may take shards over now.
+func (s *State) mayClaim(now sapphiredrum.Instant) bool {
+	return !s.leaving && !s.lease.stopped && s.Reaches(now) && s.view.hostScan.fresh && s.view.shardScan.fresh
+}
+
+// claims returns the writes that claim the ownerless shards that are placed on
+// this host, those of the marked hosts among them.
+func (s *State) claims(now sapphiredrum.Instant, marked map[sapphiredrum.HostID]bool) []sapphiredrum.Write {
 	var writes []sapphiredrum.Write
-	marked := map[sapphiredrum.HostID]bool{}
-	for _, name := range s.view.names() {
-		entry := s.view.hosts[name]
-		if name == s.settings.Host || entry.row.Lapsed || s.watched(now, entry) < s.watch()+s.patience(name) {
-			continue
-		}
-		marked[name] = true
-		row := entry.row
-		row.Lapsed = true
-		writes = append(writes, sapphiredrum.Write{Key: hostKey(s.settings.Zone, name), Expect: entry.version, Value: encode(row)})
+	if !s.mayClaim(now) {
+		return writes
 	}
 	for n, chosen := range s.place.chosen {
 		entry := s.view.shards[s.shard(n)]
@@ -151,6 +158,48 @@
 	return writes
 }
 
+// marks returns the writes that mark lapsed hosts, and those hosts. Rows that
+// were marked long ago and own nothing are deleted.
+func (s *State) marks(now sapphiredrum.Instant) ([]sapphiredrum.Write, map[sapphiredrum.HostID]bool) {
+	var writes []sapphiredrum.Write
+	marked := map[sapphiredrum.HostID]bool{}
+	if !s.mayClaim(now) {
+		return writes, marked
+	}
+	for _, name := range s.view.names() {
+		entry := s.view.hosts[name]
+		write := sapphiredrum.Write{Key: hostKey(s.settings.Zone, name), Expect: entry.version}
+		seen := s.watched(now, entry)
+		if seen >= s.watch() {
+			seen -= s.patience(now, name)
+		}
+		switch {
+		case name == s.settings.Host:
+			continue
+		case !entry.row.Lapsed && seen >= s.watch():
+			row := entry.row
+			row.Lapsed, marked[name] = true, true
+			write.Value = encode(row)
+		case entry.row.Lapsed && seen >= forgetAfter*s.settings.TTL && !s.named(name):
+			write.Delete = true
+		default:
+			continue
+		}
+		writes = append(writes, write)
+	}
+	return writes, marked
+}
+
+// named reports whether a shard row of the zone names the host.
+func (s *State) named(host sapphiredrum.HostID) bool {
+	for n := range s.holds {
+		if s.view.shards[s.shard(n)].row.Host == host {
+			return true
+		}
+	}
+	return false
+}
+
 // claim returns the row that makes this host the shard's next owner.
 func (s *State) claim(entry shardEntry) ShardRow {
 	return ShardRow{
@@ -161,13 +210,17 @@
 
 // patience spreads the marks of a lapsed host, so that its peers don't all
 // write at once: the first in its ranking waits least.
-func (s *State) patience(lapsed sapphiredrum.HostID) sapphiredrum.Millis {
-	for turn, name := range ranking(string(lapsed), s.place.hosts) {
+func (s *State) patience(now sapphiredrum.Instant, lapsed sapphiredrum.HostID) sapphiredrum.Millis {
+	turn := 0
+	for _, name := range ranking(string(lapsed), s.view.names()) {
 		if name == s.settings.Host {
-			return sapphiredrum.Millis(turn) * s.settings.Scan
+			break
+		}
+		if s.fresh(now, name) {
+			turn++
 		}
 	}
-	return 0
+	return sapphiredrum.Millis(turn) * s.settings.Scan
 }
 
 // owning reports whether the table still names this registration as an owner.
--- a/leaser/runner.go
+++ b/leaser/runner.go
@@ -55,7 +55,8 @@
 // tickInterval is the time between ticks of the state.
 const tickInterval = 100 * sapphiredrum.Millisecond
 
-// NewRunner returns a runner that is not running yet.
+// NewRunner returns a runner that is not running yet. Relay may be nil; then the
+// host can't renew by way of a peer.
 func NewRunner(settings Settings, table sapphiredrum.Table, clock sapphiredrum.Clock, logger *zap.Logger, relay Relay) *Runner {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Runner{
@@ -226,6 +227,10 @@
 	case CommitRequest:
 		result.Sequence, err = r.table.Commit(ctx, q.Transaction)
 	case RelayRequest:
+		if r.relay == nil {
+			err = sapphiredrum.Unavailable.New("no relay")
+			break
+		}
 		r.logger.Info("request relayed by a peer", zap.Int("event", EventRelay), zap.String("peer", string(q.Peer)))
 		result, err = r.relay.Relay(ctx, q.Address, q.Work)
 	}
--- a/leaser/view.go
+++ b/leaser/view.go
@@ -126,10 +126,12 @@
 
 // ownerless reports whether nobody owns the shard of the given row, which may
 // then be claimed at once. The caller checks that the host scan is new enough.
+// An owner's row with a lower epoch is no sign: it was overwritten by an earlier
+// process, and the owner may be within its lease.
 func (v *view) ownerless(row ShardRow) bool {
 	if row.Host == "" {
 		return true
 	}
 	owner, found := v.hosts[row.Host]
-	return !found || owner.row.Lapsed || owner.row.Incarnation != row.Incarnation || owner.row.Epoch != row.Lease
+	return !found || owner.row.Lapsed || owner.row.Epoch > row.Lease
 }
