--- a/cmd/sapphiredrum-standin/caller.go
+++ b/cmd/sapphiredrum-standin/caller.go
@@ -41,6 +41,7 @@
 type (
 	programBody struct {
 		Parent  sapphiredrum.ProgramID `json:"parent,omitempty"`
+		Budget  sapphiredrum.Tokens    `json:"budget,omitempty"`
 		Program sapphiredrum.ProgramID `json:"program,omitempty"`
 		Head    string                 `json:"head,omitempty"`
 	}
--- a/cmd/sapphiredrum-standin/load.go
+++ b/cmd/sapphiredrum-standin/load.go
@@ -36,12 +36,14 @@
 	answer int
 	pause  int64
 	agents float64
+	// budget is what a sub-agent may spend.
+	budget int64
 	seed   uint64
 }
 
 // attach declares the flags on a subcommand.
 func (l *loadPlan) attach(s *flaggy.Subcommand) {
-	*l = loadPlan{rate: 5, most: 1000, duration: 10000, grace: 30000, turns: 5, prompt: 40, answer: 30, pause: 100, seed: 1}
+	*l = loadPlan{rate: 5, most: 1000, duration: 10000, grace: 30000, turns: 5, prompt: 40, answer: 30, pause: 100, budget: 5000, seed: 1}
 	s.String(&l.hosts, "", "hosts", "caller addresses of hosts, with commas between")
 	s.String(&l.keys, "", "keys", "keys, with commas between; one named twice sends twice as much")
 	s.String(&l.route, "", "route", "path of the model route")
@@ -55,6 +57,7 @@
 	s.Int(&l.answer, "", "answer", "mean tokens of an answer")
 	s.Int64(&l.pause, "", "pause", "mean ms between calls")
 	s.Float64(&l.agents, "", "agents", "share of calls after which a sub-agent runs")
+	s.Int64(&l.budget, "", "budget", "tokens that a sub-agent may spend")
 	s.UInt64(&l.seed, "", "seed", "seed of all random choices")
 }
 
--- a/cmd/sapphiredrum-standin/program.go
+++ b/cmd/sapphiredrum-standin/program.go
@@ -72,8 +72,12 @@
 
 // create creates the program.
 func (p *program) create(ctx context.Context, parent sapphiredrum.ProgramID) error {
+	creation := programBody{Parent: parent}
+	if parent != "" {
+		creation.Budget = sapphiredrum.Tokens(p.plan.budget)
+	}
 	return p.insist(ctx, func() error {
-		body, _, err := p.caller.whole(ctx, request{method: http.MethodPost, path: "/programs", body: programBody{Parent: parent}})
+		body, _, err := p.caller.whole(ctx, request{method: http.MethodPost, path: "/programs", body: creation})
 		if err != nil {
 			return err
 		}
--- a/faker/serviceweb.go
+++ b/faker/serviceweb.go
@@ -30,12 +30,13 @@
 
 // ServiceHandler serves a service over HTTP: any method and path is a call, the
 // header Sapphiredrum-Stream names its stream. POST /faults sets the faults; GET
-// /counters tells what ran.
+// /counters tells what ran, GET /load what runs now.
 func ServiceHandler(service *Service) http.Handler {
 	w := &serviceWeb{service: service}
 	web := newWeb(&w.watch)
 	web.POST("/faults", w.setFaults)
 	web.GET("/counters", w.counters)
+	web.GET("/load", w.load)
 	web.Any("/*", w.call)
 	return web
 }
