--- a/connector/faults_test.go
+++ b/connector/faults_test.go
@@ -99,6 +99,10 @@
 	_, err = client.Members(expired(t))
 	expect(t, err, sapphiredrum.Unavailable)
 	state.SetFaults(faker.PlatformFaults{})
+	// The commit that hung takes effect although its caller gave up.
+	for version() != 3 {
+		time.Sleep(time.Millisecond)
+	}
 	away := &connector.Platform{Pool: newPool(t), Address: refused(t)}
 	expect(t, away.Put(ctx, "o", nil), sapphiredrum.Unavailable)
 }
--- a/faker/engine_test.go
+++ b/faker/engine_test.go
@@ -170,3 +170,75 @@
 		t.Fatalf("%d tokens held for nobody", c.Held)
 	}
 }
+
+// A cold engine counts, and with Collapse breaks, what it does not bear; under
+// work it warms up along its ramp and then bears a full batch.
+func TestEngineRamp(t *testing.T) {
+	for _, collapse := range []bool{false, true} {
+		now := sapphiredrum.Instant(sapphiredrum.Hour)
+		clock := sapphiredrum.Clock{Source: func() sapphiredrum.Instant { return now }}
+		engine := faker.NewEngine(clock, faker.EngineSettings{Slots: 5, Cold: 1, Ramp: 100, Token: 1, Words: 1000, Collapse: collapse})
+		start := func(stream string) {
+			if _, err := engine.Start(context.Background(), sapphiredrum.EngineCall{Stream: sapphiredrum.StreamID(stream)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range 4 {
+			now = now.Add(1000)
+			engine.Restart()
+			start("first")
+			now = now.Add(sapphiredrum.Millis(25*i + 24))
+			for extra := range i {
+				start("borne" + strconv.Itoa(extra))
+			}
+			if c := engine.Counters(); c.Overloads != uint64(i) || int(c.Running) != i+1 {
+				t.Fatalf("after %d ms: %+v", 25*i+24, c)
+			}
+			start("beyond")
+			c := engine.Counters()
+			if c.Overloads != uint64(i+1) || (c.Running == 0) != collapse || (c.Collapses > 0) != collapse {
+				t.Fatalf("after %d ms, collapse %v: %+v", 25*i+24, collapse, c)
+			}
+		}
+		engine.Restart()
+		start("only")
+		now = now.Add(100)
+		for range 20 {
+			start("warm" + strconv.Itoa(int(engine.Counters().Starts)))
+		}
+		if c := engine.Counters(); c.Overloads != 4 || c.Running != 5 || c.Waiting != 16 {
+			t.Fatalf("warm: %+v", c)
+		}
+	}
+}
+
+// Load reports lag, cache events are late and each Gap-th is lost.
+func TestEngineReports(t *testing.T) {
+	now := sapphiredrum.Instant(sapphiredrum.Hour)
+	clock := sapphiredrum.Clock{Source: func() sapphiredrum.Instant { return now }}
+	engine := faker.NewEngine(clock, faker.EngineSettings{Token: 1e6, Lag: 100, Delay: 50, Gap: 2})
+	ctx := context.Background()
+	running := func() sapphiredrum.Slots {
+		load, err := engine.Load(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return load.Running
+	}
+	before := running()
+	for _, program := range []sapphiredrum.ProgramID{"p", "q", "r"} {
+		if _, err := engine.Start(ctx, sapphiredrum.EngineCall{Stream: sapphiredrum.StreamID(program), Program: program}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	events, _ := engine.Events(ctx, 0)
+	if before != 0 || running() != 0 || len(events) != 0 {
+		t.Fatalf("%d calls and %d events at once", running(), len(events))
+	}
+	now = now.Add(100)
+	events, _ = engine.Events(ctx, 0)
+	rest, _ := engine.Events(ctx, 1)
+	if running() != 3 || len(events) != 2 || events[0].Program != "p" || events[1].Program != "r" || len(rest) != 1 {
+		t.Fatalf("later: %d calls, events %v, %v", running(), events, rest)
+	}
+}
