--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -144,3 +145,36 @@
 		}
 	}
 }
+
+// A repeated message that gives a loan back does not end a later loan of the
+// same home.
+func TestLateReturn(t *testing.T) {
+	w := newWorld(1, 1, fuzzed, plan(1, 3000, 30), t.Fatalf)
+	best := indexOf(limiter.HomeZones("w-1", w.sheets[0].zones)[0])
+	w.part(best, true)
+	w.pass(6000)
+	w.part(best, false)
+	var late []packet
+	for range 2000 {
+		w.pass(1)
+		for _, p := range w.packets {
+			if ask, ok := p.message.(limiter.Ask); ok && len(ask.Returned) > 0 {
+				late = append(late, p)
+			}
+		}
+	}
+	if len(late) == 0 {
+		t.Fatal("the second home gave nothing back")
+	}
+	w.part(best, true)
+	w.pass(6000)
+	w.deliver(late[0])
+	w.greedy = true
+	for range 100 {
+		w.pass(1)
+	}
+}
+
+func indexOf(zone sapphiredrum.ZoneName) int {
+	return slices.Index(zoneNames, zone)
+}
