--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -175,6 +175,21 @@
 	}
 }
 
+// A Grant that arrives after the home has given its loans back counts nothing.
+func TestLateGrant(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(seed, 1, fuzzed, plan(1, 3000, 30), t.Fatalf)
+		best := indexOf(limiter.HomeZones("w-1", w.sheets[0].zones)[0])
+		w.part(best, true)
+		w.pass(6000)
+		w.part(best, false)
+		w.delay, w.greedy = 500, true
+		for range 5000 {
+			w.pass(1)
+		}
+	}
+}
+
 func indexOf(zone sapphiredrum.ZoneName) int {
 	return slices.Index(zoneNames, zone)
 }
