measurer: a program once admitted is never given up; lost programs are a column

Cause: a flooder's program whose first call the guard refused early was dropped when its repeated request found the rate spent, which flattered early refusal.

--- a/measurer/columns.go
+++ b/measurer/columns.go
@@ -38,6 +38,7 @@
 		{"mean slowdown", func(r *Result) float64 { return r.Mean() }},
 		{"wasted %", func(r *Result) float64 { return 100 * r.WastedShare() }},
 		{"wrong %", func(r *Result) float64 { return 100 * r.WrongShare() }},
+		{"lost", func(r *Result) float64 { return float64(r.Lost) }},
 		{"unfinished", func(r *Result) float64 { return float64(r.Unfinished) }},
 	}
 }
--- a/measurer/keeper.go
+++ b/measurer/keeper.go
@@ -29,6 +29,7 @@
 		w.result.Beyond++
 	}
 	if admitted {
+		p.tried = true
 		w.streams++
 		stream := sapphiredrum.StreamID(fmt.Sprintf("%s.%d", p.id, w.streams))
 		w.place(&call{stream: stream, program: p, plain: plain})
@@ -37,7 +38,7 @@
 	if within {
 		w.result.Wrong++
 	}
-	if !within && p.parent == nil && p.next == 0 && !plain && p.tenant.ID == w.result.Flooder {
+	if !within && p.parent == nil && !p.tried && p.tenant.ID == w.result.Flooder {
 		p.lost = true
 		w.open--
 		return
--- a/measurer/result.go
+++ b/measurer/result.go
@@ -23,6 +23,9 @@
 	Slowdown map[sapphiredrum.WorkspaceID]float64
 	// Flooder is the workspace that exceeded its rate, if any.
 	Flooder sapphiredrum.WorkspaceID
+	// Lost counts the flooder's programs whose first call was beyond its rate;
+	// their callers gave up.
+	Lost int
 	// Unfinished counts programs that had not ended when the run was stopped.
 	Unfinished int
 	// Computed, Wasted and Reusable count prefill tokens: all that was computed,
@@ -120,6 +123,7 @@
 	counts := make(map[sapphiredrum.WorkspaceID]int)
 	for _, p := range programs {
 		if p.lost {
+			r.Lost++
 			continue
 		}
 		end, ended := ends[p]
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -50,7 +50,9 @@
 	// last and since tell where the prefix was left and when.
 	last  sapphiredrum.TargetID
 	since sapphiredrum.Instant
-	ended bool
+	// tried programs got a first call past the limiter; lost ones never did and
+	// were given up by their caller.
+	tried bool
 	lost  bool
 }
 
