launcher, operator: service-level burn from all hosts

Cause: the reporter's counters had no host that records into them. Weighed: counting every refusal (ruled out: a bad request or a spent budget is no failure to serve) against those that are the system's doing.

--- a/cmd/sapphiredrum/commands.go
+++ b/cmd/sapphiredrum/commands.go
@@ -147,6 +147,8 @@
 		return desk.Show(ctx)
 	case c.status.Used:
 		return desk.Status(ctx, client)
+	case c.report.Used:
+		return desk.Report(ctx, client, c.format)
 	case c.keyIssue.Used:
 		return desk.Issue(ctx, sd.WorkspaceID(c.name), sd.KeyID(c.second))
 	case c.keyWithdraw.Used:
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -88,13 +88,14 @@
 	h.follower = follower.New(follower.Settings{Poll: settings.Poll}, outside.Table, outside.Objects, outside.Clock, outside.Log)
 	h.leaser = leaser.NewRunner(leaseSettings(settings, h.incarnation), outside.Table, outside.Clock, outside.Log,
 		relay{table: outside.Table, client: h.client})
-	h.meter = newMeter(h)
+	h.meter = newMeter(settings.Name, h.incarnation, outside.Clock)
 	h.buildAccounts()
 	h.buildGuards()
 	h.buildPrograms()
 	h.follower.Watch(func(config *follower.Config) {
 		h.admitter.Configure(config)
 		h.streams.Withdraw(config.Valid)
+		h.meter.counters.Configure(config.Sheet.Levels)
 	})
 	return h
 }
@@ -229,6 +230,7 @@
 		h.admitter.Renew(h.leaser.Deadline())
 		h.recorder.SetLive(h.liveHosts())
 		h.performer.Expire()
+		h.meter.sample()
 		h.ready.Store(h.isReady(ctx))
 		select {
 		case <-ctx.Done():
--- a/launcher/listen.go
+++ b/launcher/listen.go
@@ -84,6 +84,7 @@
 	h.forwarder.Register(router)
 	h.copier.register(router)
 	h.beats.register(router)
+	h.meter.register(router)
 	relay{table: h.outside.Table, client: h.client}.register(router)
 	h.registerStatus(router)
 	return router
