--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -193,6 +193,9 @@
 	if err != nil {
 		return sd.Refuse(sd.ProgramUnknown, 0, "the program's identifier is not one of this system")
 	}
+	if _, known := f.Parts.Config().Zone(shard.Zone); !known {
+		return sd.Refuse(sd.ProgramUnknown, 0, "the program's identifier names no zone of the sheet")
+	}
 	end := f.Parts.Clock.Now().Add(f.Settings.Patience)
 	for wait := firstWait; ; wait = min(2*wait, longestWait) {
 		err := f.attempt(ctx, shard, try)
