launcher: six hosts keep the promises under random faults

Cause: the parts are proved one by one; the promises belong to the whole. TestPromisesUnderFaults drives 12 callers over 6 hosts in 3 zones through outages, lost answers, cuts between zones and from the platform, cut streams, restarted engines and failing services, against what the callers know. Found: refusals quoted other hosts' addresses to callers; they no longer do.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -203,7 +203,7 @@
 			return err
 		}
 		if f.Parts.Clock.Now().Add(wait) > end || !pause(ctx, wait) {
-			return sd.Refuse(sd.KeeperAway, sd.Second, "no host keeps the program at the moment: "+err.Error())
+			return sd.Refuse(sd.KeeperAway, sd.Second, "no host keeps the program at the moment")
 		}
 	}
 }
--- a/launcher/path_test.go
+++ b/launcher/path_test.go
@@ -21,6 +21,7 @@
 	"sapphiredrum.example/sapphiredrum/follower"
 	"sapphiredrum.example/sapphiredrum/launcher"
 	"sapphiredrum.example/sapphiredrum/loader"
+	"sapphiredrum.example/sapphiredrum/messenger"
 )
 
 // secret is the callers' key in these tests.
@@ -37,6 +38,7 @@
 	sheet    sd.Sheet
 	table    sd.Address
 	hosts    []*running
+	network  *network
 }
 
 // running is a host that runs.
@@ -66,7 +68,7 @@
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{t: t, clock: sd.NewClock(), engines: make(map[sd.TargetID]*faker.Engine), service: &faker.Service{}, leaks: make(chan string, 100)}
+	r := &rig{t: t, clock: sd.NewClock(), engines: make(map[sd.TargetID]*faker.Engine), service: &faker.Service{}, leaks: make(chan string, 100), network: newNetwork()}
 	r.platform = faker.NewPlatform(r.clock)
 	r.table = r.serve(faker.PlatformHandler(r.platform))
 	r.sheet = sd.Sheet{
@@ -122,10 +124,13 @@
 		TTL: 1500, Poll: 200, Linger: sd.Second, Drain: 10 * sd.Second, Writes: 200,
 	}
 	pool := connector.NewPool(connector.Options{})
-	platform := &connector.Platform{Pool: pool, Address: r.table, Timeout: sd.Second}
+	remote := &connector.Platform{Pool: pool, Address: r.table, Timeout: sd.Second}
+	platform := &gate{network: r.network, zone: zone, table: remote, objects: remote, roster: remote}
+	r.network.zones[settings.Peer] = zone
+	client := messenger.NewClient(&carrier{network: r.network, zone: zone, next: &http.Transport{MaxIdleConnsPerHost: 64}})
 	host := launcher.New(settings, launcher.Outside{
 		Table: platform, Objects: platform, Roster: platform,
-		Targets: launcher.Connections{Pool: pool}, Clock: sd.NewClock(), Log: zap.NewNop(),
+		Targets: launcher.Connections{Pool: pool}, Clock: sd.NewClock(), Log: zap.NewNop(), Client: client,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	run := &running{host: host, settings: settings, stop: stop, ended: make(chan error, 1)}
