--- a/launcher/path_test.go
+++ b/launcher/path_test.go
@@ -29,7 +29,7 @@
 
 // rig is a platform, targets and hosts on loopback sockets.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
 	clock    sd.Clock
 	platform *faker.Platform
 	engines  map[sd.TargetID]*faker.Engine
@@ -67,7 +67,7 @@
 	k.next.ServeHTTP(w, r)
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	r := &rig{t: t, clock: sd.NewClock(), engines: make(map[sd.TargetID]*faker.Engine), service: &faker.Service{}, leaks: make(chan string, 100), network: newNetwork()}
 	r.platform = faker.NewPlatform(r.clock)
 	r.table = r.serve(faker.PlatformHandler(r.platform))
@@ -186,7 +186,7 @@
 	r.t.Fatalf("never happened: %s", what)
 }
 
-func freePort(t *testing.T) sd.Address {
+func freePort(t testing.TB) sd.Address {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -230,7 +230,7 @@
 }
 
 // must sends a request that has to be answered with the given status.
-func (c caller) must(t *testing.T, status int, method, path, body string, headers ...string) reply {
+func (c caller) must(t testing.TB, status int, method, path, body string, headers ...string) reply {
 	t.Helper()
 	answer, err := c.send(method, path, body, headers...)
 	if err != nil {
@@ -243,7 +243,7 @@
 }
 
 // program opens a program and returns its id and head.
-func (c caller) program(t *testing.T, body string) (string, string) {
+func (c caller) program(t testing.TB, body string) (string, string) {
 	t.Helper()
 	answer := c.must(t, http.StatusCreated, "POST", "/programs", body)
 	var created struct{ Program, Head string }
--- a/launcher/promises_test.go
+++ b/launcher/promises_test.go
@@ -43,7 +43,9 @@
 func (l *ledger) refused(body string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var problem struct{ Error struct{ Reason, Detail string } }
+	var problem struct {
+		Error struct{ Reason, Detail string }
+	}
 	_ = json.Unmarshal([]byte(body), &problem)
 	l.other[problem.Error.Reason+": "+problem.Error.Detail]++
 }
--- a/launcher/status.go
+++ b/launcher/status.go
@@ -70,3 +70,13 @@
 	})
 	return router
 }
+
+// Keeps reports whether this host keeps a program now.
+func (h *Host) Keeps(program sd.ProgramID) bool {
+	shard, err := program.Shard()
+	if err != nil {
+		return false
+	}
+	_, held := h.leaser.Holds(shard)
+	return held && h.performer.Keeps(shard)
+}
