--- a/leaser/plan.go
+++ b/leaser/plan.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		h.releasing = true
-		entry := s.view.shards[s.shard(n)]
+		entry := s.view.own[n]
 		value := encode(ShardRow{Epoch: entry.row.Epoch})
 		writes = append(writes, sapphiredrum.Write{Key: shardKey(s.shard(n)), Expect: entry.version, Value: value})
 	}
@@ -148,7 +148,7 @@
 		return writes
 	}
 	for n, chosen := range s.place.chosen {
-		entry := s.view.shards[s.shard(n)]
+		entry := s.view.own[n]
 		old := entry.sequence > s.view.hostScan.reached
 		if chosen != s.settings.Host || old || !marked[entry.row.Host] && !s.view.ownerless(entry.row) {
 			continue
@@ -193,7 +193,7 @@
 // named reports whether a shard row of the zone names the host.
 func (s *State) named(host sapphiredrum.HostID) bool {
 	for n := range s.holds {
-		if s.view.shards[s.shard(n)].row.Host == host {
+		if s.view.own[n].row.Host == host {
 			return true
 		}
 	}
--- a/leaser/state.go
+++ b/leaser/state.go
@@ -50,7 +50,8 @@
 func New(settings Settings, now sapphiredrum.Instant) *State {
 	s := &State{settings: settings, last: now, peers: map[sapphiredrum.HostID]*peer{}}
 	s.view.hosts = map[sapphiredrum.HostID]*hostEntry{}
-	s.view.shards = map[sapphiredrum.ShardID]shardEntry{}
+	s.view.zone = settings.Zone
+	s.view.shards = map[sapphiredrum.ShardID]*shardEntry{}
 	s.view.hostScan.prefix = hostKey(settings.Zone, "")
 	s.view.shardScan.prefix = shardPrefix
 	return s
@@ -97,16 +98,20 @@
 // fencing number. It checks the lease against the clock.
 func (s *State) Holds(now sapphiredrum.Instant, shard sapphiredrum.ShardID) (sapphiredrum.Epoch, bool) {
 	s.advance(now)
-	if shard.Zone != s.settings.Zone || !s.effective(shard.Number) {
+	if shard.Zone != s.settings.Zone || s.view.entry(shard) == nil || !s.effective(shard.Number) {
 		return 0, false
 	}
-	return s.view.shards[shard].row.Epoch, true
+	return s.view.own[shard.Number].row.Epoch, true
 }
 
 // Owner returns the shard's last known owner, to forward to. It returns false
 // while nobody owns the shard.
 func (s *State) Owner(shard sapphiredrum.ShardID) (Owner, bool) {
-	row := s.view.shards[shard].row
+	entry := s.view.entry(shard)
+	if entry == nil {
+		return Owner{}, false
+	}
+	row := entry.row
 	if row.Host == "" || shard.Zone == s.settings.Zone && s.view.ownerless(row) {
 		return Owner{}, false
 	}
@@ -126,7 +131,7 @@
 
 // Release tells that the process has finished with a shard it was Asked for.
 func (s *State) Release(shard sapphiredrum.ShardID) {
-	if shard.Zone == s.settings.Zone && s.mine(shard.Number) && s.holds[shard.Number].asked {
+	if shard.Zone == s.settings.Zone && s.view.entry(shard) != nil && s.mine(shard.Number) && s.holds[shard.Number].asked {
 		s.holds[shard.Number].ready = true
 	}
 }
@@ -151,7 +156,7 @@
 // mine reports whether the table, as far as known, names this registration as
 // the shard's owner.
 func (s *State) mine(number int) bool {
-	row := s.view.shards[s.shard(number)].row
+	row := &s.view.own[number].row
 	return s.lease.registered && row.Host == s.settings.Host &&
 		row.Incarnation == s.settings.Incarnation && row.Lease == s.lease.epoch
 }
@@ -165,7 +170,7 @@
 func (s *State) reconcile() {
 	for n := range s.holds {
 		h := &s.holds[n]
-		entry := s.view.shards[s.shard(n)]
+		entry := &s.view.own[n]
 		effective := s.effective(n)
 		if h.told && (!effective || h.epoch != entry.row.Epoch) {
 			h.told = false
@@ -199,11 +204,17 @@
 
 // Owners returns the known owners of all shards of all zones.
 func (s *State) Owners() map[sapphiredrum.ShardID]Owner {
-	owners := make(map[sapphiredrum.ShardID]Owner, len(s.view.shards))
-	for shard := range s.view.shards {
+	owners := make(map[sapphiredrum.ShardID]Owner, len(s.view.shards)+len(s.view.own))
+	note := func(shard sapphiredrum.ShardID) {
 		if owner, found := s.Owner(shard); found {
 			owners[shard] = owner
 		}
 	}
+	for shard := range s.view.shards {
+		note(shard)
+	}
+	for n := range s.view.own {
+		note(s.shard(n))
+	}
 	return owners
 }
--- a/leaser/table_test.go
+++ b/leaser/table_test.go
@@ -21,6 +21,8 @@
 	takeovers int
 	reads     int
 	writes    int
+	rowsRead  int
+	bytesRead int
 }
 
 func newFakeTable() *fakeTable {
@@ -43,6 +45,8 @@
 	for key, row := range f.rows {
 		if strings.HasPrefix(string(key), string(prefix)) && row.Sequence > after && (after > 0 || row.Version > 0) {
 			rows = append(rows, row)
+			f.rowsRead++
+			f.bytesRead += len(row.Key) + len(row.Value)
 		}
 	}
 	slices.SortFunc(rows, func(a, b sapphiredrum.Row) int { return cmp.Compare(a.Key, b.Key) })
--- a/leaser/view.go
+++ b/leaser/view.go
@@ -55,8 +55,11 @@
 
 // view is what a host knows of the table.
 type view struct {
-	hosts     map[sapphiredrum.HostID]*hostEntry
-	shards    map[sapphiredrum.ShardID]shardEntry
+	hosts map[sapphiredrum.HostID]*hostEntry
+	zone  sapphiredrum.ZoneName
+	// own are the shards of the host's zone, shards those of the others.
+	own       [sapphiredrum.ShardsPerZone]shardEntry
+	shards    map[sapphiredrum.ShardID]*shardEntry
 	hostScan  scan
 	shardScan scan
 }
@@ -95,14 +98,32 @@
 // takeShard records a scanned or written shard row.
 func (v *view) takeShard(row sapphiredrum.Row) {
 	shard, valid := parseShardKey(row.Key)
-	known, found := v.shards[shard]
-	if !valid || found && row.Sequence <= known.sequence {
+	if !valid {
+		return
+	}
+	known := v.entry(shard)
+	if known == nil {
+		known = &shardEntry{}
+		v.shards[shard] = known
+	}
+	if row.Sequence <= known.sequence {
 		return
 	}
 	entry := shardEntry{version: row.Version, sequence: row.Sequence, clean: known.row.Host == ""}
 	if json.Unmarshal(row.Value, &entry.row) == nil {
-		v.shards[shard] = entry
+		*known = entry
+	}
+}
+
+// entry returns what is known of a shard, or nil.
+func (v *view) entry(shard sapphiredrum.ShardID) *shardEntry {
+	if shard.Zone != v.zone {
+		return v.shards[shard]
+	}
+	if shard.Number < 0 || shard.Number >= len(v.own) {
+		return nil
 	}
+	return &v.own[shard.Number]
 }
 
 func parseShardKey(key sapphiredrum.RowKey) (sapphiredrum.ShardID, bool) {
--- a/leaser/writer.go
+++ b/leaser/writer.go
@@ -212,7 +212,7 @@
 
 // noteRelease remembers the commit of a release for the beats.
 func (s *State) noteRelease(row sapphiredrum.Row) {
-	if shard, _ := parseShardKey(row.Key); s.view.shards[shard].row.Host == "" {
+	if shard, _ := parseShardKey(row.Key); s.view.own[shard.Number].row.Host == "" {
 		s.released = max(s.released, row.Sequence)
 	}
 }
