--- a/recorder/request.go
+++ b/recorder/request.go
@@ -33,7 +33,7 @@
 	s.counter++
 	i := &intent{
 		digest: request.Digest, stage: queued, ticket: Ticket{Epoch: t.epoch, Number: s.counter},
-		since: now, deadline: now.Add(s.rules.Patience),
+		since: now, deadline: now.Add(s.rules.Interval(s.hosts) + s.rules.Patience),
 	}
 	t.intents[request.Key] = i
 	b := s.batch(request.Shard, t.epoch)
--- a/recorder/rules.go
+++ b/recorder/rules.go
@@ -14,7 +14,8 @@
 	// Group bounds the records that wait for the platform; beyond it they are
 	// dropped and the next flush is a checkpoint.
 	Group root.Bytes
-	// Patience is how long an intent waits for the platform before it is refused.
+	// Patience is how long an intent waits for the platform, beyond the interval,
+	// before it is refused.
 	Patience root.Millis
 	// Retention is how long an intent is kept: longer than a route's timeout and
 	// a caller's longest retry together.
