recorder: segments are merged, checkpoints follow the log's growth

Cause: a checkpoint after every 64 segments writes a host's whole state every 7.7 s at twelve hosts, whatever has changed. Weighed: longer lists (ruled out: a takeover would read them all) against mergers of 64 segments, with a checkpoint only when the log has grown by as much as the last one and by 4 MB at least, or lists 64 mergers. Conclusion: about three times what changes is written; the bound on reads of a takeover is 129 objects for each owner's log.

--- a/recorder/doc.go
+++ b/recorder/doc.go
@@ -32,11 +32,16 @@
 //
 // # Checkpoints
 //
-// When a log lists Rules.Segments segments, the next flush is a checkpoint: it
-// holds the whole state of every shard and replaces the list. So a takeover of a
-// shard reads at most Rules.Segments+1 objects of its last owner's log, and as
-// many of each owner before who died without storing the shard once. Replaced
-// objects are deleted after the commit, once no index row refers to them.
+// After Rules.Segments segments the next flush is a merger: it holds their
+// content and its own, and replaces them. When the log has grown by as much as
+// its last checkpoint, and by Rules.Delta at least, or lists Rules.Segments
+// mergers, the next flush is a checkpoint: it holds the whole state of every
+// shard and replaces all. So what is written is at most about three times what
+// changes, and a takeover of a shard reads at most 2*Rules.Segments+1 objects of
+// its last owner's log, and as many of each owner before who died without storing
+// the shard once. The bound needs the host to answer for the images of all its
+// shards; while it can't, the log grows by one object a flush. Replaced objects
+// are deleted after the commit, once no index row refers to them.
 //
 // # Intents
 //
--- a/recorder/flush.go
+++ b/recorder/flush.go
@@ -1,7 +1,6 @@
 package recorder
 
 import (
-	"maps"
 	"slices"
 
 	root "sapphiredrum.example/sapphiredrum"
@@ -14,8 +13,10 @@
 	group       group
 	operation   root.OperationID
 	name        string
+	segment     Segment
 	value       []byte
 	whole       bool
+	kind        kind
 	replaces    []string
 	row         LogRow
 	transaction root.Transaction
@@ -23,6 +24,15 @@
 	rebased []root.ShardID
 }
 
+// kind is what a flush's object is to the log.
+type kind int
+
+const (
+	plain kind = iota
+	merger
+	checkpoint
+)
+
 // step is what a flush or a take does next.
 type step int
 
@@ -42,70 +52,6 @@
 	}
 }
 
-// plan names the flush's object and makes its transaction from the row as known.
-func (s *State) plan() {
-	f := s.flush
-	f.operation = s.operation()
-	f.name = "segment/" + string(s.host) + "/" + s.inc.String() + "/" + itoa(s.counter)
-	f.value = encode(s.segment(f.group))
-	f.row = s.row
-	f.row.Peers = union(s.peers, s.row.Peers)
-	if slices.Equal(f.row.Peers, s.row.Peers) {
-		f.row.Peers = slices.Clone(s.peers)
-	}
-	f.replaces = nil
-	if f.whole && s.complete(f.group) {
-		f.replaces = s.row.names()
-		f.row.Base, f.row.Segments = f.name, nil
-	} else {
-		f.row.Segments = append(slices.Clone(s.row.Segments), f.name)
-	}
-	f.transaction = root.Transaction{Operation: f.operation, Writes: []root.Write{
-		{Key: s.key, Expect: s.version, Value: encode(f.row)},
-	}}
-	f.rebased = nil
-	for _, shard := range f.group.shards() {
-		t := s.shards[shard]
-		if !f.group[shard].whole || t == nil || t.based {
-			continue
-		}
-		f.rebased = append(f.rebased, shard)
-		f.transaction.Writes = append(f.transaction.Writes, root.Write{
-			Key: IndexKey(shard), Expect: t.index, Value: encode(IndexRow{Epoch: t.epoch, Log: s.key}),
-		})
-	}
-	f.step = stepPut
-}
-
-// complete reports whether the group holds every shard of the row whole.
-func (s *State) complete(g group) bool {
-	for _, t := range s.row.Shards {
-		if b := g[t.Shard]; b == nil || !b.whole || b.epoch != t.Epoch {
-			return false
-		}
-	}
-	return true
-}
-
-// segment makes the content of the flush's object.
-func (s *State) segment(g group) Segment {
-	var segment Segment
-	for _, shard := range g.shards() {
-		b := g[shard]
-		section := Section{Shard: shard, Epoch: b.epoch, Whole: b.whole}
-		section.Records = slices.Concat(b.images, b.records)
-		if t := s.shards[shard]; b.whole && t != nil {
-			for _, key := range sortedKeys(t.intents) {
-				section.Marks = append(section.Marks, t.intents[key].marks(key)...)
-			}
-		} else {
-			section.Marks = b.marks
-		}
-		segment.Sections = append(segment.Sections, section)
-	}
-	return segment
-}
-
 func (f *flush) action(s *State) Action {
 	switch f.step {
 	case stepImage:
@@ -211,6 +157,7 @@
 	s.flush, s.failing = nil, 0
 	s.version++
 	s.row = f.row
+	s.placed(f)
 	s.trash = append(s.trash, f.replaces...)
 	events := []Event{Named{Peers: f.row.Peers}}
 	for _, shard := range f.rebased {
@@ -271,21 +218,5 @@
 	return events
 }
 
-// shards returns the group's shards in order.
-func (g group) shards() []root.ShardID {
-	return slices.SortedFunc(maps.Keys(g), compareShards)
-}
-
-// union returns a with those of b that it lacks.
-func union(a, b []keeper.Peer) []keeper.Peer {
-	all := slices.Clone(a)
-	for _, p := range b {
-		if !slices.Contains(all, p) {
-			all = append(all, p)
-		}
-	}
-	return all
-}
-
 // wholeEvery is the least number of intervals between two checkpoints.
 const wholeEvery = 8
--- a/recorder/rules.go
+++ b/recorder/rules.go
@@ -9,8 +9,11 @@
 	Writes root.Rate
 	// Least is the shortest interval between flushes.
 	Least root.Millis
-	// Segments is the number of segments after which a checkpoint follows.
+	// Segments is the number of segments that are merged into one, and of merged
+	// ones after which a checkpoint follows.
 	Segments int
+	// Delta is the least size of the segments that a checkpoint replaces.
+	Delta root.Bytes
 	// Group bounds the records that wait for the platform; beyond it they are
 	// dropped and the next flush is a checkpoint.
 	Group root.Bytes
@@ -28,7 +31,7 @@
 
 // DefaultRules are the rules of a host without settings.
 var DefaultRules = Rules{
-	Writes: 200, Least: 20 * root.Millisecond, Segments: 64, Group: 16 << 20,
+	Writes: 200, Least: 20 * root.Millisecond, Segments: 64, Delta: 4 << 20, Group: 16 << 20,
 	Patience: 2 * root.Second, Retention: 30 * root.Minute, Answer: 64 << 10, Retry: root.Second,
 }
 
--- a/recorder/state.go
+++ b/recorder/state.go
@@ -20,9 +20,14 @@
 	// version and row are the log's row as this host knows it.
 	version uint64
 	row     LogRow
-	shards  map[root.ShardID]*tenancy
-	group   group
-	bytes   root.Bytes
+	// recent are the segments since the last merger, base the size of the last
+	// checkpoint and delta that of the segments since.
+	recent []Segment
+	base   root.Bytes
+	delta  root.Bytes
+	shards map[root.ShardID]*tenancy
+	group  group
+	bytes  root.Bytes
 	// whole asks for a checkpoint, urgent for a flush without waiting.
 	whole  bool
 	urgent bool
@@ -185,9 +190,7 @@
 	}
 	s.urgent = false
 	s.next = now.Add(s.rules.Interval(s.hosts))
-	if len(s.row.Segments) >= s.rules.Segments && now >= s.nextWhole {
-		s.whole = true
-	}
+	s.whole = s.whole || s.due(now)
 	s.startFlush()
 }
 
