--- a/recorder/rules.go
+++ b/recorder/rules.go
@@ -9,12 +9,16 @@
 	Writes root.Rate
 	// Least is the shortest interval between flushes.
 	Least root.Millis
-	// Segments is the number of segments after which a checkpoint follows.
+	// Segments is the number of segments that are merged into one, and of merged
+	// ones after which a checkpoint follows.
 	Segments int
+	// Delta is the least size of the segments that a checkpoint replaces.
+	Delta root.Bytes
 	// Group bounds the records that wait for the platform; beyond it they are
 	// dropped and the next flush is a checkpoint.
 	Group root.Bytes
-	// Patience is how long an intent waits for the platform before it is refused.
+	// Patience is how long an intent waits for the platform, beyond the interval,
+	// before it is refused.
 	Patience root.Millis
 	// Retention is how long an intent is kept: longer than a route's timeout and
 	// a caller's longest retry together.
@@ -27,7 +31,7 @@
 
 // DefaultRules are the rules of a host without settings.
 var DefaultRules = Rules{
-	Writes: 200, Least: 20 * root.Millisecond, Segments: 64, Group: 16 << 20,
+	Writes: 200, Least: 20 * root.Millisecond, Segments: 64, Delta: 4 << 20, Group: 16 << 20,
 	Patience: 2 * root.Second, Retention: 30 * root.Minute, Answer: 64 << 10, Retry: root.Second,
 }
 
