standin: load behaves like callers behind a balancer; cuts make progress

A resumed answer was cut at the same absolute offset and so made no progress; the cut is now counted from where the answer begins.

--- a/cmd/sapphiredrum-standin/caller.go
+++ b/cmd/sapphiredrum-standin/caller.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -72,6 +74,9 @@
 	}
 )
 
+// maxConnects bounds the hosts tried for one request.
+const maxConnects = 20
+
 // maxEvent bounds a line of a streamed answer in bytes.
 const maxEvent = 1 << 20
 
@@ -82,20 +87,7 @@
 	if err != nil {
 		return nil, sapphiredrum.Unavailable.Wrap(err, "the request cannot be formed")
 	}
-	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+string(c.pick())+r.path, bytes.NewReader(data))
-	if err != nil {
-		return nil, sapphiredrum.Unavailable.Wrap(err, "the request cannot be formed")
-	}
-	// Without GetBody the transport never repeats the request.
-	out.GetBody = nil
-	out.Header.Set("Authorization", "Bearer "+c.key)
-	out.Header.Set("Content-Type", "application/json")
-	for name, value := range map[string]string{programHeader: string(r.program), callHeader: string(r.call), headHeader: r.head} {
-		if value != "" {
-			out.Header.Set(name, value)
-		}
-	}
-	response, err := c.client.Do(out)
+	response, err := c.reach(ctx, r, data)
 	if err != nil {
 		return nil, sapphiredrum.Uncertain.Wrap(err, "%s %s", r.method, r.path)
 	}
@@ -110,6 +102,31 @@
 	return nil, problem.Error.refusal()
 }
 
+// reach sends a request to one host after another until one can be connected to,
+// as a balancer does.
+func (c *caller) reach(ctx context.Context, r request, data []byte) (*http.Response, error) {
+	for tries := 1; ; tries++ {
+		out, err := http.NewRequestWithContext(ctx, r.method, "http://"+string(c.pick())+r.path, bytes.NewReader(data))
+		if err != nil {
+			return nil, err
+		}
+		// Without GetBody the transport never repeats the request.
+		out.GetBody = nil
+		out.Header.Set("Authorization", "Bearer "+c.key)
+		out.Header.Set("Content-Type", "application/json")
+		for name, value := range map[string]string{programHeader: string(r.program), callHeader: string(r.call), headHeader: r.head} {
+			if value != "" {
+				out.Header.Set(name, value)
+			}
+		}
+		response, err := c.client.Do(out)
+		var failed *net.OpError
+		if err == nil || tries == maxConnects || !errors.As(err, &failed) || failed.Op != "dial" {
+			return response, err
+		}
+	}
+}
+
 // whole sends a request and reads its whole answer and the head it carries.
 func (c *caller) whole(ctx context.Context, r request) ([]byte, string, error) {
 	response, err := c.send(ctx, r)
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -57,8 +57,8 @@
 	// LoseAnswers is the number of next calls, cancels and releases that take
 	// effect and are reported as Uncertain.
 	LoseAnswers int
-	// Cuts is the number of answers that break after CutAfter tokens; the engine
-	// goes on generating and they can be resumed.
+	// Cuts is the number of answers, resumed ones too, that break after CutAfter
+	// tokens; the engine goes on generating and they can be resumed.
 	Cuts     int
 	CutAfter sapphiredrum.Tokens
 }
@@ -206,7 +206,7 @@
 	if e.loseAnswer() {
 		return nil, sapphiredrum.Uncertain.New("the answer was lost")
 	}
-	return &answer{engine: e, stream: s, cut: e.takeCut()}, nil
+	return &answer{engine: e, stream: s, cut: e.takeCut(0)}, nil
 }
 
 // Resume continues a stream from the given offset.
@@ -225,7 +225,7 @@
 		return nil, sapphiredrum.Absent.New("stream %q at offset %d does not exist", id, offset)
 	}
 	e.counters.Resumes++
-	return &answer{engine: e, stream: s, offset: offset, cut: e.takeCut()}, nil
+	return &answer{engine: e, stream: s, offset: offset, cut: e.takeCut(offset)}, nil
 }
 
 // Cancel stops a stream and forgets it.
--- a/faker/upkeep.go
+++ b/faker/upkeep.go
@@ -36,10 +36,11 @@
 	return take(&e.faults.LoseAnswers)
 }
 
-// takeCut returns the offset at which an answer is to break, zero for none.
-func (e *Engine) takeCut() sapphiredrum.Tokens {
+// takeCut returns the offset at which an answer that begins at an offset is to
+// break, zero for none.
+func (e *Engine) takeCut(offset sapphiredrum.Tokens) sapphiredrum.Tokens {
 	if take(&e.faults.Cuts) {
-		return max(e.faults.CutAfter, 1)
+		return offset + max(e.faults.CutAfter, 1)
 	}
 	return 0
 }
