standin: load tells refusals as not run that were not true

A call that is refused as not run and known when it comes again cannot have been unknown to the hosts.

--- a/cmd/sapphiredrum-standin/program.go
+++ b/cmd/sapphiredrum-standin/program.go
@@ -148,8 +148,10 @@
 }
 
 // insist repeats a request as long as it is refused as not run with a time to
-// come back.
+// come back. When the request turns out to be known already, an earlier refusal
+// as not run was not true.
 func (p *program) insist(ctx context.Context, try func() error) error {
+	var earlier *sapphiredrum.Refusal
 	for tries := 1; ; tries++ {
 		p.tally.change(func(r *loadReport) { r.Calls++ })
 		err := try()
@@ -158,9 +160,16 @@
 		}
 		p.tally.failed(err)
 		var refusal *sapphiredrum.Refusal
-		if !errors.As(err, &refusal) || refusal.Outcome != sapphiredrum.NotRun || refusal.RetryAfter <= 0 || tries == maxTries {
+		if !errors.As(err, &refusal) {
 			return err
 		}
+		if earlier != nil && refusal.Reason == sapphiredrum.CallRepeated {
+			p.tally.change(func(r *loadReport) { r.Untrue = append(r.Untrue, earlier.Error()) })
+		}
+		if refusal.Outcome != sapphiredrum.NotRun || refusal.RetryAfter <= 0 || tries == maxTries {
+			return err
+		}
+		earlier = refusal
 		p.tally.change(func(r *loadReport) { r.Retries++ })
 		if err := wait(ctx, max(refusal.RetryAfter, firstRetry)); err != nil {
 			return err
--- a/cmd/sapphiredrum-standin/tally.go
+++ b/cmd/sapphiredrum-standin/tally.go
@@ -33,6 +33,9 @@
 	// calls that ran more than once.
 	Mixed    int
 	Repeated int
+	// Untrue are refusals as not run of requests that the hosts turned out to know
+	// when they came again.
+	Untrue []string
 	// Broken counts requests without a whole answer or a refusal.
 	Broken  int
 	Refused []refusalCount
