--- a/limiter/world_test.go
+++ b/limiter/world_test.go
@@ -182,6 +182,10 @@
 	if w.random.Float64() < w.loss {
 		copies = w.random.IntN(3)
 	}
+	if w.delay == 0 {
+		w.deliver(p)
+		return
+	}
 	for range copies {
 		p.due = w.now + w.random.Int64N(w.delay+1)
 		w.packets = append(w.packets, p)
