--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -80,7 +80,12 @@
 				w.handOver(sapphiredrum.ShardID{Zone: zone(t), Number: limiter.AccountShard("w-1")})
 			},
 			"configure": func(t *rapid.T) { w.publish(drawPlan(t), int64(fuzzed.Settle)) },
-			"":          func(*rapid.T) { steps++ },
+			"stale read": func(t *rapid.T) {
+				if h := pick(t); h.alive() {
+					h.state.Configure(w.clock(h), 1, w.sheets[0].workspaces, w.sheets[0].zones)
+				}
+			},
+			"": func(*rapid.T) { steps++ },
 		})
 		w.recover()
 		for _, c := range w.sheets[len(w.sheets)-1].workspaces {
