--- a/limiter/doc.go
+++ b/limiter/doc.go
@@ -58,6 +58,8 @@
 //     Settings.Settle, if the zones' shares changed in them.
 //   - Use the same Settings on all hosts.
 //
+// A workspace that a revision adds is served once Loan + Drift have passed.
+//
 // During a change of revision rates and bursts are at most the larger of the old
 // and the new, for as long as the revision takes to reach the hosts, at most
 // Settings.Settle. A zone's part falls at once and rises after Settle, so that
