--- a/reporter/page.go
+++ b/reporter/page.go
@@ -72,7 +72,7 @@
 <body>
 <h1>Service-level burn</h1>
 <p>{{stamp .Date}}, from {{plural (len .Reached) "host"}}.{{if .Unreached}} <strong>Not reached: {{join .Unreached}}.</strong>{{end}}</p>
-{{with .Worst}}<p>Worst served in the last hour: {{.Workspace}}, tier {{.Tier}}, {{.Objective}}, {{worst .}}.</p>
+{{with .Worst}}<p>Worst served in the last hour: tier {{.Tier}}, {{.Objective}}, {{worst .}}.</p>
 {{end}}<table>
 <tr><th>tier</th><th>objective</th><th>target</th><th>budget</th>{{with .Lines}}{{range (index . 0).Burns}}<th>{{length .Window}}</th>{{end}}{{end}}<th>last 6 h</th><th>state</th><th>worst in 1 h (mean)</th></tr>
 {{range .Lines}}<tr><td>{{.Tier}}</td><td>{{.Objective}}</td><td>{{target .}}</td><td>{{percent .Budget}}</td>{{range .Burns}}<td class="number">{{burn .}}</td>{{end}}
@@ -81,7 +81,7 @@
 <polyline points="{{points .Trend}}" fill="none" stroke="{{color .State}}" stroke-width="2"/></svg></td>
 <td style="color: {{color .State}}">{{.State}}</td><td>{{worst .Worst}}</td></tr>
 {{end}}</table>
-<p>A burn rate of 1 uses up the budget exactly; the dashed line is the rate that counts as fast.</p>
+<p>A burn rate of 1 uses up the budget exactly; a star marks a window that is covered in part; the dashed line is the rate that counts as fast.</p>
 </body>
 </html>
 `
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -39,13 +39,14 @@
 	// Output:
 	// service-level burn at 1970-01-01T01:30:00Z, from 1 host
 	// not reached: h2
-	// tier  objective    target  budget  5m    30m   1h    6h    state      worst in 1h (mean)
-	// 0     first-token  500ms   5%      5.00  5.00  5.00  5.00  slow burn  desk 8.00 (5.00)
-	// 0     token-gap    100ms   5%      -     -     -     -     ok         -
-	// 0     program      1m0s    5%      -     -     -     -     ok         -
-	// 0     refused      -       0.1%    0.00  0.00  0.00  0.00  ok         -
-	// 1     first-token  2s      5%      -     -     -     -     ok         -
-	// worst served: desk, tier 0, first-token, desk 8.00 (5.00)
+	// tier  objective    target  budget  5m    30m   1h    6h     state      worst in 1h (mean)
+	// 0     first-token  500ms   5%      5.00  5.00  5.00  5.00*  slow burn  desk 8.00 (5.00)
+	// 0     token-gap    100ms   5%      -     -     -     -*     ok         -
+	// 0     program      1m0s    5%      -     -     -     -*     ok         -
+	// 0     refused      -       0.1%    0.00  0.00  0.00  0.00*  ok         -
+	// 1     first-token  2s      5%      -     -     -     -*     ok         -
+	// burn rate 1 uses up the budget exactly; * only part of the window is covered
+	// worst served: tier 0, first-token, desk 8.00 (5.00)
 }
 
 // event is one first token as the naive count keeps it.
--- a/reporter/table.go
+++ b/reporter/table.go
@@ -38,8 +38,9 @@
 		fmt.Fprintf(table, "\t%s\t%s\n", l.State, worst(l.Worst))
 	}
 	_ = table.Flush()
+	fmt.Fprintln(&text, "burn rate 1 uses up the budget exactly; * only part of the window is covered")
 	if r.Worst != nil {
-		fmt.Fprintf(&text, "worst served: %s, tier %d, %s, %s\n", r.Worst.Workspace, r.Worst.Tier, r.Worst.Objective, worst(r.Worst))
+		fmt.Fprintf(&text, "worst served: tier %d, %s, %s\n", r.Worst.Tier, r.Worst.Objective, worst(r.Worst))
 	}
 	return send(w, text.String())
 }
@@ -61,12 +62,17 @@
 	return nil
 }
 
-// burn prints a burn rate, or a dash where nothing happened.
+// burn prints a burn rate, or a dash where nothing happened. A star marks a
+// window that the samples cover in part.
 func burn(b Burn) string {
-	if b.Count.Total == 0 {
-		return "-"
+	text := "-"
+	if b.Count.Total > 0 {
+		text = fmt.Sprintf("%.2f", b.Rate)
+	}
+	if b.Covered < b.Window {
+		text += "*"
 	}
-	return fmt.Sprintf("%.2f", b.Rate)
+	return text
 }
 
 // worst prints a workspace's burn rate beside the mean.
