--- a/measurer/deployment.go
+++ b/measurer/deployment.go
@@ -118,3 +118,7 @@
 	s.GuardDies = true
 	return s
 }
+
+// leaves and returns are the seconds at which the middle third begins and ends.
+func (s Scenario) leaves() int  { return int(s.Length / 3 / sapphiredrum.Second) }
+func (s Scenario) returns() int { return 2 * s.leaves() }
