scheduler: a target without slots gets nothing; a new address starts the ramp

A target with no slots got one permit, since the limit was never below one. An engine that reports memory in use but lists no programs no longer clears the beliefs about prefixes. measurer: least service before a zone leaves, to compare.

--- a/measurer/columns.go
+++ b/measurer/columns.go
@@ -62,6 +62,7 @@
 	third := int(s.Length / 3 / sapphiredrum.Second)
 	return []Column{
 		{"before /s", func(r *Result) float64 { return r.Service(third-60, third) }},
+		{"least before /s", func(r *Result) float64 { return r.LeastService(third-40, third) }},
 		{"least after leaving /s", func(r *Result) float64 { return r.LeastService(third, third+40) }},
 		{"while out /s", func(r *Result) float64 { return r.Service(third+10, 2*third) }},
 		{"least after return /s", func(r *Result) float64 { return r.LeastService(2*third, 2*third+40) }},
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -76,6 +76,7 @@
 	if t.member.Target.Address != member.Target.Address {
 		t.known = false
 		t.joined = c.now
+		t.restart(c.now)
 	}
 	t.member = member
 	t.gone = false
@@ -122,7 +123,9 @@
 		t.prove(c.now)
 	}
 	t.credited = c.now
-	t.prefixes.confirm(c.now, load.Programs, c.settings.settling())
+	if len(load.Programs) > 0 || load.Held == 0 {
+		t.prefixes.confirm(c.now, load.Programs, c.settings.settling())
+	}
 }
 
 // reconcile compares the reported work with the permits outstanding.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -104,7 +104,7 @@
 	if t.probing {
 		return min(1, t.bears())
 	}
-	return max(t.bears()-t.queued, 1)
+	return min(max(t.bears()-t.queued, 1), t.bears())
 }
 
 // free returns the number of permits that may be granted now.
