--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -220,3 +220,47 @@
 		}
 	}
 }
+
+// A call whose end is told late hid a stray from the reports: its slot is not
+// granted again until a report has shown the target's work anew.
+func TestLateDoneHidesStray(t *testing.T) {
+	cell := scheduler.New(0, scheduler.Settings{})
+	cell.SetTargets(0, []scheduler.Member{{Target: sapphiredrum.Target{ID: "t", Slots: 2, Cold: 2}}})
+	ask := func(now sapphiredrum.Instant, name sapphiredrum.StreamID) []scheduler.Decision {
+		cell.Ask(now, scheduler.Request{Call: name, Program: "p", Workspace: "w"})
+		return cell.Tick(now)
+	}
+	cell.Report(1500, sapphiredrum.Load{Target: "t", Incarnation: 1, Running: 1})
+	first := ask(1500, "a")[0].(scheduler.Granted)
+	cell.Report(3200, sapphiredrum.Load{Target: "t", Incarnation: 1, Running: 1})
+	if len(ask(3200, "b")) != 1 {
+		t.Error("a free slot is not granted")
+	}
+	cell.Done(3300, first.Permit, scheduler.Usage{})
+	if decisions := ask(3300, "c"); len(decisions) > 0 {
+		t.Errorf("granted a third call on two slots: %+v", decisions)
+	}
+}
+
+// A displaced call that is withdrawn or asked again before its refusal was
+// announced gets no second answer.
+func TestDisplacedOnce(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		cell := warmCell(scheduler.Settings{Policy: sapphiredrum.Policy{Queue: 4 * sapphiredrum.Second}}, 1, 1)
+		flood := func(name sapphiredrum.StreamID) *sapphiredrum.Refusal {
+			return cell.Ask(10010, scheduler.Request{Call: name, Program: "p", Workspace: "flood", Limit: 400}).Refusal
+		}
+		cell.Ask(10, scheduler.Request{Call: "f1", Program: "p", Workspace: "flood", Limit: 400})
+		cell.Done(10010, cell.Tick(10)[0].(scheduler.Granted).Permit, scheduler.Usage{Answer: 200})
+		flood("f2")
+		cell.Tick(10010)
+		flood("f3")
+		cell.Ask(10010, scheduler.Request{Call: "c1", Program: "c", Workspace: "calm"})
+		if again && flood("f3") == nil || !again && !cell.Withdraw(10010, "f3") {
+			t.Errorf("the displaced call waits on, again %v", again)
+		}
+		if decisions := cell.Tick(10010); len(decisions) > 0 {
+			t.Errorf("second answer %+v, again %v", decisions, again)
+		}
+	}
+}
