--- a/measurer/table.go
+++ b/measurer/table.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math"
 	"slices"
-	"text/tabwriter"
+	"strconv"
+	"strings"
 )
 
 // Row holds the runs of one variant over several seeds.
@@ -54,7 +54,15 @@
 
 // String returns the spread as "mean (least-greatest)".
 func (s Spread) String() string {
-	return fmt.Sprintf("%.3g (%.3g-%.3g)", s.Mean, s.Least, s.Greatest)
+	return figure(s.Mean) + " (" + figure(s.Least) + "-" + figure(s.Greatest) + ")"
+}
+
+// figure prints three digits, and whole numbers from a hundred on.
+func figure(x float64) string {
+	if x >= 100 {
+		return strconv.FormatFloat(x, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(x, 'g', 3, 64)
 }
 
 // Over returns the spread of a figure of the row's results.
@@ -71,51 +79,50 @@
 
 // Table prints rows as a Markdown table.
 func Table(out io.Writer, title string, columns []Column, rows []Row) error {
-	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
-	_, _ = fmt.Fprintf(w, "### %s\n\n| policy", title)
-	for _, c := range columns {
-		_, _ = fmt.Fprintf(w, "\t| %s", c.Name)
-	}
-	_, _ = fmt.Fprint(w, "\t|\n|---")
-	for range columns {
-		_, _ = fmt.Fprint(w, "\t|---")
-	}
-	_, _ = fmt.Fprint(w, "\t|\n")
+	lines := make([][]string, 0, len(rows))
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(w, "| %s", r.Variant)
+		cells := []string{r.Variant}
 		for _, c := range columns {
-			_, _ = fmt.Fprintf(w, "\t| %s", r.Over(c.Figure))
+			cells = append(cells, r.Over(c.Figure).String())
 		}
-		_, _ = fmt.Fprint(w, "\t|\n")
+		lines = append(lines, cells)
+	}
+	head := []string{"policy"}
+	for _, c := range columns {
+		head = append(head, c.Name)
 	}
-	_, _ = fmt.Fprintln(w)
-	return w.Flush()
+	return markdown(out, title, head, lines)
 }
 
 // Steps prints the model calls that ended in each second of a span, as the mean
 // over the seeds.
 func Steps(out io.Writer, title string, from, to int, rows []Row) error {
-	columns := make([]Column, 0, to-from)
-	for i := from; i < to; i++ {
-		columns = append(columns, Column{Name: fmt.Sprint(i), Figure: func(r *Result) float64 { return r.Service(i, i+1) }})
-	}
-	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
-	_, _ = fmt.Fprintf(w, "### %s\n\n| second", title)
+	head := []string{"second"}
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(w, "\t| %s", r.Variant)
+		head = append(head, r.Variant)
 	}
-	_, _ = fmt.Fprint(w, "\t|\n|---")
-	for range rows {
-		_, _ = fmt.Fprint(w, "\t|---")
-	}
-	_, _ = fmt.Fprint(w, "\t|\n")
-	for _, c := range columns {
-		_, _ = fmt.Fprintf(w, "| %s", c.Name)
+	var lines [][]string
+	for i := from; i < to; i++ {
+		cells := []string{strconv.Itoa(i)}
 		for _, r := range rows {
-			_, _ = fmt.Fprintf(w, "\t| %.1f", r.Over(c.Figure).Mean)
+			mean := r.Over(func(x *Result) float64 { return x.Service(i, i+1) }).Mean
+			cells = append(cells, strconv.FormatFloat(mean, 'f', 1, 64))
 		}
-		_, _ = fmt.Fprint(w, "\t|\n")
+		lines = append(lines, cells)
+	}
+	return markdown(out, title, head, lines)
+}
+
+// markdown prints a table with its title.
+func markdown(out io.Writer, title string, head []string, lines [][]string) error {
+	var text strings.Builder
+	text.WriteString("### " + title + "\n\n")
+	rule := strings.Repeat("|---", len(head)) + "|\n"
+	text.WriteString("| " + strings.Join(head, " | ") + " |\n" + rule)
+	for _, cells := range lines {
+		text.WriteString("| " + strings.Join(cells, " | ") + " |\n")
 	}
-	_, _ = fmt.Fprintln(w)
-	return w.Flush()
+	text.WriteString("\n")
+	_, err := io.WriteString(out, text.String())
+	return err
 }
