--- a/scheduler/actions_test.go
+++ b/scheduler/actions_test.go
@@ -208,7 +208,7 @@
 		for _, keeper := range m.living {
 			m.beat(t, keeper)
 		}
-		m.advance(t, 500)
+		m.advance(t, 500, false)
 		for _, b := range m.boxes {
 			m.hear(b, b.history[len(b.history)-1].load)
 		}
@@ -232,7 +232,8 @@
 func TestCell(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
-		pass := func(t *rapid.T) { m.advance(t, sapphiredrum.Millis(100*rapid.IntRange(1, 30).Draw(t, "span"))) }
+		pass := func(t *rapid.T) { m.advance(t, sapphiredrum.Millis(100*rapid.IntRange(1, 30).Draw(t, "span")), false) }
+		freeze := func(t *rapid.T) { m.advance(t, sapphiredrum.Millis(100*rapid.IntRange(1, 200).Draw(t, "span")), true) }
 		rare := func(action func(*rapid.T)) func(*rapid.T) {
 			return func(t *rapid.T) {
 				if rapid.IntRange(0, 5).Draw(t, "rare") > 0 {
@@ -248,7 +249,7 @@
 			"renew": m.renew, "renew more": m.renew, "renew again": m.renew,
 			"report": m.report, "report more": m.report, "report again": m.report, "report on": m.report,
 			"restart": rare(m.restart), "warm": m.warm, "close": rare(m.close), "keeper dies": rare(m.die), "other dies": rare(m.die),
-			"guard changes": rare(func(*rapid.T) { m.takeOver() }), "cache events": m.events,
+			"guard freezes": rare(freeze), "guard changes": rare(func(*rapid.T) { m.takeOver() }), "cache events": m.events,
 		}
 		for range repeats {
 			t.Repeat(actions)
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -173,8 +173,9 @@
 	}
 }
 
-// advance lets time pass in small steps: keepers send in time, guards tick.
-func (m *machine) advance(t *rapid.T, span sapphiredrum.Millis) {
+// advance lets time pass in small steps: keepers send in time, and the guard
+// ticks unless its process is frozen.
+func (m *machine) advance(t *rapid.T, span sapphiredrum.Millis, frozen bool) {
 	const grain = 100 * sapphiredrum.Millisecond
 	for ; span > 0; span -= grain {
 		for _, b := range m.boxes {
@@ -192,7 +193,9 @@
 			}
 		}
 		m.snap()
-		m.tick(t)
+		if !frozen {
+			m.tick(t)
+		}
 	}
 }
 
