scheduler: the same plan again does not make targets cold

Cause: SetTargets marked every target as gone before it asked whether it had been open, so each of the guard's ticks began every ramp anew and no target got beyond its cold slots. Ruled out: load reports (the peak stayed at the cold slots without any). Conclusion: the state is compared before it is marked.

--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -53,7 +53,9 @@
 // A target that is new, or that returns after leaving or being out, starts cold.
 func (c *Cell) SetTargets(now sapphiredrum.Instant, members []Member) {
 	c.advance(now)
+	was := make(map[*target]bool, len(c.targets))
 	for _, t := range c.targets {
+		was[t] = t.open()
 		t.gone = true
 	}
 	for _, member := range members {
@@ -62,7 +64,7 @@
 			t = &target{joined: c.now, gone: true}
 			c.targets = append(c.targets, t)
 		}
-		c.admit(t, member)
+		c.admit(t, member, was[t])
 	}
 	c.targets = slices.DeleteFunc(c.targets, func(t *target) bool { return t.gone && t.permits == 0 })
 	slices.SortFunc(c.targets, func(a, b *target) int {
@@ -70,9 +72,8 @@
 	})
 }
 
-// admit applies a member's plan to its target.
-func (c *Cell) admit(t *target, member Member) {
-	returns := !t.open()
+// admit applies a member's plan to its target, which took work before or not.
+func (c *Cell) admit(t *target, member Member, open bool) {
 	if t.member.Target.Address != member.Target.Address {
 		t.known = false
 		t.joined = c.now
@@ -80,7 +81,7 @@
 	}
 	t.member = member
 	t.gone = false
-	if returns && t.open() {
+	if !open && t.open() {
 		t.restart(c.now)
 	}
 }
