--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -28,11 +28,17 @@
 	// mu guards state and gained; the clock is read while it is held.
 	mu    sync.Mutex
 	state *limiter.State
-	// gained is when each held shard came here.
-	gained map[sd.ShardID]sd.Instant
+	// gained tells when each held shard came here and under which epoch.
+	gained map[sd.ShardID]tenure
 	away   absences
 }
 
+// tenure tells since when a shard is held and under which epoch.
+type tenure struct {
+	since sd.Instant
+	epoch sd.Epoch
+}
+
 // question asks the holder of an account to admit a request.
 type question struct {
 	Workspace sd.WorkspaceID
@@ -42,7 +48,7 @@
 // New returns an admitter without accounts. Deadlines of the host's lease come
 // by Renew.
 func New(parts Parts, settings limiter.Settings, incarnation sd.Incarnation) *Admitter {
-	return &Admitter{parts: parts, state: limiter.New(settings, incarnation), gained: make(map[sd.ShardID]sd.Instant)}
+	return &Admitter{parts: parts, state: limiter.New(settings, incarnation), gained: make(map[sd.ShardID]tenure)}
 }
 
 // Register adds the admitter's messages to a router.
@@ -69,13 +75,14 @@
 	a.state.Renew(a.parts.Clock.Now(), deadline)
 }
 
-// Gain takes a shard's accounts over.
-func (a *Admitter) Gain(shard sd.ShardID, epoch sd.Epoch, clean bool) {
+// Gain takes a shard's accounts over. Only the first epoch of a shard can have no
+// loans of an earlier holder.
+func (a *Admitter) Gain(shard sd.ShardID, epoch sd.Epoch) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.parts.Clock.Now()
-	a.gained[shard] = now
-	a.state.Gain(now, shard, epoch, clean)
+	a.gained[shard] = tenure{since: now, epoch: epoch}
+	a.state.Gain(now, shard, epoch, epoch == firstEpoch)
 }
 
 // Lose gives a shard's accounts up; ctx bounds the return of its loans.
@@ -150,14 +157,15 @@
 // moment ago began empty, so a request that finds no token may wait for one
 // rather than be refused although its workspace is within its rate.
 func (a *Admitter) here(q question) limiter.Verdict {
-	if _, held := a.parts.Locator.Holds(q.Account); !held {
-		return limiter.Verdict{NotHere: true, RetryAfter: retryPause}
-	}
+	epoch, held := a.parts.Locator.Holds(q.Account)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !held || a.gained[q.Account].epoch != epoch {
+		return limiter.Verdict{NotHere: true, RetryAfter: retryPause}
+	}
 	now := a.parts.Clock.Now()
 	verdict := a.state.Admit(now, q.Workspace, q.Account)
-	if !verdict.Admitted && now.Since(a.gained[q.Account]) < freshAccount {
+	if !verdict.Admitted && now.Since(a.gained[q.Account].since) < freshAccount {
 		verdict.NotHere = true
 	}
 	return verdict
@@ -165,11 +173,12 @@
 
 // lend answers an ask for loans.
 func (a *Admitter) lend(ask limiter.Ask) (limiter.Grant, error) {
-	if _, held := a.parts.Locator.Holds(ask.Lender); !held {
-		return limiter.Grant{}, sd.Unavailable.New("shard %s is not held here", ask.Lender)
-	}
+	epoch, held := a.parts.Locator.Holds(ask.Lender)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !held || a.gained[ask.Lender].epoch != epoch {
+		return limiter.Grant{}, sd.Unavailable.New("shard %s is not held here", ask.Lender)
+	}
 	return a.state.Lend(a.parts.Clock.Now(), ask), nil
 }
 
@@ -237,6 +246,7 @@
 	// movePatience bounds the wait for an account that is on its way.
 	movePatience = 3 * sd.Second
 	retryPause   = 100 * sd.Millisecond
+	firstEpoch   = sd.Epoch(1)
 	// freshAccount is how long an account counts as just taken over.
 	freshAccount = 5 * sd.Second
 	tickInterval = 100 * sd.Millisecond
--- a/caller.go
+++ b/caller.go
@@ -14,8 +14,11 @@
 	Caller Caller
 	// Parent is set for a sub-agent, whose budget is taken out of its parent's.
 	Parent ProgramID
-	// Budget is what the program may spend; zero means the workspace's default.
+	// Budget is what the program may spend; zero means the workspace's default,
+	// and for a sub-agent at most half of what its parent has left.
 	Budget Tokens
+	// Named is set when the caller asked for a budget.
+	Named bool
 }
 
 // ProgramStatus describes a program to its caller.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,7 +97,7 @@
 	if !found {
 		return sd.ProgramStatus{}, sd.Refuse(sd.KeyUnknown, 0, "the key's workspace is not known")
 	}
-	if creation.Budget == 0 && creation.Parent == "" || creation.Budget > workspace.Budget {
+	if creation.Budget == 0 || creation.Budget > workspace.Budget {
 		creation.Budget = workspace.Budget
 	}
 	shard, err := f.shardOf(creation)
@@ -148,7 +148,7 @@
 		if passed || once {
 			return lostKeeper(passed)
 		}
-		return sd.Unavailable.Wrap(err, "the keeper was lost before the answer began")
+		return err
 	})
 }
 
@@ -176,18 +176,17 @@
 		attempt, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 		defer cancel()
 		status, err = messenger.Ask[Q, sd.ProgramStatus](attempt, f.Parts.Client, to, name, message)
-		if errorx.IsOfType(err, sd.Uncertain) {
-			return sd.Unavailable.Wrap(err, "the message may be repeated")
-		}
 		return err
 	})
 	return status, err
 }
 
 // persist tries at a program's keeper until it is served or refused for good. An
-// Unavailable error or a KeeperMoving refusal of which nothing ran is tried
-// again at the shard's next owner, within the patience for a takeover. The empty
-// address stands for this host.
+// Unavailable or Uncertain error, or a KeeperMoving refusal of which nothing ran,
+// is tried again at the shard's next owner, within the patience for a takeover:
+// whoever calls persist makes sure that a repetition is harmless. After an
+// Uncertain error no refusal says "not run" any more. The empty address stands
+// for this host.
 func (f *Forwarder) persist(ctx context.Context, program sd.ProgramID, try func(ctx context.Context, to sd.Address) error) error {
 	shard, err := program.Shard()
 	if err != nil {
@@ -196,18 +195,36 @@
 	if _, known := f.Parts.Config().Zone(shard.Zone); !known {
 		return sd.Refuse(sd.ProgramUnknown, 0, "the program's identifier names no zone of the sheet")
 	}
+	outcome := sd.NotRun
 	end := f.Parts.Clock.Now().Add(f.Settings.Patience)
 	for wait := firstWait; ; wait = min(2*wait, longestWait) {
 		err := f.attempt(ctx, shard, try)
-		if err == nil || !moving(err) {
-			return err
+		if err == nil {
+			return nil
+		}
+		if errorx.IsOfType(err, sd.Uncertain) {
+			outcome = sd.Unknown
+		}
+		if !moving(err) {
+			return atMost(err, outcome)
 		}
 		if f.Parts.Clock.Now().Add(wait) > end || !pause(ctx, wait) {
-			return sd.Refuse(sd.KeeperAway, sd.Second, "no host keeps the program at the moment")
+			return &sd.Refusal{Reason: sd.KeeperAway, Outcome: outcome, RetryAfter: sd.Second, Detail: "no host keeps the program at the moment"}
 		}
 	}
 }
 
+// atMost keeps a later refusal from claiming more than is known of all attempts.
+func atMost(err error, outcome sd.Outcome) error {
+	var refusal *sd.Refusal
+	if outcome == sd.NotRun || !errors.As(err, &refusal) || refusal.Outcome != sd.NotRun {
+		return err
+	}
+	merged := *refusal
+	merged.Outcome = outcome
+	return &merged
+}
+
 // attempt tries once at the shard's owner.
 func (f *Forwarder) attempt(ctx context.Context, shard sd.ShardID, try func(ctx context.Context, to sd.Address) error) error {
 	if _, held := f.Parts.Locator.Holds(shard); held {
@@ -238,7 +255,7 @@
 	if errors.As(err, &refusal) {
 		return refusal.Reason == sd.KeeperMoving && refusal.Outcome == sd.NotRun
 	}
-	return errorx.IsOfType(err, sd.Unavailable)
+	return errorx.IsOfType(err, sd.Unavailable) || errorx.IsOfType(err, sd.Uncertain)
 }
 
 // lostKeeper is the refusal of a call whose keeper was lost while it ran.
--- a/launcher/copier.go
+++ b/launcher/copier.go
@@ -254,6 +254,19 @@
 	c.host.recorder.SetPeers(c.named)
 }
 
+// reaches reports whether copies reach a peer.
+func (c *copier) reaches() bool {
+	peer, named := c.host.recorder.CopyTo()
+	if !named {
+		return false
+	}
+	c.mu.Lock()
+	failing := c.failing
+	c.mu.Unlock()
+	_, found := c.host.addressOf(peer)
+	return found && !failing
+}
+
 // report logs the first failure of a row of them.
 func (c *copier) report(err error) {
 	c.mu.Lock()
--- a/launcher/journal.go
+++ b/launcher/journal.go
@@ -24,6 +24,11 @@
 	j.copier.add(records)
 }
 
+// Ready reports whether the platform answers or the named peer lives.
+func (j *journal) Ready() bool {
+	return j.copier.host.leaser.Reaches() || j.copier.reaches()
+}
+
 // Intend records that a call is about to run.
 func (j *journal) Intend(ctx context.Context, intent recorder.Intent) (recorder.Intended, error) {
 	return j.recorder.Intend(ctx, intent)
--- a/launcher/takeovers.go
+++ b/launcher/takeovers.go
@@ -69,8 +69,8 @@
 		t.held[e.Shard] = e.Epoch
 		delete(t.yielding, e.Shard)
 		t.mu.Unlock()
+		t.host.admitter.Gain(e.Shard, e.Epoch)
 		t.host.admitter.Renew(t.host.leaser.Deadline())
-		t.host.admitter.Gain(e.Shard, e.Epoch, e.Clean)
 		group.Go("restore", func(ctx context.Context) error { t.restore(ctx, e); return nil })
 	case leaser.Lost:
 		t.mu.Lock()
--- a/performer/call.go
+++ b/performer/call.go
@@ -17,6 +17,9 @@
 	if err != nil {
 		return err
 	}
+	if !p.parts.Journal.Ready() {
+		return unsafe()
+	}
 	if refusal := p.parts.Admission.Admit(ctx, request.Caller.Workspace); refusal != nil {
 		return refusal
 	}
--- a/performer/performer.go
+++ b/performer/performer.go
@@ -32,6 +32,9 @@
 type Journal interface {
 	// Append makes records safe and then tells Performer.Safe. It returns at once.
 	Append(records []keeper.Record)
+	// Ready reports whether records can become safe now: the platform answers or a
+	// peer takes copies.
+	Ready() bool
 	// Intend records that a call is about to run. Only a fresh answer permits it.
 	Intend(ctx context.Context, intent recorder.Intent) (recorder.Intended, error)
 	// Settle records what came of a call that Intend permitted.
--- a/performer/programs.go
+++ b/performer/programs.go
@@ -12,7 +12,11 @@
 // Create opens a program under a fresh identifier and returns its status once it
 // is safe.
 func (p *Performer) Create(ctx context.Context, program sd.ProgramID, creation sd.Creation) (sd.ProgramStatus, error) {
+	if !p.parts.Journal.Ready() {
+		return sd.ProgramStatus{}, unsafe()
+	}
 	p.mu.Lock()
+	creation.Budget = p.share(creation)
 	status, err := p.shelf.Create(p.parts.Clock.Now(), keeper.Creation{
 		Program: program, Workspace: creation.Caller.Workspace, Parent: creation.Parent, Budget: creation.Budget,
 	})
@@ -32,6 +36,19 @@
 	return statusOf(status), nil
 }
 
+// share returns the budget of a new program: what was asked for, but for a
+// sub-agent that asked for none half of what its parent has left. mu is held.
+func (p *Performer) share(creation sd.Creation) sd.Tokens {
+	if creation.Parent == "" || creation.Named {
+		return creation.Budget
+	}
+	parent, err := p.shelf.Status(creation.Parent, creation.Caller.Workspace)
+	if err != nil {
+		return creation.Budget
+	}
+	return min(creation.Budget, parent.Left/2)
+}
+
 // Describe returns a program's status.
 func (p *Performer) Describe(caller sd.Caller, program sd.ProgramID) (sd.ProgramStatus, error) {
 	p.mu.Lock()
@@ -81,6 +98,11 @@
 	}
 }
 
+// unsafe is the refusal of a request whose result could not be kept.
+func unsafe() *sd.Refusal {
+	return sd.Refuse(sd.PlatformAway, sd.Second, "neither the platform nor another host can keep the program's state now")
+}
+
 // wait waits until a record is safe.
 func wait(ctx context.Context, safe <-chan bool) error {
 	select {
--- a/server/callers.go
+++ b/server/callers.go
@@ -64,8 +64,11 @@
 	if len(body) > 0 && json.Unmarshal(body, &request) != nil || request.Budget < 0 {
 		return refuse(c, sd.Refuse(sd.BadRequest, 0, "the body is not of the form {\"budget\": N, \"parent\": \"...\"}"))
 	}
-	ctx := c.Request().Context()
-	status, err := s.Calls.Create(ctx, sd.Creation{Caller: caller, Parent: request.Parent, Budget: request.Budget})
+	ctx, stop := context.WithTimeout(c.Request().Context(), programTimeout.Duration())
+	defer stop()
+	status, err := s.Calls.Create(ctx, sd.Creation{
+		Caller: caller, Parent: request.Parent, Budget: request.Budget, Named: request.Budget > 0,
+	})
 	return s.answerStatus(c, http.StatusCreated, status, err)
 }
 
@@ -75,7 +78,9 @@
 	if refusal != nil {
 		return refuse(c, refusal)
 	}
-	status, err := s.Calls.Describe(c.Request().Context(), caller, sd.ProgramID(c.Param("id")))
+	ctx, stop := context.WithTimeout(c.Request().Context(), programTimeout.Duration())
+	defer stop()
+	status, err := s.Calls.Describe(ctx, caller, sd.ProgramID(c.Param("id")))
 	return s.answerStatus(c, http.StatusOK, status, err)
 }
 
@@ -86,7 +91,9 @@
 		return refuse(c, refusal)
 	}
 	cancel := c.QueryParam("cancel") == "true"
-	status, err := s.Calls.End(c.Request().Context(), caller, sd.ProgramID(c.Param("id")), cancel)
+	ctx, stop := context.WithTimeout(c.Request().Context(), programTimeout.Duration())
+	defer stop()
+	status, err := s.Calls.End(ctx, caller, sd.ProgramID(c.Param("id")), cancel)
 	return s.answerStatus(c, http.StatusOK, status, err)
 }
 
@@ -241,4 +248,8 @@
 	return secret != "" && strings.Contains(text, secret)
 }
 
-const maxCallID = 128
+const (
+	maxCallID = 128
+	// programTimeout bounds the requests that open, show and end programs.
+	programTimeout = 10 * sd.Second
+)
