--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -32,7 +32,7 @@
 // exactly what one naive queue grants.
 func TestNaiveQueue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		targets, size := rapid.IntRange(1, 3).Draw(t, "targets"), rapid.IntRange(1, 4).Draw(t, "size")
+		targets, size := rapid.IntRange(1, 3).Draw(t, "targets"), rapid.IntRange(0, 4).Draw(t, "size")
 		cell := warmCell(scheduler.Settings{Policy: sapphiredrum.Policy{
 			Order: "fcfs", Wait: sapphiredrum.Millis(rapid.IntRange(1, 5000).Draw(t, "wait")), Queue: sapphiredrum.Hour,
 		}}, targets, sapphiredrum.Slots(size))
