--- a/measurer/keeper.go
+++ b/measurer/keeper.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/picker"
 	"sapphiredrum.example/sapphiredrum/scheduler"
 )
 
@@ -54,21 +55,23 @@
 
 // place picks a cell for the call and asks its guard.
 func (w *world) place(x *call) {
-	var cells []*cell
 	var candidates []sapphiredrum.Candidate
+	out := make(map[sapphiredrum.ZoneName]bool)
 	for _, c := range w.cells {
-		if c.plain == x.plain && !c.out && !c.shunned {
-			cells = append(cells, c)
+		out[c.zone] = c.out
+		if c.plain == x.plain && !c.shunned {
 			candidates = append(candidates, w.candidate(x, c))
 		}
 	}
+	candidates = picker.WithoutZones(candidates, out)
 	prompt := x.program.history + x.program.input(x.plain)
 	chosen := w.variant.Chooser(x.program.home).Choose(prompt, candidates, w.random.IntN)
 	if chosen < 0 {
 		w.refused(x, sapphiredrum.Refuse(sapphiredrum.NoTarget, sapphiredrum.Second, "no candidate"))
 		return
 	}
-	w.ask(x, cells[chosen])
+	place := slices.IndexFunc(w.cells, func(c *cell) bool { return c.name == candidates[chosen].Target })
+	w.ask(x, w.cells[place])
 }
 
 // candidate describes a cell as keepers see it.
