recorder: deletes what dead processes have left

Cause: hosts are replaced at any time, and each left a row and up to 129 objects. Weighed: deletion by the takers of its shards (ruled out: none of them knows that the others are done) against a request by the host once the leaser knows that the incarnation is gone.

--- a/recorder/back.go
+++ b/recorder/back.go
@@ -9,12 +9,12 @@
 )
 
 // NextBack returns the next action of the reading lane, which loads shards and
-// deletes objects.
+// deletes objects and dead logs.
 func (s *State) NextBack(now root.Instant) (Action, bool) {
 	if now < s.resumeBack {
 		return nil, false
 	}
-	s.loading = len(s.loads) > 0
+	s.loading, s.burying = len(s.loads) > 0, false
 	if s.loading {
 		if l := s.loads[0]; len(l.names) > 0 {
 			return Get{Name: l.names[0]}, true
@@ -24,10 +24,13 @@
 	if s.sweep == nil && len(s.trash) > 0 {
 		s.sweep = s.newSweep()
 	}
-	if s.sweep == nil {
-		return nil, false
+	if s.sweep != nil {
+		return s.sweep.action(), true
 	}
-	return s.sweep.action(), true
+	if s.burying = len(s.graves) > 0; s.burying {
+		return s.graves[0].action(), true
+	}
+	return nil, false
 }
 
 // ReportBack takes the answer to the action that NextBack returned.
@@ -35,6 +38,9 @@
 	if s.loading {
 		return s.loaded(now, answer)
 	}
+	if s.burying {
+		return s.buried(now, answer)
+	}
 	if s.sweep != nil {
 		return s.sweep.report(s, now, answer)
 	}
--- a/recorder/machine_test.go
+++ b/recorder/machine_test.go
@@ -48,6 +48,7 @@
 			"hangup":  m.hang,
 			"misuse":  m.misuse,
 			"lapse":   m.lapse,
+			"bury":    m.bury,
 			"stop":    m.stopAny,
 			"tick":    m.tick,
 			"calm":    m.calm,
@@ -274,6 +275,14 @@
 	delete(h.boxes, shard)
 }
 
+// bury lets a host delete what a killed process has left.
+func (m *machine) bury(t *rapid.T) {
+	if len(m.dead) > 0 {
+		dead := rapid.SampledFrom(m.dead).Draw(t, "dead")
+		m.host(t).state.Bury(dead.name, dead.inc, "z")
+	}
+}
+
 // head draws the head that a call names: none, the latest told, or a wrong one.
 func (m *machine) head(t *rapid.T, p *program) *keeper.Head {
 	switch rapid.IntRange(0, 5).Draw(t, "head") {
--- a/recorder/platform_test.go
+++ b/recorder/platform_test.go
@@ -114,6 +114,10 @@
 	p.writes++
 	for _, w := range t.Writes {
 		p.older[w.Key] = p.rows[w.Key]
+		if w.Delete {
+			delete(p.rows, w.Key)
+			continue
+		}
 		p.rows[w.Key] = root.Row{
 			Key: w.Key, Version: w.Expect + 1, Sequence: p.sequence,
 			Operation: t.Operation, Value: slices.Clone(w.Value),
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// Bury deletes what a process has left that is dead and will not come back under
+// its incarnation, unless a shard of the zone still needs it.
+func (r *Recorder) Bury(host root.HostID, incarnation root.Incarnation, zone root.ZoneName) {
+	r.change(func(s *State) { s.Bury(host, incarnation, zone) })
+}
+
 // Rebase queues the whole state of a shard that was loaded, before its records.
 func (r *Recorder) Rebase(shard root.ShardID, epoch root.Epoch, images []keeper.Record) {
 	r.change(func(s *State) { s.Rebase(shard, epoch, images) })
--- a/recorder/world_test.go
+++ b/recorder/world_test.go
@@ -19,6 +19,7 @@
 	now      root.Instant
 	platform *platform
 	hosts    []*host
+	dead     []*host
 	// epochs is what the leases say: the latest owner of each shard.
 	epochs map[root.ShardID]root.Epoch
 	owners map[root.ShardID]*host
@@ -301,6 +302,7 @@
 	}
 	w.log("%s is killed", h)
 	h.alive = false
+	w.dead = append(w.dead, h)
 	w.hosts[index] = w.start(h.name)
 	if w.copying {
 		w.repeer(w.hosts[index], (index+1)%len(w.hosts))
