recorder: no deletions while an own shard has sources, nor on old readings

Cause: a merger replaces segments while a shard that the host claimed again still names them; a stale reading of its index row let the deletion through. Now deletions wait until all own shards are stored whole, and a reading of a given shard's row must be newer than the takeover. Conclusion: recovery after the last fault is asserted as well.

--- a/recorder/back.go
+++ b/recorder/back.go
@@ -99,20 +99,21 @@
 type sweep struct {
 	names  []string
 	shards []root.ShardID
-	key    root.RowKey
 }
 
+// newSweep returns nil while a shard of this host still has sources of its own.
 func (s *State) newSweep() *sweep {
-	w := &sweep{names: s.trash, key: s.key}
+	for _, t := range s.shards {
+		if !t.based {
+			return nil
+		}
+	}
+	w := &sweep{names: s.trash}
 	s.trash = nil
 	for shard := range s.given {
 		w.shards = append(w.shards, shard)
 	}
-	for shard := range s.shards {
-		w.shards = append(w.shards, shard)
-	}
 	slices.SortFunc(w.shards, compareShards)
-	w.shards = slices.Compact(w.shards)
 	return w
 }
 
@@ -142,13 +143,14 @@
 	return nil
 }
 
-// keep sorts out the objects that index rows refer to. The row of a given shard
-// that still names this log is older than the takeover: nothing is deleted then.
+// keep sorts out the objects that index rows refer to. Nothing is deleted on a
+// reading from before a takeover.
 func (w *sweep) keep(s *State, now root.Instant, rows []root.Row) {
 	referred := make(map[string]bool)
 	for i, row := range rows {
 		value, err := decode[IndexRow](row.Value)
-		if err != nil || (s.given[w.shards[i]] && value.Log == w.key) {
+		before, given := s.given[w.shards[i]]
+		if err != nil || (given && row.Version <= before) {
 			s.trash = append(s.trash, w.names...)
 			w.names = nil
 			s.resumeBack = now.Add(sweepRest)
@@ -157,7 +159,7 @@
 		for _, name := range value.Sources {
 			referred[name] = true
 		}
-		if s.given[w.shards[i]] && len(value.Sources) == 0 {
+		if given && len(value.Sources) == 0 {
 			delete(s.given, w.shards[i])
 		}
 	}
--- a/recorder/machine_test.go
+++ b/recorder/machine_test.go
@@ -49,6 +49,7 @@
 			"misuse":  m.misuse,
 			"lapse":   m.lapse,
 			"bury":    m.bury,
+			"renew":   func(t *rapid.T) { m.renew(m.host(t)) },
 			"stop":    m.stopAny,
 			"tick":    m.tick,
 			"calm":    m.calm,
@@ -60,6 +61,7 @@
 		for range rounds {
 			t.Repeat(actions)
 		}
+		m.recover(t)
 		sends, told, takes = sends+m.oracle.sends, told+m.oracle.told, takes+m.oracle.takes
 	})
 	t.Logf("%d steps, %d calls sent, %d answers told, %d takeovers", steps, sends, told, takes)
@@ -104,19 +106,42 @@
 // calm lets the hosts work without faults for a while.
 func (m *machine) calm(t *rapid.T) {
 	for range rapid.IntRange(1, 8).Draw(t, "rounds") {
-		m.now += 30
-		for _, h := range m.hosts {
-			m.lane(h, false, healthy, false)
-			m.lane(h, true, healthy, false)
-			m.restore(h)
-			for _, shard := range shards {
-				m.copy(h, shard)
-			}
+		m.round()
+	}
+}
+
+// round lets every host do one step of each kind and delivers all messages.
+func (m *machine) round() {
+	m.now += 30
+	for _, h := range m.hosts {
+		m.lane(h, false, healthy, false)
+		m.lane(h, true, healthy, false)
+		m.restore(h)
+		for _, shard := range shards {
+			m.copy(h, shard)
 		}
-		for len(m.net) > 0 {
-			m.pass(0)
+	}
+	for len(m.net) > 0 {
+		m.pass(0)
+	}
+}
+
+// recover ends all faults: one host takes both shards over and must get there.
+func (m *machine) recover(t *rapid.T) {
+	for _, shard := range shards {
+		m.claim(m.hosts[0], shard)
+	}
+	for range 300 {
+		m.round()
+	}
+	for _, shard := range shards {
+		if epoch, _ := m.hosts[0].shelf.Image(shard); epoch != m.epochs[shard] {
+			t.Fatalf("%s does not get shard %v", m.hosts[0], shard)
 		}
 	}
+	if !m.hosts[0].state.Idle() {
+		t.Fatalf("%s has not stored everything", m.hosts[0])
+	}
 }
 
 func (m *machine) restoreAny(t *rapid.T) { m.restore(m.host(t)) }
--- a/recorder/state.go
+++ b/recorder/state.go
@@ -54,9 +54,9 @@
 	graves  []*grave
 	trash   []string
 	sweep   *sweep
-	// given are shards that others took over; their index rows may refer to
-	// objects of this log.
-	given map[root.ShardID]bool
+	// given are shards that others took over, with the index rows' versions before
+	// that; their index rows may refer to objects of this log.
+	given map[root.ShardID]uint64
 }
 
 // group collects what the next flush stores.
@@ -76,7 +76,7 @@
 func NewState(rules Rules, host root.HostID, incarnation root.Incarnation) *State {
 	return &State{
 		rules: rules, host: host, inc: incarnation, key: LogKey(host, incarnation), hosts: 1,
-		shards: make(map[root.ShardID]*tenancy), group: make(group), given: make(map[root.ShardID]bool),
+		shards: make(map[root.ShardID]*tenancy), group: make(group), given: make(map[root.ShardID]uint64),
 	}
 }
 
--- a/recorder/tenancy.go
+++ b/recorder/tenancy.go
@@ -45,6 +45,6 @@
 	}
 	delete(s.shards, shard)
 	delete(s.group, shard)
-	s.given[shard] = true
+	s.given[shard] = t.index
 	return append(events, Lost{Tenure: Tenure{Shard: shard, Epoch: t.epoch}})
 }
--- a/recorder/world_test.go
+++ b/recorder/world_test.go
@@ -35,6 +35,7 @@
 type host struct {
 	name    root.HostID
 	inc     root.Incarnation
+	lease   root.Epoch
 	alive   bool
 	shelf   *keeper.Shelf
 	state   *recorder.State
@@ -107,7 +108,7 @@
 func (h *host) String() string { return string(h.name) + itoa(int(h.inc)) }
 
 func (h *host) peer() keeper.Peer {
-	return keeper.Peer{Host: h.name, Incarnation: h.inc}
+	return keeper.Peer{Host: h.name, Incarnation: h.inc, Lease: h.lease}
 }
 
 // find returns the live process that the peer names.
@@ -309,6 +310,17 @@
 	}
 }
 
+// renew gives a host whose lease had lapsed a new one; it starts fresh copies.
+func (w *world) renew(h *host) {
+	for _, g := range w.guarded {
+		if g.peer == h.peer() {
+			return
+		}
+	}
+	h.lease++
+	h.copies = keeper.Copies{Self: h.peer(), Bound: 1 << 20}
+}
+
 func (w *world) repeer(h *host, index int) {
 	if p := w.hosts[index]; p != h {
 		h.state.SetPeers([]keeper.Peer{p.peer()})
