--- a/recorder/back.go
+++ b/recorder/back.go
@@ -9,12 +9,12 @@
 )
 
 // NextBack returns the next action of the reading lane, which loads shards and
-// deletes objects.
+// deletes objects and dead logs.
 func (s *State) NextBack(now root.Instant) (Action, bool) {
 	if now < s.resumeBack {
 		return nil, false
 	}
-	s.loading = len(s.loads) > 0
+	s.loading, s.burying = len(s.loads) > 0, false
 	if s.loading {
 		if l := s.loads[0]; len(l.names) > 0 {
 			return Get{Name: l.names[0]}, true
@@ -24,10 +24,13 @@
 	if s.sweep == nil && len(s.trash) > 0 {
 		s.sweep = s.newSweep()
 	}
-	if s.sweep == nil {
-		return nil, false
+	if s.sweep != nil {
+		return s.sweep.action(), true
+	}
+	if s.burying = len(s.graves) > 0; s.burying {
+		return s.graves[0].action(), true
 	}
-	return s.sweep.action(), true
+	return nil, false
 }
 
 // ReportBack takes the answer to the action that NextBack returned.
@@ -35,6 +38,9 @@
 	if s.loading {
 		return s.loaded(now, answer)
 	}
+	if s.burying {
+		return s.buried(now, answer)
+	}
 	if s.sweep != nil {
 		return s.sweep.report(s, now, answer)
 	}
@@ -93,20 +99,21 @@
 type sweep struct {
 	names  []string
 	shards []root.ShardID
-	key    root.RowKey
 }
 
+// newSweep returns nil while a shard of this host still has sources of its own.
 func (s *State) newSweep() *sweep {
-	w := &sweep{names: s.trash, key: s.key}
+	for _, t := range s.shards {
+		if !t.based {
+			return nil
+		}
+	}
+	w := &sweep{names: s.trash}
 	s.trash = nil
 	for shard := range s.given {
 		w.shards = append(w.shards, shard)
 	}
-	for shard := range s.shards {
-		w.shards = append(w.shards, shard)
-	}
 	slices.SortFunc(w.shards, compareShards)
-	w.shards = slices.Compact(w.shards)
 	return w
 }
 
@@ -136,13 +143,14 @@
 	return nil
 }
 
-// keep sorts out the objects that index rows refer to. The row of a given shard
-// that still names this log is older than the takeover: nothing is deleted then.
+// keep sorts out the objects that index rows refer to. Nothing is deleted on a
+// reading from before a takeover.
 func (w *sweep) keep(s *State, now root.Instant, rows []root.Row) {
 	referred := make(map[string]bool)
 	for i, row := range rows {
 		value, err := decode[IndexRow](row.Value)
-		if err != nil || (s.given[w.shards[i]] && value.Log == w.key) {
+		before, given := s.given[w.shards[i]]
+		if err != nil || (given && row.Version <= before) {
 			s.trash = append(s.trash, w.names...)
 			w.names = nil
 			s.resumeBack = now.Add(sweepRest)
@@ -151,7 +159,7 @@
 		for _, name := range value.Sources {
 			referred[name] = true
 		}
-		if s.given[w.shards[i]] && len(value.Sources) == 0 {
+		if given && len(value.Sources) == 0 {
 			delete(s.given, w.shards[i])
 		}
 	}
--- a/recorder/world_test.go
+++ b/recorder/world_test.go
@@ -19,6 +19,7 @@
 	now      root.Instant
 	platform *platform
 	hosts    []*host
+	dead     []*host
 	// epochs is what the leases say: the latest owner of each shard.
 	epochs map[root.ShardID]root.Epoch
 	owners map[root.ShardID]*host
@@ -34,6 +35,7 @@
 type host struct {
 	name    root.HostID
 	inc     root.Incarnation
+	lease   root.Epoch
 	alive   bool
 	shelf   *keeper.Shelf
 	state   *recorder.State
@@ -106,7 +108,7 @@
 func (h *host) String() string { return string(h.name) + itoa(int(h.inc)) }
 
 func (h *host) peer() keeper.Peer {
-	return keeper.Peer{Host: h.name, Incarnation: h.inc}
+	return keeper.Peer{Host: h.name, Incarnation: h.inc, Lease: h.lease}
 }
 
 // find returns the live process that the peer names.
@@ -301,12 +303,24 @@
 	}
 	w.log("%s is killed", h)
 	h.alive = false
+	w.dead = append(w.dead, h)
 	w.hosts[index] = w.start(h.name)
 	if w.copying {
 		w.repeer(w.hosts[index], (index+1)%len(w.hosts))
 	}
 }
 
+// renew gives a host whose lease had lapsed a new one; it starts fresh copies.
+func (w *world) renew(h *host) {
+	for _, g := range w.guarded {
+		if g.peer == h.peer() {
+			return
+		}
+	}
+	h.lease++
+	h.copies = keeper.Copies{Self: h.peer(), Bound: 1 << 20}
+}
+
 func (w *world) repeer(h *host, index int) {
 	if p := w.hosts[index]; p != h {
 		h.state.SetPeers([]keeper.Peer{p.peer()})
