granter, launcher: engines give up the memory of programs that are gone

The guard of a target now runs its sweeper on the load reports and cache events that it reads anyway, and asks programs' keepers.

--- a/granter/cells.go
+++ b/granter/cells.go
@@ -6,6 +6,7 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/follower"
 	"sapphiredrum.example/sapphiredrum/scheduler"
+	"sapphiredrum.example/sapphiredrum/sweeper"
 )
 
 // poll is the reading of one target's load and cache events.
@@ -17,6 +18,8 @@
 	due    sd.Instant
 	busy   bool
 	events uint64
+	// sweeper decides on the release of an engine's memory; nil for services.
+	sweeper *sweeper.State
 }
 
 // tick opens and closes cells as shards come and go, and lets all decide.
@@ -84,7 +87,11 @@
 	if p := c.polls[t.ID]; p != nil && p.target.Address == t.Address {
 		return
 	}
-	c.polls[t.ID] = &poll{cell: id, target: t, epoch: c.epoch, model: servesModels(config, t.Group)}
+	p := &poll{cell: id, target: t, epoch: c.epoch, model: servesModels(config, t.Group)}
+	if p.model {
+		p.sweeper = newSweeper(t)
+	}
+	c.polls[t.ID] = p
 }
 
 // dismiss answers everyone who waits at a cell that this host no longer guards.
@@ -115,8 +122,17 @@
 	return due
 }
 
-// poll reads a target's load, and an engine's cache events, into its cell.
+// poll reads a target and releases memory that programs who are gone still hold.
 func (g *Granter) poll(ctx context.Context, p *poll) {
+	g.read(ctx, p)
+	g.sweep(ctx, p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.busy = false
+}
+
+// read reads a target's load and cache events into its cell.
+func (g *Granter) read(ctx context.Context, p *poll) {
 	attempt, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 	defer cancel()
 	engine := g.parts.Targets.Engine(p.target)
@@ -128,13 +144,16 @@
 	now := g.parts.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.busy = false
 	c := g.cells[p.cell]
 	if err != nil || c == nil || c.epoch != p.epoch {
 		return
 	}
 	load.Target = p.target.ID
 	c.cell.Report(now, load)
+	if p.sweeper != nil {
+		p.sweeper.Load(now, load)
+		p.sweeper.Cache(now, events)
+	}
 	if len(events) > 0 {
 		p.events = events[len(events)-1].Number
 		c.cell.CacheEvents(now, p.target.ID, events)
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -21,6 +21,10 @@
 	Leaving func(address sd.Address) bool
 	Targets sd.Targets
 	Clock   sd.Clock
+	// Client carries questions to programs' keepers; Keeper answers those to this
+	// host.
+	Client *messenger.Client
+	Keeper Keeper
 }
 
 // Granter guards the cells of the shards that this host holds. New makes one.
@@ -191,10 +195,22 @@
 			continue
 		}
 		delete(c.waiters, call)
+		c.note(now, decision)
 		waiter <- decision
 	}
 }
 
+// note tells a target's sweeper of a permit.
+func (c *guarded) note(now sd.Instant, decision scheduler.Decision) {
+	granted, isGranted := decision.(scheduler.Granted)
+	if !isGranted {
+		return
+	}
+	if p := c.polls[granted.Target]; p != nil && p.sweeper != nil {
+		p.sweeper.Granted(now, granted.Program)
+	}
+}
+
 // callOf returns the call that a decision is about.
 func callOf(decision scheduler.Decision) sd.StreamID {
 	switch d := decision.(type) {
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -112,6 +112,7 @@
 	h.granter = granter.New(granter.Parts{
 		Zone: h.settings.Zone, Locator: locator{runner: h.leaser}, Config: h.follower.Current,
 		Leaving: h.members.Leaving, Targets: h.outside.Targets, Clock: h.outside.Clock,
+		Client: h.client, Keeper: lives{host: h},
 	})
 }
 
--- a/launcher/listen.go
+++ b/launcher/listen.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/granter"
 	"sapphiredrum.example/sapphiredrum/server"
 )
 
@@ -81,6 +82,7 @@
 	router := newRouter()
 	h.admitter.Register(router)
 	h.granter.Register(router)
+	granter.RegisterKeeper(router, lives{host: h})
 	h.forwarder.Register(router)
 	h.copier.register(router)
 	h.beats.register(router)
--- a/performer/call.go
+++ b/performer/call.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/granter"
 	"sapphiredrum.example/sapphiredrum/keeper"
 )
 
@@ -221,6 +222,8 @@
 	cached  sd.Tokens
 	used    sd.Tokens
 	refusal *sd.Refusal
+	// permit is the last one that a model call used.
+	permit granter.Permit
 }
 
 // result converts what came of a run for the shelf.
--- a/performer/exchange.go
+++ b/performer/exchange.go
@@ -51,7 +51,7 @@
 	p.parts.Seeker.Done(permit, scheduler.Usage{
 		Prompt: result.Prompt, Cached: result.Cached, Answer: result.Used, Failed: failed,
 	})
-	done.text, done.used = result.Text, result.Used
+	done.text, done.used, done.permit = result.Text, result.Used, permit
 	done.prompt += result.Prompt
 	done.cached = result.Cached
 	if result.Refusal == nil {
@@ -135,7 +135,7 @@
 		ctx = detached
 	}
 	answer, refusal := p.parts.Dispatcher.Service(ctx, p.parts.Targets.Service(target), service, request.Route.Idempotent)
-	p.parts.Seeker.Done(permit, scheduler.Usage{Answer: request.Route.Cost, Failed: refusal != nil})
+	p.parts.Seeker.Done(permit, usageOf(request.Route, refusal))
 	if refusal != nil {
 		return ended{refusal: refusal}
 	}
@@ -146,6 +146,15 @@
 	return ended{text: string(encoded), answer: &answer}
 }
 
+// usageOf tells a guard how a service call ended.
+func usageOf(route sd.Route, refusal *sd.Refusal) scheduler.Usage {
+	usage := scheduler.Usage{Answer: route.Cost, Failed: refusal != nil}
+	if refusal != nil {
+		usage.Uncertain = refusal.Outcome == sd.Unknown
+	}
+	return usage
+}
+
 // permit asks the cells that may run a call, in order of preference.
 func (p *Performer) permit(ctx context.Context, route sd.Route, seek scheduler.Request) (granter.Permit, *sd.Refusal) {
 	places := p.parts.Placer.Place(route, seek.Program, seek.Prompt)
--- a/performer/single.go
+++ b/performer/single.go
@@ -4,6 +4,7 @@
 	"context"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/granter"
 	"sapphiredrum.example/sapphiredrum/keeper"
 )
 
@@ -31,12 +32,30 @@
 	start := keeper.Start{Program: program, Call: "single", Messages: request.Messages, Limit: request.Limit}
 	done := p.runModel(ctx, request, start, send)
 	p.parts.Placer.Forget(program)
+	p.release(program, done.permit)
 	if done.refusal != nil {
 		return p.cause(ctx, done.refusal)
 	}
 	return send(sd.Frame{End: &sd.CallEnd{Prompt: done.prompt, Cached: done.cached, Used: done.used}})
 }
 
+// release frees what an engine holds for a call outside any program. It returns
+// at once; an order that is lost leaves the memory to the engine's own eviction.
+func (p *Performer) release(program sd.ProgramID, permit granter.Permit) {
+	target, found := p.parts.Config().Target(permit.Target)
+	if !found {
+		return
+	}
+	p.group.Go("release", func(ctx context.Context) error {
+		attempt, cancel := context.WithTimeout(ctx, releaseTimeout.Duration())
+		defer cancel()
+		_ = p.parts.Targets.Engine(target).Release(attempt, program, permit.Fence)
+		return nil
+	})
+}
+
+const releaseTimeout = 2 * sd.Second
+
 // singlePrefix begins the identifiers of calls outside any program. It names no
 // shard, so that nothing takes such a call for a program.
 const singlePrefix = "single-"
