granter: a silent guard is told from a long queue

Cause: a request for a permit stayed open until its decision, so a keeper could not tell a guard whose host was cut off from one with a queue, and waited for the route's whole timeout. Ruled out: a connection timeout alone (a cut connection gives no reset).

--- a/granter/cells.go
+++ b/granter/cells.go
@@ -42,6 +42,17 @@
 	for id, c := range g.cells {
 		g.configure(now, config, id, c)
 		c.decide(now)
+		c.prune(now)
+	}
+}
+
+// prune drops the requests whose keepers stopped asking.
+func (c *guarded) prune(now sd.Instant) {
+	for call, w := range c.waiters {
+		if now.Since(w.asked) > 2*keeperSilence {
+			delete(c.waiters, call)
+			c.cell.Withdraw(now, call)
+		}
 	}
 }
 
@@ -58,7 +69,7 @@
 	c := &guarded{
 		cell:    scheduler.New(now, scheduler.Settings{Cell: id, Epoch: epoch, Policy: config.Sheet.Policy}),
 		epoch:   epoch,
-		waiters: make(map[sd.StreamID]chan scheduler.Decision),
+		waiters: make(map[sd.StreamID]*waiter),
 		polls:   make(map[sd.TargetID]*poll),
 	}
 	g.cells[id] = c
@@ -96,9 +107,12 @@
 
 // dismiss answers everyone who waits at a cell that this host no longer guards.
 func (c *guarded) dismiss() {
-	for call, waiter := range c.waiters {
+	for call, w := range c.waiters {
 		refusal := sd.Refuse(sd.KeeperMoving, movePause, "the target's guard is moving to another host")
-		waiter <- scheduler.Refused{Call: call, Refusal: refusal}
+		select {
+		case w.decided <- scheduler.Refused{Call: call, Refusal: refusal}:
+		default:
+		}
 	}
 	c.waiters = nil
 }
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -41,10 +41,17 @@
 	cell    *scheduler.Cell
 	epoch   sd.Epoch
 	targets []sd.Target
-	waiters map[sd.StreamID]chan scheduler.Decision
+	waiters map[sd.StreamID]*waiter
 	polls   map[sd.TargetID]*poll
 }
 
+// waiter is a request for a permit whose keeper asks again until it is decided.
+type waiter struct {
+	decided chan scheduler.Decision
+	// asked is when the keeper asked last.
+	asked sd.Instant
+}
+
 // New returns a granter without cells.
 func New(parts Parts) *Granter {
 	return &Granter{parts: parts, cells: make(map[scheduler.CellID]*guarded)}
@@ -86,22 +93,37 @@
 	}
 }
 
-// permit answers a request for a permit when its cell has decided.
+// permit answers a request for a permit when its cell has decided, or that the
+// call still waits, so that a keeper can tell a long queue from a silent guard.
 func (g *Granter) permit(ctx context.Context, r permitRequest) (permitAnswer, error) {
-	decided, refusal := g.enter(r)
+	waiting, refusal := g.enter(r)
 	if refusal != nil {
 		return permitAnswer{}, refusal
 	}
+	timer := time.NewTimer(answerInterval.Duration())
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		g.withdraw(withdrawal{Cell: r.Cell, Call: r.Request.Call})
 		return permitAnswer{}, sd.Refuse(sd.CallCancelled, 0, "the call was given up while it waited")
-	case decision := <-decided:
+	case <-timer.C:
+		return permitAnswer{Waiting: true, Load: g.load(r.Cell)}, nil
+	case decision := <-waiting.decided:
+		g.forget(r.Cell, r.Request.Call)
 		permit, err := permitOf(r.Cell, decision)
 		return permitAnswer{Permit: permit, Load: g.load(r.Cell)}, err
 	}
 }
 
+// forget drops a request that was answered.
+func (g *Granter) forget(cell scheduler.CellID, call sd.StreamID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.cells[cell]; c != nil {
+		delete(c.waiters, call)
+	}
+}
+
 // permitOf turns a decision into the answer of a request.
 func permitOf(cell scheduler.CellID, decision scheduler.Decision) (Permit, error) {
 	switch d := decision.(type) {
@@ -125,7 +147,7 @@
 }
 
 // enter puts a request into its cell's queue.
-func (g *Granter) enter(r permitRequest) (chan scheduler.Decision, *sd.Refusal) {
+func (g *Granter) enter(r permitRequest) (*waiter, *sd.Refusal) {
 	epoch, held := g.parts.Locator.Holds(ShardOf(r.Cell))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -137,15 +159,19 @@
 		return nil, sd.Refuse(sd.KeeperMoving, movePause, "the target's guard is moving to another host")
 	}
 	now := g.parts.Clock.Now()
+	if known := c.waiters[r.Request.Call]; known != nil {
+		known.asked = now
+		return known, nil
+	}
 	r.Request.Deadline = now.Add(r.Left)
-	decided := make(chan scheduler.Decision, 1)
-	c.waiters[r.Request.Call] = decided
+	entered := &waiter{decided: make(chan scheduler.Decision, 1), asked: now}
+	c.waiters[r.Request.Call] = entered
 	if verdict := c.cell.Ask(now, r.Request); verdict.Refusal != nil {
 		delete(c.waiters, r.Request.Call)
 		return nil, verdict.Refusal
 	}
 	c.decide(now)
-	return decided, nil
+	return entered, nil
 }
 
 // withdraw takes a call back from its cell.
@@ -185,18 +211,22 @@
 	}
 }
 
-// decide makes the cell's decisions and passes them to those who wait.
+// decide makes the cell's decisions and passes them to those who wait. A grant
+// that nobody waits for, or that its keeper has stopped asking for, is taken back.
 func (c *guarded) decide(now sd.Instant) {
 	for _, decision := range c.cell.Tick(now) {
 		call := callOf(decision)
-		waiter := c.waiters[call]
-		if waiter == nil {
+		w := c.waiters[call]
+		if w == nil || now.Since(w.asked) > keeperSilence {
+			delete(c.waiters, call)
 			c.cell.Withdraw(now, call)
 			continue
 		}
-		delete(c.waiters, call)
 		c.note(now, decision)
-		waiter <- decision
+		select {
+		case w.decided <- decision:
+		default:
+		}
 	}
 }
 
@@ -225,4 +255,8 @@
 const (
 	tickInterval = 20 * sd.Millisecond
 	movePause    = 200 * sd.Millisecond
+	// answerInterval bounds the time that a keeper hears nothing of its request.
+	answerInterval = sd.Second
+	// keeperSilence is when a request counts as given up.
+	keeperSilence = 5 * sd.Second
 )
--- a/granter/seeker.go
+++ b/granter/seeker.go
@@ -47,9 +47,9 @@
 	s.group.Close()
 }
 
-// Seek asks the guard of a cell for a permit and waits for its decision. While
-// the guard moves to another host it asks again, within the time left. Its error
-// is a refusal with outcome NotRun.
+// Seek asks the guard of a cell for a permit until it has decided. A guard that
+// moves to another host or is silent is asked again for a while. Its error is a
+// refusal with outcome NotRun.
 func (s *Seeker) Seek(ctx context.Context, cell scheduler.CellID, request scheduler.Request, left sd.Millis) (Permit, *sd.Refusal) {
 	s.wait(cell, 1)
 	defer s.wait(cell, -1)
@@ -59,8 +59,12 @@
 		now := s.clock.Now()
 		answer, err := s.seek(ctx, permitRequest{Cell: cell, Request: request, Left: deadline.Since(now)})
 		if err == nil {
-			s.hold(answer.Permit)
 			s.heard(cell, answer.Load)
+			if answer.Waiting {
+				patience = s.clock.Now().Add(guardPatience)
+				continue
+			}
+			s.hold(answer.Permit)
 			return answer.Permit, nil
 		}
 		refusal := refusalOf(err)
@@ -80,6 +84,8 @@
 	if !found {
 		return permitAnswer{}, sd.Refuse(sd.KeeperMoving, movePause, "no host guards the target")
 	}
+	ctx, cancel := context.WithTimeout(ctx, (answerInterval + sd.Second).Duration())
+	defer cancel()
 	answer, err := messenger.Ask[permitRequest, permitAnswer](ctx, s.client, address, "permit", r)
 	if err != nil && errorx.IsOfType(err, sd.Uncertain) {
 		s.tell(cellOwner{cell: r.Cell}, "withdraw", withdrawal{Cell: r.Cell, Call: r.Request.Call})
@@ -212,7 +218,7 @@
 
 const (
 	// guardPatience bounds the wait for a guard that is on its way.
-	guardPatience = 5 * sd.Second
+	guardPatience = 2 * sd.Second
 	renewInterval = 2 * sd.Second
 	tellTimeout   = 3 * sd.Second
 	tellAttempts  = 4
--- a/granter/wire.go
+++ b/granter/wire.go
@@ -25,10 +25,12 @@
 	Fence  sd.Epoch
 }
 
-// permitAnswer carries a permit and the cell's load.
+// permitAnswer carries a permit, or that the call still waits, and the cell's load.
 type permitAnswer struct {
 	Permit Permit
-	Load   scheduler.Summary
+	// Waiting is set while the cell has not decided.
+	Waiting bool
+	Load    scheduler.Summary
 }
 
 // doneReport tells how a call with a permit ended.
