launcher: hosts that are isolated past their lease under random faults

Cause: the run with random faults had no takeover in it, so nothing of what guards against a stale owner could fail.

--- a/launcher/network_test.go
+++ b/launcher/network_test.go
@@ -15,6 +15,8 @@
 	// cut holds pairs of zones that do not hear each other, in both orders, and
 	// pairs of a zone and "platform".
 	cut map[[2]sd.ZoneName]bool
+	// alone is a host that hears nobody and reaches no platform.
+	alone sd.Address
 	// lose makes every n-th answer between hosts get lost; zero loses none.
 	lose  int
 	count int
@@ -36,7 +38,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cut)
-	n.lose = 0
+	n.lose, n.alone = 0, ""
 }
 
 func (n *network) loseEach(every int) {
@@ -51,6 +53,18 @@
 	return n.cut[[2]sd.ZoneName{from, to}]
 }
 
+func (n *network) isolate(host sd.Address) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.alone = host
+}
+
+func (n *network) isAlone(host sd.Address) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.alone == host
+}
+
 func (n *network) zoneOf(address sd.Address) sd.ZoneName {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -67,13 +81,15 @@
 // carrier is the transport of one host's messages to peers.
 type carrier struct {
 	network *network
+	self    sd.Address
 	zone    sd.ZoneName
 	next    http.RoundTripper
 }
 
 func (c *carrier) RoundTrip(request *http.Request) (*http.Response, error) {
-	to := c.network.zoneOf(sd.Address(request.URL.Host))
-	if c.network.broken(c.zone, to) {
+	peer := sd.Address(request.URL.Host)
+	to := c.network.zoneOf(peer)
+	if c.network.broken(c.zone, to) || c.network.isAlone(c.self) || c.network.isAlone(peer) {
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
@@ -88,6 +104,7 @@
 // gate is one zone's way to the platform.
 type gate struct {
 	network *network
+	self    sd.Address
 	zone    sd.ZoneName
 	table   sd.Table
 	objects sd.Objects
@@ -95,7 +112,7 @@
 }
 
 func (g *gate) shut() error {
-	if g.network.broken(g.zone, platformZone) {
+	if g.network.broken(g.zone, platformZone) || g.network.isAlone(g.self) {
 		return sd.Unavailable.New("the zone is cut off from the platform")
 	}
 	return nil
--- a/launcher/path_test.go
+++ b/launcher/path_test.go
@@ -125,9 +125,9 @@
 	}
 	pool := connector.NewPool(connector.Options{})
 	remote := &connector.Platform{Pool: pool, Address: r.table, Timeout: sd.Second}
-	platform := &gate{network: r.network, zone: zone, table: remote, objects: remote, roster: remote}
+	platform := &gate{network: r.network, self: settings.Peer, zone: zone, table: remote, objects: remote, roster: remote}
 	r.network.zones[settings.Peer] = zone
-	client := messenger.NewClient(&carrier{network: r.network, zone: zone, next: &http.Transport{MaxIdleConnsPerHost: 64}})
+	client := messenger.NewClient(&carrier{network: r.network, self: settings.Peer, zone: zone, next: &http.Transport{MaxIdleConnsPerHost: 64}})
 	host := launcher.New(settings, launcher.Outside{
 		Table: platform, Objects: platform, Roster: platform,
 		Targets: launcher.Connections{Pool: pool}, Clock: sd.NewClock(), Log: zap.NewNop(), Client: client,
--- a/launcher/promises_test.go
+++ b/launcher/promises_test.go
@@ -179,7 +179,7 @@
 	zones := []sd.ZoneName{"z1", "z2", "z3"}
 	zone := zones[random.IntN(len(zones))]
 	hold := time.Duration(200+random.IntN(2500)) * time.Millisecond
-	what := random.IntN(9)
+	what := random.IntN(11)
 	switch what {
 	case 0:
 		r.platform.SetFaults(faker.PlatformFaults{Away: true})
@@ -206,6 +206,10 @@
 			e.Restart()
 			break
 		}
+	case 9, 10:
+		// Longer than a lease: zone peers take the host's shards over.
+		r.network.isolate(r.hosts[random.IntN(len(r.hosts))].settings.Peer)
+		hold += 2500 * time.Millisecond
 	case 8:
 		r.service.SetFaults(faker.ServiceFaults{FailBefore: 1, FailAfter: 1})
 	}
