estimator: cheaper and truer measurements, peaks of single hosts

The keeper's cost of a call held the making of its program; it is now measured after a preparation that does not count.

--- a/estimator/account.go
+++ b/estimator/account.go
@@ -120,17 +120,20 @@
 	asks := messages.At(w) * rounds / hosts
 	r.add(Memory, Standing, state.At(w)/hosts, "%.0f bytes at %.0f workspaces / %d hosts", state.At(w), w, t.Hosts)
 	r.add(Exchanges, Standing, asks, "%.0f Asks x %.1f rounds/s / %d hosts", messages.At(w), rounds, t.Hosts)
-	r.add(Sent, Standing, bytes.At(w)*rounds/hosts+asks*(HeaderBytes+ReplyBytes),
+	r.add(Traffic, Standing, bytes.At(w)*rounds/hosts+asks*(HeaderBytes+ReplyBytes),
 		"%.0f bytes x %.1f rounds/s / %d hosts + %.1f/s x %d bytes of headers", bytes.At(w), rounds, t.Hosts, asks, HeaderBytes+ReplyBytes)
 	r.add(Processor, Standing, renew.At(w)*rounds/hosts, "%.0f us x %.1f rounds/s / %d hosts", renew.At(w), rounds, t.Hosts)
 	shard := sapphiredrum.ShardID{Zone: zoneName(0), Number: 63}
 	ask, verdict := size(question{Workspace: workspaceName(1), Account: shard}), size(limiter.Verdict{Admitted: true})
 	r.add(Exchanges, PerCall, t.PerHost(), "one admission a request")
-	r.add(Sent, PerCall, t.PerHost()*(ask+verdict+HeaderBytes+ReplyBytes), "%.1f requests/s x (%.0f + %.0f + %d bytes)", t.PerHost(), ask, verdict, HeaderBytes+ReplyBytes)
+	r.add(Traffic, PerCall, t.PerHost()*(ask+verdict+HeaderBytes+ReplyBytes), "%.1f requests/s x (%.0f + %.0f + %d bytes)", t.PerHost(), ask, verdict, HeaderBytes+ReplyBytes)
 	r.add(Processor, PerCall, t.PerHost()*admit.At(w), "%.1f requests/s x %.1f us", t.PerHost(), admit.At(w))
 	most := t.FullestShards() * w / sapphiredrum.ShardsPerZone
-	r.peak(Exchanges, PerCall, most*t.Requests/w, "a host with %.0f shards keeps %.0f homes if all were in its zone; each even workspace has %.0f requests/s; a larger workspace's home takes all its requests",
+	r.peak(Exchanges, PerCall, most*t.Requests/w, "a host with %.0f shards keeps %.0f homes if all were in its zone; an even workspace has %.0f requests/s",
 		t.FullestShards(), most, t.Requests/w)
+	largest := LargestWorkspace * t.Requests
+	r.peak(Traffic, PerCall, largest*(ask+verdict+HeaderBytes+ReplyBytes), "the home of a workspace with %.0f%% of all requests: %.0f/s", 100*LargestWorkspace, largest)
+	r.peak(Processor, PerCall, largest*(admit.At(w)+exchangeCost(int(ask))/2), "the same: %.0f/s x (%.1f us + one side of an exchange)", largest, admit.At(w))
 }
 
 // pass encodes and decodes a message.
--- a/estimator/beats.go
+++ b/estimator/beats.go
@@ -51,7 +51,7 @@
 	exchanges := rounds * fanout
 	each := bytes.At(passedOn)
 	r.add(Exchanges, Standing, exchanges, "8 receivers x %.2f rounds/s", rounds)
-	r.add(Sent, Standing, exchanges*(2*each+HeaderBytes+ReplyBytes), "%.1f exchanges/s x (2 x %.0f + %d bytes): the beats sent and the answers given", exchanges, each, HeaderBytes+ReplyBytes)
+	r.add(Traffic, Standing, exchanges*(2*each+HeaderBytes+ReplyBytes), "%.1f exchanges/s x (2 x %.0f + %d bytes): the beats sent and the answers given", exchanges, each, HeaderBytes+ReplyBytes)
 	r.add(Processor, Standing, 2*exchanges*time.At(passedOn)+(rounds+upkeeps)*owners.At(t.HostsPerZone()),
 		"2 x %.1f/s x %.0f us + owners listed %.1f times/s x %.0f us", exchanges, time.At(passedOn), rounds+upkeeps, owners.At(t.HostsPerZone()))
 	return r
--- a/estimator/config.go
+++ b/estimator/config.go
@@ -71,7 +71,6 @@
 		})
 	})
 	r.atSheet(t, bytes, time, state)
-	r.cells(t)
 	return r
 }
 
@@ -81,7 +80,7 @@
 	changes := t.Changes / secondsPerDay
 	r.add(Memory, Standing, 2*state.At(n), "2 x %.0f bytes: the old and the new sheet", state.At(n))
 	r.add(Processor, Standing, changes*time.At(n), "%.4f changes/s x %.0f us", changes, time.At(n))
-	r.add(Sent, Standing, changes*bytes.At(n)+2*(HeaderBytes+ReplyBytes+150), "%.4f changes/s x %.0f bytes + 2 polls/s (row and list of machines) x %d bytes", changes, bytes.At(n), HeaderBytes+ReplyBytes+150)
+	r.add(Traffic, Standing, changes*bytes.At(n)+2*(HeaderBytes+ReplyBytes+150), "%.4f changes/s x %.0f bytes + 2 polls/s (row and list of machines) x %d bytes", changes, bytes.At(n), HeaderBytes+ReplyBytes+150)
 	r.add(Exchanges, Standing, 2, "the head row and the list of live machines, each once a second")
 	r.add(Reads, Standing, hosts, "the head row once a second x %d hosts", t.Hosts)
 	r.add(Reads, Standing, hosts, "the list of live machines once a second x %d hosts, if the platform counts it", t.Hosts)
@@ -93,15 +92,17 @@
 
 // cells adds how evenly targets fall on cells and cells on shards.
 func (r *Role) cells(t Size) {
-	for _, cells := range []int{1, 8} {
+	for _, cells := range []int{1, 2, 4, 8, 16} {
 		config := follower.NewConfig(1, newSheet(1, t.Runners, cells))
 		var targets, shards, number []int
 		for z := range t.Zones {
 			perCell, perShard, all := spread(config, zoneName(z))
 			targets, shards, number = append(targets, perCell), append(shards, perShard), append(number, all)
 		}
-		loads := float64(slices.Max(shards)) * loadPolls
-		r.peak(Exchanges, Standing, 2*loads, "Cells = %d: at most %d cells in a zone, %d targets in a cell and %d targets under the guards of one shard", cells, slices.Max(number), slices.Max(targets), slices.Max(shards))
+		polled := float64(slices.Max(shards)) * loadPolls
+		r.peak(Traffic, Standing, polled*(size(report(int(HeldPrograms)))+2*(HeaderBytes+ReplyBytes)),
+			"Cells = %d: load reports of %d targets under the guards of one shard (at most %d cells in a zone, %d targets in a cell)",
+			cells, slices.Max(shards), slices.Max(number), slices.Max(targets))
 	}
 }
 
--- a/estimator/copies.go
+++ b/estimator/copies.go
@@ -68,8 +68,8 @@
 	plain := body - questionBytes - answerBytes
 	r.add(Memory, Standing, memory.At(held), "%.0f records at a time: %.1f calls/s x %.1f s until they are durable", held, t.PerHost(), interval)
 	r.add(Exchanges, PerCall, t.PerHost(), "at most one message a record")
-	r.add(Sent, PerCall, t.PerHost()*(plain+drop+HeaderBytes+ReplyBytes), "%.1f records/s x (%.0f bytes beside the text + %.0f of its drop + %d of headers)", t.PerHost(), plain, drop, HeaderBytes+ReplyBytes)
-	r.add(Sent, Payload, t.PerHost()*(body-plain), "%.1f records/s x %.0f bytes of text", t.PerHost(), body-plain)
+	r.add(Traffic, PerCall, t.PerHost()*(plain+drop+HeaderBytes+ReplyBytes), "%.1f records/s x (%.0f bytes beside the text + %.0f of its drop + %d of headers)", t.PerHost(), plain, drop, HeaderBytes+ReplyBytes)
+	r.add(Traffic, Payload, t.PerHost()*(body-plain), "%.1f records/s x %.0f bytes of text", t.PerHost(), body-plain)
 	r.add(Processor, PerCall, t.PerHost()*hold.At(held), "%.1f records/s x %.0f us", t.PerHost(), hold.At(held))
 	return r
 }
--- a/estimator/entry.go
+++ b/estimator/entry.go
@@ -25,7 +25,7 @@
 		Name:       "entry and forwarder",
 		State:      "the open answers",
 		Mechanism:  "a program's identifier names its shard, so a request goes to its keeper in one message; the answer comes back frame by frame",
-		Unmeasured: "memory of open connections and answers (goroutines and buffers of net/http), TLS, the server package's own handlers",
+		Unmeasured: "the caller's side of an open answer and the engine's stream (reading an engine's events, writing the caller's), TLS, the server package's own handlers",
 	}
 	look := r.measure("resolve the key and the route, choose a cell", "us", "workspaces", []int{50, 200, 430}, func(n int) float64 {
 		config := follower.NewConfig(1, newSheet(n, t.Runners, 8))
@@ -55,11 +55,14 @@
 		return cost(func(int) { passFrame(n) })
 	})
 	weight := r.measure("frame between hosts", "bytes", "tokens in the frame", []int{1, 4, 16}, func(n int) float64 { return size(line(n)) + 1 })
+	open := r.measure("memory of open answers between hosts, both sides, stacks included", "bytes", "answers", []int{20, 80, 200}, streamMemory)
+	streams := t.Streams() / float64(t.Hosts)
+	r.add(Memory, Payload, open.Slope*streams, "%.0f answers under way a host x %.0f bytes", streams, open.Slope)
 	r.add(Processor, PerCall, t.PerHost()*look.At(float64(t.Workspaces)), "%.1f requests/s x %.1f us", t.PerHost(), look.At(float64(t.Workspaces)))
 	r.add(Processor, Payload, t.PerHost()*time.At(questionBytes), "%.1f requests/s x %.0f us", t.PerHost(), time.At(questionBytes))
 	tokens := t.Tokens / float64(t.Hosts)
 	r.add(Processor, Payload, tokens*frame.At(1), "%.0f tokens/s x %.1f us, a token a frame", tokens, frame.At(1))
-	r.add(Sent, Payload, t.PerHost()*(bytes.At(questionBytes)+HeaderBytes+ReplyBytes)+tokens*weight.At(1), "%.1f requests/s x (%.0f + %d bytes) + %.0f tokens/s x %.0f bytes", t.PerHost(), bytes.At(questionBytes), HeaderBytes+ReplyBytes, tokens, weight.At(1))
+	r.add(Traffic, Payload, t.PerHost()*(bytes.At(questionBytes)+HeaderBytes+ReplyBytes)+tokens*weight.At(1), "%.1f requests/s x (%.0f + %d bytes) + %.0f tokens/s x %.0f bytes", t.PerHost(), bytes.At(questionBytes), HeaderBytes+ReplyBytes, tokens, weight.At(1))
 	r.add(Exchanges, Payload, t.PerHost(), "one forwarded request a call")
 	return r
 }
--- a/estimator/exchange.go
+++ b/estimator/exchange.go
@@ -51,23 +51,75 @@
 	}
 }
 
+// peer is a server of messages in memory and a client of it.
+type peer struct {
+	client *messenger.Client
+	server *http.Server
+	done   chan error
+}
+
+// newPeer serves a router's messages.
+func newPeer(router *echo.Echo) *peer {
+	listener := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	p := &peer{
+		client: messenger.NewClient(&http.Transport{DialContext: listener.dial, DisableCompression: true}),
+		server: &http.Server{Handler: router, ReadHeaderTimeout: targetTTL.Duration()}, done: make(chan error, 1),
+	}
+	go func() { p.done <- p.server.Serve(listener) }()
+	return p
+}
+
+// close ends the server and waits for it.
+func (p *peer) close() {
+	p.client.Close()
+	_ = p.server.Close()
+	<-p.done
+}
+
+// streamMemory returns the memory of open answers, both sides together.
+func streamMemory(answers int) float64 {
+	before := occupied()
+	router, release := echo.New(), make(chan struct{})
+	messenger.Stream(router, "answer", func(_ context.Context, n note, send func(note) error) error {
+		if err := send(n); err != nil {
+			return err
+		}
+		<-release
+		return nil
+	})
+	p := newPeer(router)
+	ctx := context.Background()
+	var ended sync.WaitGroup
+	first := make(chan struct{}, answers)
+	for range answers {
+		ended.Go(func() {
+			_ = messenger.Follow[note, note](ctx, p.client, "peer:1", "answer", note{}, func(note) error {
+				first <- struct{}{}
+				return nil
+			})
+		})
+	}
+	for range answers {
+		<-first
+	}
+	after := occupied()
+	close(release)
+	ended.Wait()
+	p.close()
+	return max(0, after-before)
+}
+
 // exchangeCost returns the processor time of one message with its answer, of
 // both sides together.
 func exchangeCost(bytes int) float64 {
 	router := echo.New()
 	messenger.Handle(router, "note", func(_ context.Context, n note) (note, error) { return n, nil })
-	listener := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
-	server := &http.Server{Handler: router, ReadHeaderTimeout: targetTTL.Duration()}
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
-	client := messenger.NewClient(&http.Transport{DialContext: listener.dial, DisableCompression: true})
+	p := newPeer(router)
 	message := note{Text: text(bytes, 1)}
 	took := cost(func(int) {
-		_, _ = messenger.Ask[note, note](context.Background(), client, "peer:1", "note", message)
+		_, _ = messenger.Ask[note, note](context.Background(), p.client, "peer:1", "note", message)
 	})
-	client.Close()
-	_ = server.Close()
-	<-done
+	p.close()
 	return took
 }
 
--- a/estimator/gauge.go
+++ b/estimator/gauge.go
@@ -11,7 +11,7 @@
 )
 
 // leastTime is the processor time of one measurement, in microseconds.
-const leastTime = 60_000
+const leastTime = 40_000
 
 // processor returns the processor time of this process so far, in microseconds.
 func processor() float64 {
@@ -38,6 +38,22 @@
 	}
 }
 
+// costAfter returns the processor time of one of so many steps that follow a
+// preparation, in microseconds; the preparation does not count.
+func costAfter(steps int, prepare func(round int), step func(n int)) float64 {
+	took := 0.0
+	for round := 0; ; round++ {
+		prepare(round)
+		before := processor()
+		for n := range steps {
+			step(n)
+		}
+		if took += processor() - before; took >= leastTime {
+			return took / float64((round+1)*steps)
+		}
+	}
+}
+
 // weigh returns the bytes on the heap that what build returns keeps in use.
 func weigh[T any](build func() T) float64 {
 	before := heap()
@@ -55,6 +71,14 @@
 	return float64(stats.HeapAlloc)
 }
 
+// occupied returns the bytes on the heap and in the stacks of goroutines.
+func occupied() float64 {
+	used := heap()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return used + float64(stats.StackInuse)
+}
+
 // size returns the bytes of a message as JSON.
 func size(message any) float64 {
 	text, _ := json.Marshal(message)
@@ -70,6 +94,7 @@
 // zoneName, hostName, workspaceName, targetName and programName make names of
 // the length that deployments use.
 func zoneName(n int) sapphiredrum.ZoneName { return sapphiredrum.ZoneName(fmt.Sprintf("zone-%d", n)) }
+
 func hostName(n int) sapphiredrum.HostID {
 	return sapphiredrum.HostID(fmt.Sprintf("host-%04d", n))
 }
--- a/estimator/guard.go
+++ b/estimator/guard.go
@@ -145,6 +145,7 @@
 	r.atGuard(t, turn, idle, wait, state, list)
 	r.reports(t)
 	r.permits(t)
+	r.cells(t)
 	return r
 }
 
@@ -161,19 +162,21 @@
 	r.peak(Processor, PerCall, t.Requests/float64(t.Runners)*wait.At(200), "one target a cell with 200 calls waiting: %.1f calls/s x %.0f us", t.Requests/float64(t.Runners), wait.At(200))
 }
 
+// report returns the load report of an engine that holds so many programs.
+func report(programs int) sapphiredrum.Load {
+	l := sapphiredrum.Load{Target: targetName(0), Incarnation: 1 << 50, Running: 80, Held: 1 << 24}
+	for n := range programs {
+		l.Programs = append(l.Programs, programName(sapphiredrum.ShardID{Zone: zoneName(0), Number: n % 64}, n))
+	}
+	return l
+}
+
 // reports adds what the reading of load reports takes.
 func (r *Role) reports(t Size) {
-	load := func(programs int) sapphiredrum.Load {
-		l := sapphiredrum.Load{Target: targetName(0), Incarnation: 1 << 50, Running: 80, Held: 1 << 24}
-		for n := range programs {
-			l.Programs = append(l.Programs, programName(sapphiredrum.ShardID{Zone: zoneName(0), Number: n % 64}, n))
-		}
-		return l
-	}
 	sizes := []int{20, 200, 800}
-	bytes := r.measure("load report", "bytes", "programs held by the engine", sizes, func(n int) float64 { return size(load(n)) })
+	bytes := r.measure("load report", "bytes", "programs held by the engine", sizes, func(n int) float64 { return size(report(n)) })
 	time := r.measure("decode and take a load report", "us", "programs held by the engine", sizes, func(n int) float64 {
-		c, l := newCrowd(1, 0), load(n)
+		c, l := newCrowd(1, 0), report(n)
 		return cost(func(int) {
 			pass(l)
 			c.cell.Report(c.now, l)
@@ -183,11 +186,9 @@
 	polls := loadPolls * share
 	event := size(sapphiredrum.CacheEvent{Number: 1 << 30, Program: programName(sapphiredrum.ShardID{Zone: zoneName(0)}, 1), Tokens: 20_000})
 	r.add(Exchanges, Standing, 2*polls, "a load report and the cache events, 4 times/s x %.2f targets a host", share)
-	r.add(Sent, Standing, polls*(bytes.At(HeldPrograms)+2*(HeaderBytes+ReplyBytes))+t.PerHost()*event,
+	r.add(Traffic, Standing, polls*(bytes.At(HeldPrograms)+2*(HeaderBytes+ReplyBytes))+t.PerHost()*event,
 		"%.1f polls/s x (%.0f bytes with %.0f programs + 2 x %d of headers) + %.1f events/s x %.0f bytes", polls, bytes.At(HeldPrograms), HeldPrograms, HeaderBytes+ReplyBytes, t.PerHost(), event)
 	r.add(Processor, Standing, polls*time.At(HeldPrograms), "%.1f reports/s x %.0f us (encoding, which is the engine's, included)", polls, time.At(HeldPrograms))
-	per := float64(t.Runners) / float64(t.Zones*t.Models)
-	r.peak(Sent, Standing, loadPolls*per*bytes.At(HeldPrograms), "Cells = 1: the guard of one cell reads %.1f targets, 4 reports/s of %.0f bytes each", per, bytes.At(HeldPrograms))
 }
 
 // permits adds the messages of permits.
@@ -197,13 +198,14 @@
 	answer := size(permitAnswer{Permit: permit, Load: scheduler.Summary{Waiting: 10, Running: 80, Limit: 112, Hold: 5000}})
 	done := size(doneReport{Permit: permit, Usage: scheduler.Usage{Prompt: 20_000, Cached: 19_000, Answer: 261}})
 	r.add(Exchanges, PerCall, 2*t.PerHost(), "a permit and its end for each call")
-	r.add(Sent, PerCall, t.PerHost()*(ask+answer+done+2*(HeaderBytes+ReplyBytes)), "%.1f calls/s x (%.0f + %.0f + %.0f bytes + 2 x %d of headers)", t.PerHost(), ask, answer, done, HeaderBytes+ReplyBytes)
+	r.add(Traffic, PerCall, t.PerHost()*(ask+answer+done+2*(HeaderBytes+ReplyBytes)), "%.1f calls/s x (%.0f + %.0f + %.0f bytes + 2 x %d of headers)", t.PerHost(), ask, answer, done, HeaderBytes+ReplyBytes)
 	held := t.Streams() / float64(t.Hosts)
-	cells := min(held, float64(t.Runners)/float64(t.Zones))
+	_, _, inZone := spread(follower.NewConfig(1, newSheet(1, t.Runners, 8)), zoneName(0))
+	cells := min(held, float64(inZone))
 	message := renewal{Keeper: hostName(1), Cell: cellID, Fence: 3}
 	for i := range int(max(1, held/cells)) {
 		message.Permits = append(message.Permits, scheduler.PermitNumber(3<<32+i))
 	}
-	r.add(Exchanges, Standing, renewRounds*cells, "each host renews %.0f permits in up to %.0f cells (one target a cell), every 2 s", held, cells)
-	r.add(Sent, Standing, renewRounds*cells*(size(message)+HeaderBytes+ReplyBytes), "%.1f renewals/s x (%.0f + %d bytes)", renewRounds*cells, size(message), HeaderBytes+ReplyBytes)
+	r.add(Exchanges, Standing, renewRounds*cells, "each host renews %.0f permits in up to %.0f cells of its zone (Cells = 8), every 2 s", held, cells)
+	r.add(Traffic, Standing, renewRounds*cells*(size(message)+HeaderBytes+ReplyBytes), "%.1f renewals/s x (%.0f + %d bytes)", renewRounds*cells, size(message), HeaderBytes+ReplyBytes)
 }
--- a/estimator/leases.go
+++ b/estimator/leases.go
@@ -18,6 +18,8 @@
 	fanout       = 8
 	passedOn     = 8
 	tickStep     = 100 * sapphiredrum.Millisecond
+	// settling is the time in which a new zone places its shards.
+	settling = 30 * sapphiredrum.Second
 )
 
 // zone is the leasers of one availability zone over a platform in memory.
@@ -101,7 +103,7 @@
 // settledZone returns a zone whose shards are all placed.
 func settledZone(hosts int) *zone {
 	z := newZone(hosts, Target.Zones)
-	z.run(2 * sapphiredrum.Minute)
+	z.run(settling)
 	z.reads, z.writes, z.bytes = 0, 0, 0
 	return z
 }
@@ -118,15 +120,17 @@
 	const window = sapphiredrum.Minute
 	sizes := []int{8, 24, 58}
 	zones := map[int]*zone{}
+	state := r.measure("state of one host, its part of the table included", "bytes", "hosts in the zone", sizes, func(n int) float64 {
+		return weigh(func() *zone {
+			zones[n] = settledZone(n)
+			return zones[n]
+		}) / float64(n)
+	})
 	time := r.measure("processor time of one host", "us/s", "hosts in the zone", sizes, func(n int) float64 {
-		zones[n] = settledZone(n)
 		before := processor()
 		zones[n].run(window)
 		return (processor() - before) / float64(n) / seconds(window)
 	})
-	state := r.measure("state of one host", "bytes", "hosts in the zone", sizes, func(n int) float64 {
-		return weigh(func() *zone { return settledZone(n) }) / float64(n)
-	})
 	rate := func(count func(z *zone) float64) func(n int) float64 {
 		return func(n int) float64 { return count(zones[n]) / float64(n) / seconds(window) }
 	}
@@ -145,7 +149,7 @@
 	r.add(Writes, Standing, writes.At(n)*float64(t.Hosts), "%.3f/s a host x %d hosts (TTL 15 s; with the default TTL of 3 s five times as many)", writes.At(n), t.Hosts)
 	r.add(Reads, Standing, reads.At(n)*float64(t.Hosts), "%.3f/s a host x %d hosts", reads.At(n), t.Hosts)
 	calls := reads.At(n) + writes.At(n)
-	r.add(Sent, Standing, bytes.At(n)+calls*(HeaderBytes+ReplyBytes), "%.0f bytes/s of rows, both ways, + %.2f exchanges/s x %d bytes of headers", bytes.At(n), calls, HeaderBytes+ReplyBytes)
+	r.add(Traffic, Standing, bytes.At(n)+calls*(HeaderBytes+ReplyBytes), "%.0f bytes/s of rows, both ways, + %.2f exchanges/s x %d bytes of headers", bytes.At(n), calls, HeaderBytes+ReplyBytes)
 	r.add(Exchanges, Standing, calls, "reads and writes")
 }
 
--- a/estimator/levels.go
+++ b/estimator/levels.go
@@ -54,6 +54,6 @@
 	r.add(Memory, Standing, state.At(w), "the line at %.0f workspaces, all of which every host serves", w)
 	r.add(Processor, Standing, sample.At(w)/30, "%.0f us every 30 s", sample.At(w))
 	r.add(Processor, PerCall, tokens*count.At(w), "%.0f tokens/s x %.2f us", tokens, count.At(w))
-	r.add(Sent, Standing, summary.At(w)/60, "a summary of %.0f bytes for one report a minute; the reporter takes in %.0f MB for each", summary.At(w), summary.At(w)*float64(t.Hosts)/1e6)
+	r.add(Traffic, Standing, summary.At(w)/60, "a summary of %.0f bytes for one report a minute; the reporter takes in %.0f MB for each", summary.At(w), summary.At(w)*float64(t.Hosts)/1e6)
 	return r
 }
--- a/estimator/programs.go
+++ b/estimator/programs.go
@@ -82,12 +82,10 @@
 	call := r.measure("a call's path: Begin, Finish, Drain, Safe", "us", "turns before", turns, func(n int) float64 {
 		l := newLibrary()
 		var id sapphiredrum.ProgramID
-		return cost(func(i int) {
-			if i%200 == 0 {
-				id = l.open(i, n)
-			}
-			l.turn(id, n+i%20)
-		})
+		return costAfter(20, func(round int) {
+			l = newLibrary()
+			id = l.open(round, n)
+		}, func(i int) { l.turn(id, n+i) })
 	})
 	send := r.measure("encode the history for an engine", "us", "bytes of text", []int{20_000, 80_000, 320_000, 640_000}, func(n int) float64 {
 		messages := history(n)
@@ -120,5 +118,5 @@
 	r.peak(Memory, Payload, t.FullestShards()*t.ProgramsPerShard()*worst, "the same at the host with %.0f shards", t.FullestShards())
 	r.add(Processor, PerCall, t.PerHost()*call.At(turns), "%.1f calls/s x %.0f us", t.PerHost(), call.At(turns))
 	r.add(Processor, Payload, t.PerHost()*send.At(mean), "a call sends the whole history: %.1f calls/s x %.0f us", t.PerHost(), send.At(mean))
-	r.add(Sent, Payload, t.PerHost()*mean, "%.1f calls/s x %.0f bytes of history", t.PerHost(), mean)
+	r.add(Traffic, Payload, t.PerHost()*mean, "%.1f calls/s x %.0f bytes of history", t.PerHost(), mean)
 }
--- a/estimator/role.go
+++ b/estimator/role.go
@@ -5,11 +5,12 @@
 // Kind is what a figure counts. Its text is the unit.
 type Kind string
 
-// The kinds of figures. Those of the fleet are for all hosts together.
+// The kinds of figures. Those of the fleet are for all hosts together. Traffic
+// counts a message between hosts once, and both ways with platform and targets.
 const (
 	Processor Kind = "us/s a host"
 	Memory    Kind = "bytes a host"
-	Sent      Kind = "bytes/s sent a host"
+	Traffic   Kind = "bytes/s a host"
 	Writes    Kind = "platform writes/s, fleet"
 	Reads     Kind = "platform reads/s, fleet"
 	Exchanges Kind = "exchanges/s a host"
--- a/estimator/size.go
+++ b/estimator/size.go
@@ -32,6 +32,8 @@
 	// HeldPrograms is the number of programs whose prefix an engine holds: all
 	// programs under way over all runners.
 	HeldPrograms = 200.0
+	// LargestWorkspace is the part of all requests that the largest workspace sends.
+	LargestWorkspace = 0.1
 	// KeysPerWorkspace is the number of callers' keys.
 	KeysPerWorkspace = 2
 )
--- a/estimator/sweep.go
+++ b/estimator/sweep.go
@@ -76,6 +76,6 @@
 	r.add(Processor, Standing, share*time.At(HeldPrograms), "%.2f targets a host x %.0f us", share, time.At(HeldPrograms))
 	rate := share * asks.At(HeldPrograms) / 60
 	r.add(Exchanges, Standing, rate, "%.2f targets a host x %.0f questions / 60 s", share, asks.At(HeldPrograms))
-	r.add(Sent, Standing, share*bytes.At(HeldPrograms)/60+rate*(HeaderBytes+ReplyBytes), "%.2f targets a host x %.0f bytes / 60 s + %.1f/s x %d of headers", share, bytes.At(HeldPrograms), rate, HeaderBytes+ReplyBytes)
+	r.add(Traffic, Standing, share*bytes.At(HeldPrograms)/60+rate*(HeaderBytes+ReplyBytes), "%.2f targets a host x %.0f bytes / 60 s + %.1f/s x %d of headers", share, bytes.At(HeldPrograms), rate, HeaderBytes+ReplyBytes)
 	return r
 }
--- a/estimator/total.go
+++ b/estimator/total.go
@@ -6,9 +6,9 @@
 const (
 	// ProcessorLimit is 4% of a core, in microseconds a second.
 	ProcessorLimit = 40_000.0
-	// MemoryLimit and SentLimit are in bytes and bytes a second.
-	MemoryLimit = 128e6
-	SentLimit   = 24e3
+	// MemoryLimit and TrafficLimit are in bytes and bytes a second.
+	MemoryLimit  = 128e6
+	TrafficLimit = 24e3
 	// WritesLimit reads "several hundred writes"; both are of a second.
 	WritesLimit = 300.0
 	ReadsLimit  = 2000.0
@@ -21,8 +21,8 @@
 		return ProcessorLimit
 	case Memory:
 		return MemoryLimit
-	case Sent:
-		return SentLimit
+	case Traffic:
+		return TrafficLimit
 	case Writes:
 		return WritesLimit
 	case Reads:
@@ -46,7 +46,7 @@
 
 // Total is the sum over all roles beside its limit.
 type Total struct {
-	Kind                               Kind
+	Kind                              Kind
 	Standing, PerCall, Payload, Limit float64
 }
 
@@ -56,7 +56,7 @@
 // totals sums all roles.
 func totals(roles []Role) []Total {
 	var sums []Total
-	for _, kind := range []Kind{Processor, Memory, Sent, Writes, Reads, Exchanges} {
+	for _, kind := range []Kind{Processor, Memory, Traffic, Writes, Reads, Exchanges} {
 		sums = append(sums, Total{
 			Kind: kind, Limit: limitOf(kind),
 			Standing: Sum(roles, kind, Standing), PerCall: Sum(roles, kind, PerCall), Payload: Sum(roles, kind, Payload),
@@ -65,8 +65,8 @@
 	return sums
 }
 
-// breaches names what breaks a limit: sums of control, and single figures of any
-// class, peaks among them.
+// breaches names what breaks a limit: sums of control, single figures of control,
+// peaks among them, and memory of any class.
 func breaches(roles []Role) []string {
 	var lines []string
 	for _, t := range totals(roles) {
@@ -77,7 +77,7 @@
 	}
 	for _, r := range roles {
 		for _, f := range r.Figures {
-			if limit := limitOf(f.Kind); limit > 0 && f.Value > limit {
+			if limit := limitOf(f.Kind); limit > 0 && f.Value > limit && (f.Class != Payload || f.Kind == Memory) {
 				lines = append(lines, fmt.Sprintf("%s, %s: %s %s, limit %s (%s)", r.Name, f.Class, number(f.Value), f.Kind, number(limit), f.How))
 			}
 		}
