--- a/cmd/sapphiredrum/commands.go
+++ b/cmd/sapphiredrum/commands.go
@@ -4,13 +4,16 @@
 	"context"
 	"os"
 	"os/user"
+	"runtime"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/connector"
+	"sapphiredrum.example/sapphiredrum/estimator"
 	"sapphiredrum.example/sapphiredrum/follower"
+	"sapphiredrum.example/sapphiredrum/measurer"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/operator"
 )
@@ -22,8 +25,9 @@
 type commands struct {
 	parser *flaggy.Parser
 
-	host, check, diff, apply, show, zone, key, status, report, try *flaggy.Subcommand
-	zoneOut, zoneIn, keyIssue, keyWithdraw                         *flaggy.Subcommand
+	host, check, diff, apply, show, zone, key, status, report *flaggy.Subcommand
+	zoneOut, zoneIn, keyIssue, keyWithdraw                    *flaggy.Subcommand
+	try, measure, slopes                                      *flaggy.Subcommand
 
 	config   string
 	platform string
@@ -36,16 +40,18 @@
 	second   string
 	format   string
 	stay     bool
+	seeds    int
 }
 
 // newCommands returns the command line's parser.
 func newCommands() *commands {
-	c := &commands{parser: flaggy.NewParser("sapphiredrum"), basis: -1, format: "table", platform: "127.0.0.1:7000", author: login()}
+	c := &commands{parser: flaggy.NewParser("sapphiredrum"), basis: -1, seeds: 5, format: "table", platform: "127.0.0.1:7000", author: login()}
 	c.parser.Description = "Schedules agent programs between callers and targets."
 	c.parser.Version = "0.1"
 	c.hostCommands()
 	c.sheetCommands()
 	c.zoneAndKeyCommands()
+	c.trialCommands()
 	return c
 }
 
@@ -66,8 +72,15 @@
 	c.report = c.add("report", "Prints the service-level burn of all hosts that answer.")
 	c.withPlatform(c.report)
 	c.report.String(&c.format, "f", "format", "table, json or html")
+}
+
+// trialCommands declares the commands that need no platform.
+func (c *commands) trialCommands() {
 	c.try = c.add("try", "Runs a host, a platform and targets in this process and drives a program through them.")
 	c.try.Bool(&c.stay, "s", "stay", "serve on afterwards and print the requests to use")
+	c.measure = c.add("measure", "Prints the tables of docs/MEASURES.md from the seeded workload.")
+	c.measure.Int(&c.seeds, "", "seeds", "how many seeds")
+	c.slopes = c.add("slopes", "Measures what each duty costs and carries it to the size designed for.")
 }
 
 // sheetCommands declares the commands about sheets.
@@ -127,6 +140,10 @@
 		return runHost(ctx, c.config)
 	case c.try.Used:
 		return runTry(ctx, c.stay, os.Stdout)
+	case c.measure.Used:
+		return measurer.Report(ctx, os.Stdout, c.seeds, runtime.NumCPU())
+	case c.slopes.Used:
+		return estimator.Write(os.Stdout)
 	case c.check.Used, c.diff.Used, c.apply.Used:
 		return c.runSheet(ctx)
 	case c.zoneOut.Used, c.zoneIn.Used:
--- a/cmd/sapphiredrum/main.go
+++ b/cmd/sapphiredrum/main.go
@@ -14,6 +14,8 @@
 //	sapphiredrum status                      asks every host how it is
 //	sapphiredrum report                      prints the service-level burn
 //	sapphiredrum try                         drives a program through a host of its own
+//	sapphiredrum measure                     prints the tables of docs/MEASURES.md
+//	sapphiredrum slopes                      prints the figures of docs/CAPACITY.md
 //
 // # Exit statuses
 //
