granter, launcher: shorter control messages; revisions from peers first

Now one report in 20 lists programs, heartbeats pass others on only to a peer that does not reach the platform, renewals come each 4 s. A host asks a peer before the platform for a revision that the peer has, since a hanging platform cost 2 s a hop.

--- a/connector/engine.go
+++ b/connector/engine.go
@@ -86,10 +86,14 @@
 	return e.exchange(ctx, http.MethodPost, "/release", releaseRequest{Program: program, Fence: fence}, nil)
 }
 
-// Load returns the engine's latest report.
-func (e *Engine) Load(ctx context.Context) (sapphiredrum.Load, error) {
+// Load returns the engine's latest report, with or without its programs.
+func (e *Engine) Load(ctx context.Context, programs bool) (sapphiredrum.Load, error) {
 	var load sapphiredrum.Load
-	err := e.exchange(ctx, http.MethodGet, "/load", nil, &load)
+	target := "/load"
+	if !programs {
+		target += "?brief=true"
+	}
+	err := e.exchange(ctx, http.MethodGet, target, nil, &load)
 	return load, settle(err)
 }
 
--- a/connector/faults_test.go
+++ b/connector/faults_test.go
@@ -184,7 +184,7 @@
 	expect(t, client.Release(ctx, "p", 3), sapphiredrum.Uncertain)
 	_, err = client.Resume(ctx, call.Stream, 0)
 	expect(t, err, sapphiredrum.Absent)
-	load, err := client.Load(ctx)
+	load, err := client.Load(ctx, true)
 	events, eventsErr := client.Events(ctx, 0)
 	if err != nil || eventsErr != nil || load.Held != 0 || len(events) == 0 || !events[len(events)-1].Dropped {
 		t.Fatalf("after the release: %v, %v, %v, %v", load, err, events, eventsErr)
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -185,7 +185,7 @@
 }
 
 // Load returns a report that is at most the settings' lag old.
-func (e *Engine) Load(ctx context.Context) (sapphiredrum.Load, error) {
+func (e *Engine) Load(ctx context.Context, programs bool) (sapphiredrum.Load, error) {
 	if err := e.wait(ctx); err != nil {
 		return sapphiredrum.Load{}, err
 	}
@@ -200,6 +200,10 @@
 		e.report, e.reported = e.load(), now
 	}
 	load := e.report
+	if !programs {
+		load.Programs, load.Brief = nil, true
+		return load, nil
+	}
 	load.Programs = append([]sapphiredrum.ProgramID(nil), load.Programs...)
 	return load, nil
 }
--- a/faker/engine_test.go
+++ b/faker/engine_test.go
@@ -219,7 +219,7 @@
 	engine := faker.NewEngine(clock, faker.EngineSettings{Token: 1e6, Lag: 100, Delay: 50, Gap: 2})
 	ctx := context.Background()
 	running := func() sapphiredrum.Slots {
-		load, err := engine.Load(ctx)
+		load, err := engine.Load(ctx, true)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/faker/engineweb.go
+++ b/faker/engineweb.go
@@ -75,7 +75,7 @@
 // events; the headers Sapphiredrum-Stream, -Program and -Fence name the stream,
 // the program and the fencing number. GET /streams/ID?offset=N resumes a stream,
 // POST /streams/ID/cancel stops it, POST /release frees a program's memory, GET
-// /load and GET /events?after=N report. POST /faults sets the faults, POST
+// /load (with ?brief=true without programs) and GET /events?after=N report. POST /faults sets the faults, POST
 // /restart makes the engine cold; GET /counters tells what was done.
 func EngineHandler(engine *Engine) http.Handler {
 	w := &engineWeb{engine: engine}
@@ -167,7 +167,7 @@
 
 // load serves GET /load.
 func (w *engineWeb) load(c echo.Context) error {
-	load, err := w.engine.Load(c.Request().Context())
+	load, err := w.engine.Load(c.Request().Context(), c.QueryParam("brief") != "true")
 	if err != nil {
 		return err
 	}
--- a/granter/cells.go
+++ b/granter/cells.go
@@ -18,6 +18,8 @@
 	due    sd.Instant
 	busy   bool
 	events uint64
+	// reads counts the reports read; one in wholeReports lists the programs.
+	reads int
 	// sweeper decides on the release of an engine's memory; nil for services.
 	sweeper *sweeper.State
 }
@@ -150,7 +152,9 @@
 	attempt, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 	defer cancel()
 	engine := g.parts.Targets.Engine(p.target)
-	load, err := engine.Load(attempt)
+	whole := p.model && p.reads%wholeReports == 0
+	p.reads++
+	load, err := engine.Load(attempt, whole)
 	var events []sd.CacheEvent
 	if err == nil && p.model {
 		events, _ = engine.Events(attempt, p.events)
@@ -165,7 +169,9 @@
 	load.Target = p.target.ID
 	c.cell.Report(now, load)
 	if p.sweeper != nil {
-		p.sweeper.Load(now, load)
+		if whole {
+			p.sweeper.Load(now, load)
+		}
 		p.sweeper.Cache(now, events)
 	}
 	if len(events) > 0 {
@@ -215,4 +221,5 @@
 const (
 	pollInterval = 250 * sd.Millisecond
 	pollTimeout  = sd.Second
+	wholeReports = 20
 )
--- a/granter/seeker.go
+++ b/granter/seeker.go
@@ -219,7 +219,7 @@
 const (
 	// guardPatience bounds the wait for a guard that is on its way.
 	guardPatience = 2 * sd.Second
-	renewInterval = 2 * sd.Second
+	renewInterval = 4 * sd.Second
 	tellTimeout   = 3 * sd.Second
 	tellAttempts  = 4
 )
--- a/launcher/beats.go
+++ b/launcher/beats.go
@@ -55,7 +55,7 @@
 func (b *beats) register(router messenger.Router) {
 	messenger.Handle(router, "beat", func(_ context.Context, m beatMessage) (beatMessage, error) {
 		b.hear(m)
-		return b.message(), nil
+		return b.message(!m.Beat.Reaches), nil
 	})
 	messenger.Handle(router, "sheet", func(context.Context, sheetMessage) (sheetAnswer, error) {
 		config := b.follower.Current()
@@ -86,7 +86,7 @@
 func (b *beats) send(ctx context.Context, address sd.Address, timeout sd.Millis) {
 	attempt, cancel := context.WithTimeout(ctx, max(timeout, shortestBeat).Duration())
 	defer cancel()
-	answer, err := messenger.Ask[beatMessage, beatMessage](attempt, b.client, address, "beat", b.message())
+	answer, err := messenger.Ask[beatMessage, beatMessage](attempt, b.client, address, "beat", b.message(false))
 	if err != nil {
 		return
 	}
@@ -96,20 +96,20 @@
 	}
 }
 
-// catchUp brings the revision that a peer has in force here: from the platform,
-// or from the peer when the platform does not give it.
+// catchUp brings the revision that a peer has in force here: from the peer, or
+// from the platform when the peer does not give it. The peer is asked first,
+// because a platform that hangs would cost the seconds in which a revision has to
+// be in force everywhere.
 func (b *beats) catchUp(ctx context.Context, address sd.Address, revision sd.Revision) {
 	attempt, cancel := context.WithTimeout(ctx, catchUpTimeout.Duration())
 	defer cancel()
-	if b.follower.Poll(attempt) == nil && b.follower.Current().Revision >= revision {
-		return
-	}
-	attempt, cancel = context.WithTimeout(ctx, catchUpTimeout.Duration())
-	defer cancel()
 	answer, err := messenger.Ask[sheetMessage, sheetAnswer](attempt, b.client, address, "sheet", sheetMessage{})
 	if err == nil {
 		b.follower.Offer(answer.Revision, answer.Sheet)
 	}
+	if b.follower.Current().Revision < revision {
+		_ = b.follower.Poll(attempt)
+	}
 }
 
 // hear takes a heartbeat and those that it passes on.
@@ -129,10 +129,15 @@
 	}
 }
 
-// message returns this host's heartbeat with the freshest ones of its zone.
-func (b *beats) message() beatMessage {
+// message returns this host's heartbeat. With others it passes on the freshest
+// ones of its zone: a peer that does not reach the platform has to learn soon
+// whether anybody does.
+func (b *beats) message(others bool) beatMessage {
 	now := b.clock.Now()
 	m := beatMessage{Beat: b.runner.Beat(), Revision: b.follower.Current().Revision}
+	if !others {
+		return m
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for host, n := range b.recent {
--- a/launcher/promises_test.go
+++ b/launcher/promises_test.go
@@ -174,6 +174,9 @@
 	return false
 }
 
+// serviceDelay leaves time for a fault between a call's dispatch and its end.
+const serviceDelay = 300 * sd.Millisecond
+
 // disturb makes one fault, holds it for a while and mends it.
 func (r *rig) disturb(random *rand.Rand) {
 	zones := []sd.ZoneName{"z1", "z2", "z3"}
@@ -211,7 +214,7 @@
 		r.network.isolate(r.hosts[random.IntN(len(r.hosts))].settings.Peer)
 		hold += 2500 * time.Millisecond
 	case 8:
-		r.service.SetFaults(faker.ServiceFaults{FailBefore: 1, FailAfter: 1})
+		r.service.SetFaults(faker.ServiceFaults{Delay: serviceDelay, FailBefore: 1, FailAfter: 1})
 	}
 	time.Sleep(hold)
 	r.platform.SetFaults(faker.PlatformFaults{})
@@ -219,7 +222,7 @@
 	for _, e := range r.engines {
 		e.SetFaults(faker.EngineFaults{})
 	}
-	r.service.SetFaults(faker.ServiceFaults{})
+	r.service.SetFaults(faker.ServiceFaults{Delay: serviceDelay})
 	time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 }
 
@@ -259,6 +262,7 @@
 		r.start(h.name, h.zone)
 	}
 	r.settle()
+	r.service.SetFaults(faker.ServiceFaults{Delay: serviceDelay})
 	l := &ledger{said: make(map[string]string), other: make(map[string]int)}
 	stop := make(chan struct{})
 	var group sync.WaitGroup
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -128,8 +128,10 @@
 	}
 	t.credited = c.now
 	if len(load.Programs) > 0 || load.Held == 0 {
+		if !load.Brief {
 		t.prefixes.confirm(c.now, load.Programs, c.settings.settling())
 	}
+	}
 }
 
 // reconcile compares the reported work with the permits outstanding.
--- a/target.go
+++ b/target.go
@@ -53,8 +53,10 @@
 	Held Tokens
 	// Cold is set while the target warms up.
 	Cold bool
-	// Programs are the programs whose memory the engine holds.
+	// Programs are the programs whose memory the engine holds; Brief is set where
+	// they are left out.
 	Programs []ProgramID
+	Brief    bool
 }
 
 // CacheEvent tells that an engine stored or dropped a program's prefix.
@@ -78,8 +80,8 @@
 	Cancel(ctx context.Context, stream StreamID) error
 	// Release frees the memory that a program holds; repeating it is harmless.
 	Release(ctx context.Context, program ProgramID, fence Epoch) error
-	// Load returns the engine's latest report.
-	Load(ctx context.Context) (Load, error)
+	// Load returns the engine's latest report, with or without its programs.
+	Load(ctx context.Context, programs bool) (Load, error)
 	// Events returns cache events after the given number; some may be missing.
 	Events(ctx context.Context, after uint64) ([]CacheEvent, error)
 }
