granter, estimator, docs: standing control traffic at the target size

Cause: the estimator's copies of messages had to follow the changed ones, and reports are read twice a second now instead of four times. Also: the zone's cells are listed once a revision, not 50 times a second; that is not measured yet.

--- a/estimator/beats.go
+++ b/estimator/beats.go
@@ -19,7 +19,7 @@
 	r := Role{
 		Name:       "heartbeats",
 		State:      "the last beat of each host of the zone",
-		Mechanism:  "seven hosts of the zone's ring and one of another zone a round, each round TTL/9; a beat passes up to eight fresh beats on and tells the revision in force",
+		Mechanism:  "seven hosts of the zone's ring and one of another zone a round, each round TTL/9; a beat tells the revision in force, and the answer to a host that does not reach the platform passes up to eight fresh beats on",
 		Unmeasured: "the launcher's ring and its table of fresh beats are not driven, only the messages and the leaser's part",
 	}
 	z := settledZone(58)
@@ -49,11 +49,11 @@
 	})
 	rounds := beatsPerTTL / seconds(targetTTL)
 	exchanges := rounds * fanout
-	each := bytes.At(passedOn)
+	each := bytes.At(0)
 	r.add(Exchanges, Standing, exchanges, "8 receivers x %.2f rounds/s", rounds)
 	r.add(Traffic, Standing, exchanges*(2*each+HeaderBytes+ReplyBytes), "%.1f exchanges/s x (2 x %.0f + %d bytes): the beats sent and the answers given", exchanges, each, HeaderBytes+ReplyBytes)
-	r.add(Processor, Standing, 2*exchanges*time.At(passedOn)+(rounds+upkeeps)*owners.At(t.HostsPerZone()),
-		"2 x %.1f/s x %.0f us + owners listed %.1f times/s x %.0f us", exchanges, time.At(passedOn), rounds+upkeeps, owners.At(t.HostsPerZone()))
+	r.add(Processor, Standing, 2*exchanges*time.At(0)+(rounds+upkeeps)*owners.At(t.HostsPerZone()),
+		"2 x %.1f/s x %.0f us + owners listed %.1f times/s x %.0f us", exchanges, time.At(0), rounds+upkeeps, owners.At(t.HostsPerZone()))
 	return r
 }
 
--- a/estimator/config.go
+++ b/estimator/config.go
@@ -100,7 +100,7 @@
 			targets, shards, number = append(targets, perCell), append(shards, perShard), append(number, all)
 		}
 		polled := float64(slices.Max(shards)) * loadPolls
-		r.peak(Traffic, Standing, polled*(size(report(int(HeldPrograms)))+2*(HeaderBytes+ReplyBytes)),
+		r.peak(Traffic, Standing, polled*(size(report(0))+(size(report(int(HeldPrograms)))-size(report(0)))/wholeReports+2*(HeaderBytes+ReplyBytes)),
 			"Cells = %d: load reports of %d targets under the guards of one shard (at most %d cells in a zone, %d targets in a cell)",
 			cells, slices.Max(shards), slices.Max(number), slices.Max(targets))
 	}
--- a/estimator/guard.go
+++ b/estimator/guard.go
@@ -12,8 +12,10 @@
 // The granter's intervals, in events a second.
 const (
 	cellTicks   = 50.0
-	loadPolls   = 4.0
-	renewRounds = 0.5
+	loadPolls   = 2.0
+	renewRounds = 0.25
+	// wholeReports is how many load reports there are to one that lists programs.
+	wholeReports = 10.0
 	// slotsPerRunner is what an engine runs at once.
 	slotsPerRunner = 112
 )
@@ -185,9 +187,10 @@
 	share := float64(t.Runners) / float64(t.Hosts)
 	polls := loadPolls * share
 	event := size(sapphiredrum.CacheEvent{Number: 1 << 30, Program: programName(sapphiredrum.ShardID{Zone: zoneName(0)}, 1), Tokens: 20_000})
-	r.add(Exchanges, Standing, 2*polls, "a load report and the cache events, 4 times/s x %.2f targets a host", share)
-	r.add(Traffic, Standing, polls*(bytes.At(HeldPrograms)+2*(HeaderBytes+ReplyBytes))+t.PerHost()*event,
-		"%.1f polls/s x (%.0f bytes with %.0f programs + 2 x %d of headers) + %.1f events/s x %.0f bytes", polls, bytes.At(HeldPrograms), HeldPrograms, HeaderBytes+ReplyBytes, t.PerHost(), event)
+	r.add(Exchanges, Standing, 2*polls, "a load report and the cache events, 2 times/s x %.2f targets a host", share)
+	each := bytes.At(0) + (bytes.At(HeldPrograms)-bytes.At(0))/wholeReports
+	r.add(Traffic, Standing, polls*(each+2*(HeaderBytes+ReplyBytes))+t.PerHost()*event,
+		"%.1f polls/s x (%.0f bytes, each 10th with %.0f programs, + 2 x %d of headers) + %.1f events/s x %.0f bytes", polls, each, HeldPrograms, HeaderBytes+ReplyBytes, t.PerHost(), event)
 	r.add(Processor, Standing, polls*time.At(HeldPrograms), "%.1f reports/s x %.0f us (encoding, which is the engine's, included)", polls, time.At(HeldPrograms))
 }
 
@@ -206,6 +209,6 @@
 	for i := range int(max(1, held/cells)) {
 		message.Permits = append(message.Permits, scheduler.PermitNumber(3<<32+i))
 	}
-	r.add(Exchanges, Standing, renewRounds*cells, "each host renews %.0f permits in up to %.0f cells of its zone (Cells = 8), every 2 s", held, cells)
+	r.add(Exchanges, Standing, renewRounds*cells, "each host renews %.0f permits in up to %.0f cells of its zone (Cells = 8), every 4 s", held, cells)
 	r.add(Traffic, Standing, renewRounds*cells*(size(message)+HeaderBytes+ReplyBytes), "%.1f renewals/s x (%.0f + %d bytes)", renewRounds*cells, size(message), HeaderBytes+ReplyBytes)
 }
--- a/estimator/leases.go
+++ b/estimator/leases.go
@@ -16,7 +16,6 @@
 	scanInterval = 2 * sapphiredrum.Second
 	beatsPerTTL  = 9
 	fanout       = 8
-	passedOn     = 8
 	tickStep     = 100 * sapphiredrum.Millisecond
 	// settling is the time in which a new zone places its shards.
 	settling = 30 * sapphiredrum.Second
--- a/granter/cells.go
+++ b/granter/cells.go
@@ -36,7 +36,10 @@
 			delete(g.cells, id)
 		}
 	}
-	for _, id := range CellsOf(config, g.parts.Zone, "") {
+	if config != g.listed {
+		g.listed, g.own = config, CellsOf(config, g.parts.Zone, "")
+	}
+	for _, id := range g.own {
 		if epoch, held := g.parts.Locator.Holds(ShardOf(id)); held {
 			g.open(id, epoch)
 		}
@@ -219,7 +222,7 @@
 }
 
 const (
-	pollInterval = 250 * sd.Millisecond
+	pollInterval = 500 * sd.Millisecond
 	pollTimeout  = sd.Second
-	wholeReports = 20
+	wholeReports = 10
 )
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -34,6 +34,9 @@
 	// mu guards cells and everything in them.
 	mu    sync.Mutex
 	cells map[scheduler.CellID]*guarded
+	// own are the zone's cells by the configuration listed.
+	own    []scheduler.CellID
+	listed *follower.Config
 }
 
 // guarded is a cell with the requests that wait for its decisions.
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -129,8 +129,8 @@
 	t.credited = c.now
 	if len(load.Programs) > 0 || load.Held == 0 {
 		if !load.Brief {
-		t.prefixes.confirm(c.now, load.Programs, c.settings.settling())
-	}
+			t.prefixes.confirm(c.now, load.Programs, c.settings.settling())
+		}
 	}
 }
 
