recorder: a row with fewer objects than known does not panic

Cause: a mutation (blind re-write after a lost answer) left the row with fewer objects than the state remembers as recent, and the next merger sliced below zero. Conclusion: the remembered segments are cut to the row's list.

--- a/recorder/tenancy.go
+++ b/recorder/tenancy.go
@@ -23,6 +23,7 @@
 		return nil, err
 	}
 	s.version, s.row = row.Version, value
+	s.recent = s.recent[max(0, len(s.recent)-len(value.Segments)):]
 	var events []Event
 	for _, shard := range s.sortedShards() {
 		t := s.shards[shard]
