recorder: the list of waiting intents names their tickets

Cause: an identifier asked for again stood twice in the list, and the earlier entry then held up those behind it.

--- a/recorder/request.go
+++ b/recorder/request.go
@@ -36,7 +36,7 @@
 		since: now, deadline: now.Add(s.rules.Interval(s.hosts) + s.rules.Patience),
 	}
 	t.intents[request.Key] = i
-	t.waiting = append(t.waiting, request.Key)
+	t.waiting = append(t.waiting, waiter{key: request.Key, ticket: i.ticket})
 	b := s.batch(request.Shard, t.epoch)
 	b.marks = append(b.marks, Mark{Kind: MarkIntended, Key: request.Key, Digest: i.digest, Ticket: i.ticket})
 	return Intended{Ticket: i.ticket}, true, nil
@@ -117,9 +117,9 @@
 	for _, shard := range s.sortedShards() {
 		t := s.shards[shard]
 		for len(t.waiting) > 0 {
-			key := t.waiting[0]
+			key := t.waiting[0].key
 			i := t.intents[key]
-			if i != nil && i.stage == queued {
+			if i != nil && i.stage == queued && i.ticket == t.waiting[0].ticket {
 				if now < i.deadline {
 					break
 				}
--- a/recorder/state.go
+++ b/recorder/state.go
@@ -38,9 +38,10 @@
 	// next is when the next flush may begin, resume when the writing lane may go
 	// on after a failure, resumeBack the same for the other lane.
 	next root.Instant
-	// nextWhole is when the next checkpoint may be tried.
-	nextPurge  root.Instant
+	// nextWhole is when the next checkpoint may be tried, nextPurge when old
+	// intents are dropped.
 	nextWhole  root.Instant
+	nextPurge  root.Instant
 	resume     root.Instant
 	resumeBack root.Instant
 	// failing is when the platform began to fail; zero while it answers.
--- a/recorder/tenancy.go
+++ b/recorder/tenancy.go
@@ -14,7 +14,13 @@
 	based   bool
 	intents map[Key]*intent
 	// waiting lists the intents that were queued, by deadline.
-	waiting []Key
+	waiting []waiter
+}
+
+// waiter is an intent that waits to be recorded.
+type waiter struct {
+	key    Key
+	ticket Ticket
 }
 
 // observe takes over a fresh reading of the log's row and returns the shards
