recorder: an attempt of an earlier tenure gets no permission

Cause: a call that had started before its shard was lost and taken back by the same host could still ask for its intent; it was then sent beside the keeper's order, while the keeper refused its repetition as not run. The intent now names the attempt's epoch. Conclusion: hand-overs are part of the machine; a test shows what they save.

--- a/keeper/rebuild_test.go
+++ b/keeper/rebuild_test.go
@@ -80,6 +80,37 @@
 	}
 }
 
+// After a regular hand-over the next owner may spend all that is left; after a
+// crash the outstanding allotment counts as spent.
+func TestHandOverKeepsTheBudget(t *testing.T) {
+	for _, regular := range []bool{true, false} {
+		rules := benchRules
+		rules.Chunk = 100
+		shelf := keeper.NewShelf(rules)
+		_ = shelf.Gain(0, shard, 1, nil)
+		status, _ := shelf.Create(0, keeper.Creation{Program: "z.0.a", Workspace: "w", Budget: 1000})
+		shelf.Safe(0, status.Tree, status.Epoch, status.Number)
+		call := keeper.Call{Program: "z.0.a", Workspace: "w", ID: "c", Kind: root.ServiceRoute, Limit: 30}
+		decision, _ := shelf.Begin(0, call)
+		start, _ := decision.(keeper.Start)
+		if regular && shelf.Yield(shard) {
+			t.Fatalf("a shard with a running call is ready for its hand-over")
+		}
+		shelf.Finish(0, "z.0.a", "c", keeper.Result{Attempt: start.Attempt, Completion: 30, Outcome: root.Ran})
+		if regular && !shelf.Yield(shard) {
+			t.Fatalf("a resting shard is not ready for its hand-over")
+		}
+		next := keeper.NewShelf(rules)
+		if err := next.Gain(0, shard, 2, shelf.Drain()); err != nil {
+			t.Fatal(err)
+		}
+		after, _ := next.Status("z.0.a", "w")
+		if want := map[bool]root.Tokens{true: 970, false: 900}[regular]; after.Left != want {
+			t.Fatalf("regular %v: %d left, want %d", regular, after.Left, want)
+		}
+	}
+}
+
 // A peer holds within its bound, and after a seal nothing of earlier owners.
 func TestCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/recorder/intent.go
+++ b/recorder/intent.go
@@ -17,6 +17,9 @@
 	Key
 	// Shard keeps the intent: the program's, or the caller's choice by key.
 	Shard root.ShardID
+	// Epoch is that of the attempt that asks; zero for a call without a program.
+	// An attempt from before the shard was lost and taken back gets no permission.
+	Epoch root.Epoch
 	// Digest covers the whole request.
 	Digest keeper.Digest
 }
--- a/recorder/machine_test.go
+++ b/recorder/machine_test.go
@@ -49,6 +49,7 @@
 			"misuse":  m.misuse,
 			"lapse":   m.lapse,
 			"bury":    m.bury,
+			"yield":   m.yield,
 			"renew":   func(t *rapid.T) { m.renew(m.host(t)) },
 			"stop":    m.stopAny,
 			"tick":    m.tick,
@@ -308,6 +309,15 @@
 	}
 }
 
+// yield prepares a hand-over that a later claim completes, or not.
+func (m *machine) yield(t *rapid.T) {
+	if rapid.IntRange(0, 11).Draw(t, "yield") == 0 {
+		shard := rapid.SampledFrom(shards).Draw(t, "shard")
+		m.owners[shard].shelf.Yield(shard)
+		m.drain(m.owners[shard])
+	}
+}
+
 // head draws the head that a call names: none, the latest told, or a wrong one.
 func (m *machine) head(t *rapid.T, p *program) *keeper.Head {
 	switch rapid.IntRange(0, 5).Draw(t, "head") {
--- a/recorder/request.go
+++ b/recorder/request.go
@@ -12,7 +12,7 @@
 // *Refusal, all of them not run except the repetition of a call under way.
 func (s *State) Intend(now root.Instant, request Intent) (answer Intended, waiting bool, err error) {
 	t := s.shards[request.Shard]
-	if t == nil || !t.loaded || !t.rebased {
+	if t == nil || !t.loaded || !t.rebased || (request.Epoch != 0 && request.Epoch != t.epoch) {
 		return Intended{}, false, root.Refuse(root.KeeperMoving, s.rules.Retry, "another host keeps the shard's intents")
 	}
 	if i := t.intents[request.Key]; i != nil && !i.free() {
--- a/recorder/world_test.go
+++ b/recorder/world_test.go
@@ -53,7 +53,8 @@
 	deliver func(h *host)
 }
 
-// guard is a record that would be lost with its owner and the peer.
+// guard is a record that the peer holds, and that would be lost with it and its
+// owner once the owner has heard so.
 type guard struct {
 	shard  root.ShardID
 	epoch  root.Epoch
@@ -269,6 +270,9 @@
 		if to.copies.Hold(p, shard, epoch, records) != nil {
 			return
 		}
+		for _, r := range records {
+			w.guarded = append(w.guarded, guard{shard: shard, epoch: r.Epoch, tree: r.Tree, number: r.Number, peer: p})
+		}
 		w.send(from, func(back *host) { w.held(back, shard, p, c.Through) })
 	})
 }
@@ -283,7 +287,6 @@
 		return
 	}
 	for _, r := range box.Held(p, through) {
-		w.guarded = append(w.guarded, guard{shard: shard, epoch: r.Epoch, tree: r.Tree, number: r.Number, peer: p})
 		w.safe(h, r.Tree, r.Epoch, r.Number)
 	}
 }
