--- a/recorder/tenancy.go
+++ b/recorder/tenancy.go
@@ -13,6 +13,14 @@
 	rebased bool
 	based   bool
 	intents map[Key]*intent
+	// waiting lists the intents that were queued, by deadline.
+	waiting []waiter
+}
+
+// waiter is an intent that waits to be recorded.
+type waiter struct {
+	key    Key
+	ticket Ticket
 }
 
 // observe takes over a fresh reading of the log's row and returns the shards
@@ -23,6 +31,7 @@
 		return nil, err
 	}
 	s.version, s.row = row.Version, value
+	s.recent = s.recent[max(0, len(s.recent)-len(value.Segments)):]
 	var events []Event
 	for _, shard := range s.sortedShards() {
 		t := s.shards[shard]
