--- a/follower/committer.go
+++ b/follower/committer.go
@@ -96,31 +96,59 @@
 	switch {
 	case err == nil:
 		return next.change(), nil
-	case errorx.IsOfType(err, sd.Uncertain):
-		return c.settle(ctx, next)
-	case errorx.IsOfType(err, sd.Conflict):
-		if _, stored, readErr := c.read(ctx); readErr == nil {
-			return Change{}, raced(next.Revision-1, stored)
-		}
+	case errorx.IsOfType(err, sd.Uncertain), errorx.IsOfType(err, sd.Conflict):
+		return c.settle(ctx, row, next, err)
 	}
 	return Change{}, err
 }
 
-// settle finds out whether a commit whose answer was lost took effect, from the
-// row of its own revision, which later revisions do not overwrite.
-func (c *Committer) settle(ctx context.Context, next head) (Change, error) {
-	rows, err := c.Table.Read(ctx, changeKey(next.Revision))
-	if err != nil {
-		return Change{}, sd.Uncertain.Wrap(err, "revision %d may have been accepted", next.Revision)
+// settle finds out what became of a commit that ended with cause, from the row of
+// its own revision, which later revisions do not overwrite. Where that row is
+// absent the commit may still be on its way, so settle rewrites the head row: a
+// commit that expects the former version cannot take effect any more.
+func (c *Committer) settle(ctx context.Context, row sd.Row, next head, cause error) (Change, error) {
+	for range maxSettles {
+		rows, err := c.Table.Read(ctx, headKey, changeKey(next.Revision))
+		if err != nil {
+			return Change{}, cause
+		}
+		if rows[1].Version > 0 {
+			return decide(rows[1], next)
+		}
+		if rows[0].Version > row.Version {
+			return Change{}, sd.Unavailable.Wrap(cause, "revision %d was not accepted", next.Revision)
+		}
+		// After a conflict an unchanged head row can only be a stale read.
+		if errorx.IsOfType(cause, sd.Uncertain) && c.fence(ctx, row) == nil {
+			return Change{}, sd.Unavailable.Wrap(cause, "revision %d was not accepted", next.Revision)
+		}
+	}
+	return Change{}, cause
+}
+
+// fence writes the head row again as it is, on condition that it has not changed.
+func (c *Committer) fence(ctx context.Context, row sd.Row) error {
+	value := row.Value
+	if row.Version == 0 {
+		value = []byte("{}")
 	}
+	_, err := c.Table.Commit(ctx, sd.Transaction{
+		Operation: sd.OperationID(sd.RandomText()),
+		Writes:    []sd.Write{{Key: headKey, Expect: row.Version, Value: value}},
+	})
+	return err
+}
+
+// decide tells from the row of a revision whose change it is.
+func decide(row sd.Row, next head) (Change, error) {
 	var stored head
-	if rows[0].Version > 0 && json.Unmarshal(rows[0].Value, &stored) == nil {
-		if stored.Operation == next.Operation {
-			return stored.change(), nil
-		}
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return Change{}, sd.BrokenAnswer.Wrap(err, "row %s does not parse", row.Key)
+	}
+	if stored.Operation != next.Operation {
 		return Change{}, raced(next.Revision-1, stored)
 	}
-	return Change{}, sd.Unavailable.New("revision %d was not accepted: the platform's answer was lost before it took effect", next.Revision)
+	return stored.change(), nil
 }
 
 // read returns the head row and its content.
@@ -138,7 +166,10 @@
 	if err != nil && errorx.IsOfType(err, sd.Uncertain) {
 		err = c.Objects.Put(ctx, object, value)
 	}
-	return err
+	if err != nil {
+		return sd.Unavailable.Wrap(err, "the sheet could not be stored")
+	}
+	return nil
 }
 
 // head is the content of the row "config/head" and of each "change/N" row.
@@ -159,6 +190,7 @@
 const (
 	headKey    sd.RowKey = "config/head"
 	maxUpdates           = 8
+	maxSettles           = 4
 )
 
 // changeKey names the row that keeps one revision's description.
