worker: every Close waits; prove that a group owns its goroutines

Cause: a second Close that ran beside the first returned at once, while goroutines of the group were still running. The house rule asks for Close methods that wait. Weighed: an owner that calls Close from a goroutine of its own group would now block; it did so before on the first Close, and no caller does.

TestEveryCloseWaits failed before ("a Close returned while a goroutine ran") and passes.

--- a/worker/group.go
+++ b/worker/group.go
@@ -17,7 +17,9 @@
 	cancel context.CancelFunc
 	ends   chan End
 	drop   chan struct{}
-	done   chan []End
+	// failed is set before done is closed.
+	failed []End
+	done   chan struct{}
 
 	// mu guards closed and the send of a start.
 	mu     sync.Mutex
@@ -32,7 +34,7 @@
 		ctx: inner, cancel: cancel,
 		ends:   make(chan End),
 		drop:   make(chan struct{}),
-		done:   make(chan []End, 1),
+		done:   make(chan struct{}),
 		starts: make(chan struct{}),
 	}
 	go g.collect()
@@ -60,18 +62,20 @@
 }
 
 // Close cancels the goroutines, waits for all of them and returns the ends that
-// carried an error. A second Close returns nil.
+// carried an error. A second Close waits too and returns nil.
 func (g *Group) Close() []End {
 	g.mu.Lock()
 	if g.closed {
 		g.mu.Unlock()
+		<-g.done
 		return nil
 	}
 	g.closed = true
 	g.mu.Unlock()
 	g.cancel()
 	close(g.drop)
-	return <-g.done
+	<-g.done
+	return g.failed
 }
 
 // collect reads every end and answers Close once all goroutines have returned.
@@ -92,7 +96,8 @@
 			drop = nil
 		}
 	}
-	g.done <- failed
+	g.failed = failed
+	close(g.done)
 }
 
 // maxEnds bounds the failures that a group remembers.
