--- a/keeper/rebuild_test.go
+++ b/keeper/rebuild_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// A call waits for the record of the allotment that covers its worst case.
+func TestAllotmentIsSafeBeforeUse(t *testing.T) {
+	rules := benchRules
+	rules.Chunk = 10
+	shelf := keeper.NewShelf(rules)
+	_ = shelf.Gain(0, shard, 1, nil)
+	status, _ := shelf.Create(0, keeper.Creation{Program: "z.0.a", Workspace: "w", Budget: 1000})
+	shelf.Safe(0, status.Tree, status.Epoch, status.Number)
+	call := keeper.Call{Program: "z.0.a", Workspace: "w", ID: "c", Kind: root.ServiceRoute, Limit: 50}
+	decision, err := shelf.Begin(0, call)
+	if _, waits := decision.(keeper.Queued); !waits || err != nil {
+		t.Fatalf("the call does not wait: %v, %v", decision, err)
+	}
+	status, _ = shelf.Status("z.0.a", "w")
+	if events := shelf.Safe(0, status.Tree, status.Epoch, status.Number); len(events) != 1 {
+		t.Fatalf("the call does not start: %v", events)
+	}
+}
+
 // A peer holds within its bound, and after a seal nothing of earlier owners.
 func TestCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/recorder/state_test.go
+++ b/recorder/state_test.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// An attempt from before the shard was lost and taken back gets no permission.
+func TestIntentOfAnEarlierTenure(t *testing.T) {
+	s, _ := based(t)
+	intent := recorder.Intent{Shard: busy, Epoch: 2, Key: recorder.Key{Workspace: "w", Call: "c"}}
+	if in, waiting, err := s.Intend(now, intent); waiting || err == nil {
+		t.Fatalf("another tenure's attempt gets %v", in)
+	}
+	intent.Epoch = 1
+	if _, waiting, err := s.Intend(now, intent); !waiting || err != nil {
+		t.Fatalf("the tenure's own attempt is refused: %v", err)
+	}
+}
+
 // While the platform is away an intent is refused as not run, and later ones at
 // once; when it answers again the same call may run.
 func TestIntentWhilePlatformAway(t *testing.T) {
