--- a/keeper/safe.go
+++ b/keeper/safe.go
@@ -33,3 +33,8 @@
 		h.closing = false
 	}
 }
+
+// Empty reports whether every record added is durable.
+func (o *Outbox) Empty() bool {
+	return len(o.records) == 0
+}
--- a/launcher/copier.go
+++ b/launcher/copier.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +23,9 @@
 	named keeper.Peer
 
 	// mu guards what follows.
-	mu      sync.Mutex
-	pending []keeper.Record
+	mu sync.Mutex
+	// boxes hold the records of this host's shards that are not durable yet.
+	boxes   map[sd.ShardID]*keeper.Outbox
 	drops   []dropped
 	copies  keeper.Copies
 	failing bool
@@ -33,9 +33,16 @@
 
 // copyMessage carries records to a peer, and which of its copies are durable.
 type copyMessage struct {
-	To      keeper.Peer
+	To    keeper.Peer
+	Parts []copyPart `json:",omitempty"`
+	Drops []dropped  `json:",omitempty"`
+}
+
+// copyPart carries the records of one shard.
+type copyPart struct {
+	Shard   sd.ShardID
+	Through uint64
 	Records []keeper.Record
-	Drops   []dropped
 }
 
 // dropped names copies that are durable.
@@ -63,7 +70,7 @@
 
 // newCopier returns a copier without records.
 func newCopier(h *Host) *copier {
-	return &copier{host: h, wake: make(chan struct{}, 1)}
+	return &copier{host: h, wake: make(chan struct{}, 1), boxes: make(map[sd.ShardID]*keeper.Outbox)}
 }
 
 // register adds the copies' messages to a router.
@@ -82,10 +89,19 @@
 	})
 }
 
-// add queues records for the peer.
+// add queues records for the peer, in the order in which they were made.
 func (c *copier) add(records []keeper.Record) {
 	c.mu.Lock()
-	c.pending = append(c.pending, records...)
+	for i := range records {
+		shard, err := records[i].Tree.Shard()
+		if err != nil {
+			continue
+		}
+		if c.boxes[shard] == nil {
+			c.boxes[shard] = &keeper.Outbox{}
+		}
+		c.boxes[shard].Add(records[i : i+1])
+	}
 	c.mu.Unlock()
 	c.signal()
 }
@@ -93,13 +109,9 @@
 // durable drops records that no longer need a copy.
 func (c *copier) durable(r recorder.Recorded) {
 	c.mu.Lock()
-	kept := c.pending[:0]
-	for _, p := range c.pending {
-		if p.Tree != r.Tree || p.Epoch > r.Epoch || p.Number > r.Number {
-			kept = append(kept, p)
-		}
+	if box := c.boxes[r.Shard]; box != nil {
+		box.Durable(r.Tree, r.Number)
 	}
-	c.pending = kept
 	c.drops = append(c.drops, dropped{Shard: r.Shard, Tree: r.Tree, Epoch: r.Epoch, Number: r.Number})
 	if len(c.drops) > maxDrops {
 		c.drops = c.drops[len(c.drops)-maxDrops:]
@@ -108,6 +120,20 @@
 	c.signal()
 }
 
+// stored reports whether every record of a shard is durable.
+func (c *copier) stored(shard sd.ShardID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.boxes[shard] == nil || c.boxes[shard].Empty()
+}
+
+// lose drops a shard's records: this host is no longer its owner.
+func (c *copier) lose(shard sd.ShardID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.boxes, shard)
+}
+
 // hold keeps a peer's records while this host holds its lease.
 func (c *copier) hold(m copyMessage) error {
 	c.mu.Lock()
@@ -118,13 +144,11 @@
 	for _, d := range m.Drops {
 		c.copies.Drop(d.Shard, d.Tree, d.Epoch, d.Number)
 	}
-	for _, r := range m.Records {
-		shard, err := r.Tree.Shard()
-		if err != nil {
-			return sd.Refuse(sd.BadRequest, 0, "a record names no shard")
-		}
-		if err := c.copies.Hold(m.To, shard, r.Epoch, []keeper.Record{r}); err != nil {
-			return err
+	for _, part := range m.Parts {
+		for i, r := range part.Records {
+			if err := c.copies.Hold(m.To, part.Shard, r.Epoch, part.Records[i:i+1]); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -173,52 +197,56 @@
 	}
 }
 
-// send makes one attempt to copy what is pending. It returns false after a failure.
+// send makes one attempt to copy what the peer does not hold. It returns false
+// after a failure.
 func (c *copier) send(ctx context.Context) bool {
 	c.choosePeer()
-	c.mu.Lock()
-	records := append([]keeper.Record(nil), c.pending...)
-	drops := c.drops
-	c.drops = nil
-	c.mu.Unlock()
-	if len(records) == 0 && len(drops) == 0 {
-		return true
-	}
 	peer, named := c.host.recorder.CopyTo()
 	address, found := c.host.addressOf(peer)
-	if !named || !found {
-		return false
+	message := c.message(peer, named && found)
+	if len(message.Parts) == 0 && len(message.Drops) == 0 {
+		return named && found
 	}
 	attempt, cancel := context.WithTimeout(ctx, copyTimeout.Duration())
 	defer cancel()
-	_, err := messenger.Ask[copyMessage, nothing](attempt, c.host.client, address, "copy", copyMessage{To: peer, Records: records, Drops: drops})
+	_, err := messenger.Ask[copyMessage, nothing](attempt, c.host.client, address, "copy", message)
 	if c.report(err); err != nil {
 		return false
 	}
-	c.settle(records)
+	for _, part := range message.Parts {
+		c.settle(peer, part)
+	}
 	return true
 }
 
-// settle tells what became safe by a copy.
-func (c *copier) settle(records []keeper.Record) {
-	type place struct {
-		tree   sd.ProgramID
-		epoch  sd.Epoch
-		number uint64
+// message collects what the peer does not hold; nothing without a peer.
+func (c *copier) message(peer keeper.Peer, found bool) copyMessage {
+	message := copyMessage{To: peer}
+	if !found {
+		return message
 	}
-	sent := make(map[place]bool, len(records))
-	for _, r := range records {
-		sent[place{tree: r.Tree, epoch: r.Epoch, number: r.Number}] = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for shard, box := range c.boxes {
+		if next, some := box.Next(peer); some {
+			records := append([]keeper.Record(nil), next.Records...)
+			message.Parts = append(message.Parts, copyPart{Shard: shard, Through: next.Through, Records: records})
+		}
 	}
+	message.Drops, c.drops = c.drops, nil
+	return message
+}
+
+// settle tells what became safe by a copy.
+func (c *copier) settle(peer keeper.Peer, part copyPart) {
 	c.mu.Lock()
-	c.pending = slices.DeleteFunc(c.pending, func(r keeper.Record) bool {
-		return sent[place{tree: r.Tree, epoch: r.Epoch, number: r.Number}]
-	})
+	var safe []keeper.Record
+	if box := c.boxes[part.Shard]; box != nil {
+		safe = append(safe, box.Held(peer, part.Through)...)
+	}
 	c.mu.Unlock()
-	for i, r := range records {
-		if i+1 == len(records) || records[i+1].Tree != r.Tree {
-			c.host.performer.Safe(r.Tree, r.Epoch, r.Number)
-		}
+	for _, r := range safe {
+		c.host.performer.Safe(r.Tree, r.Epoch, r.Number)
 	}
 }
 
--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -253,3 +253,35 @@
 		return one.status().Open == 0
 	})
 }
+
+// The end of an answer, with its new head, waits until the head is safe: a host
+// without peers gives it only when the platform has stored it.
+func TestAnswerWaitsUntilSafe(t *testing.T) {
+	r := newRig(t)
+	c := caller{r.start("h1", "z1"), secret}
+	r.settle()
+	program, _ := c.program(t, `{}`)
+	for _, e := range r.engines {
+		e.SetFaults(faker.EngineFaults{Hang: true})
+	}
+	ended := make(chan reply, 1)
+	go func() {
+		answer, _ := c.send("POST", "/v1/chat/completions", hello, "Sapphiredrum-Program", program)
+		ended <- answer
+	}()
+	r.eventually("the call runs", func() bool { return c.host.status().Open == 1 })
+	time.Sleep(200 * time.Millisecond)
+	r.platform.SetFaults(faker.PlatformFaults{Away: true})
+	for _, e := range r.engines {
+		e.SetFaults(faker.EngineFaults{})
+	}
+	select {
+	case answer := <-ended:
+		t.Fatalf("the answer ended while nothing kept it: %s", answer.body)
+	case <-time.After(800 * time.Millisecond):
+	}
+	r.platform.SetFaults(faker.PlatformFaults{})
+	if answer := <-ended; answer.status != http.StatusOK || !strings.Contains(answer.body, "[DONE]") {
+		t.Fatalf("after the outage: %d %s", answer.status, answer.body)
+	}
+}
--- a/launcher/journal.go
+++ b/launcher/journal.go
@@ -34,6 +34,11 @@
 	return j.recorder.Intend(ctx, intent)
 }
 
+// Recall tells what is recorded of an earlier submission of a call.
+func (j *journal) Recall(intent recorder.Intent) (recorder.Intended, bool, error) {
+	return j.recorder.Recall(intent)
+}
+
 // Settle records what came of an intended call.
 func (j *journal) Settle(intent recorder.Intent, ticket recorder.Ticket, outcome sd.Outcome, answer string) {
 	j.recorder.Settle(intent, ticket, outcome, answer)
@@ -54,5 +59,6 @@
 		j.takeovers.based(e.Tenure)
 	case recorder.Lost:
 		j.performer.Lose(e.Tenure.Shard)
+		j.copier.lose(e.Tenure.Shard)
 	}
 }
--- a/launcher/takeovers.go
+++ b/launcher/takeovers.go
@@ -78,6 +78,7 @@
 		delete(t.yielding, e.Shard)
 		t.mu.Unlock()
 		t.host.performer.Lose(e.Shard)
+		t.host.copier.lose(e.Shard)
 		group.Go("lose", func(ctx context.Context) error { t.host.admitter.Lose(ctx, e.Shard); return nil })
 	case leaser.Asked:
 		t.mu.Lock()
@@ -103,7 +104,7 @@
 }
 
 // try loads a shard once: what is durable, then the copies of the peers that its
-// former owner's log names. A peer that the zone no longer lists holds nothing.
+// former owner's log names. A peer whose lease has lapsed holds nothing.
 func (t *takeovers) try(ctx context.Context, gained leaser.Gained) error {
 	attempt, cancel := context.WithTimeout(ctx, restoreTimeout.Duration())
 	defer cancel()
@@ -139,8 +140,11 @@
 		return t.host.copier.seal(peer, gained.Shard, gained.Epoch), nil
 	}
 	address, found := t.host.addressOf(peer)
-	if !found {
+	switch {
+	case !found && t.host.leaser.Gone(peer.Host, peer.Incarnation, peer.Lease):
 		return nil, nil
+	case !found:
+		return nil, sd.Unavailable.New("peer %s is not known to be gone", peer.Host)
 	}
 	message := sealMessage{Peer: peer, Shard: gained.Shard, Epoch: gained.Epoch}
 	answer, err := messenger.Ask[sealMessage, sealAnswer](ctx, t.host.client, address, "seal", message)
@@ -176,7 +180,7 @@
 			delete(t.yielding, shard)
 			t.host.leaser.Retract(shard)
 			t.host.performer.Reopen(shard)
-		case !released && t.host.performer.Yield(shard):
+		case !released && t.host.performer.Yield(shard) && t.host.copier.stored(shard):
 			t.yielding[shard] = true
 			t.host.outside.Log.Info("shard handed over", zap.Int("event", eventHandOver), zap.Stringer("shard", shard))
 			t.host.leaser.Release(shard)
--- a/leaser/deadline.go
+++ b/leaser/deadline.go
@@ -51,3 +51,17 @@
 	now := r.clock.Now()
 	return r.state.lease.epoch, r.state.Deadline(now) > now
 }
+
+// Gone reports whether the given lease of a zone peer is known to have ended: the
+// peer's row shows it as lapsed, another lease or process, or no row was seen in
+// scans that are at least as new as this host's own lease.
+func (r *Runner) Gone(host sapphiredrum.HostID, incarnation sapphiredrum.Incarnation, lease sapphiredrum.Epoch) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	entry, found := r.state.view.hosts[host]
+	if !found {
+		now := r.clock.Now()
+		return r.state.Reaches(now) && now.Since(r.state.reach.since) >= 2*r.state.settings.Scan
+	}
+	return entry.row.Lapsed || entry.row.Incarnation != incarnation || entry.row.Epoch != lease
+}
--- a/performer/call.go
+++ b/performer/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/granter"
@@ -18,6 +19,34 @@
 	if err != nil {
 		return err
 	}
+	err = p.attempt(ctx, request, call, send)
+	if call.Kind == sd.ServiceRoute && !call.Idempotent {
+		return p.recall(call, err)
+	}
+	return err
+}
+
+// recall corrects a refusal that says "not run" of a call that an earlier
+// submission may have run.
+func (p *Performer) recall(call keeper.Call, err error) error {
+	var refusal *sd.Refusal
+	if !errors.As(err, &refusal) || refusal.Outcome != sd.NotRun {
+		return err
+	}
+	intended, found, conflict := p.parts.Journal.Recall(intentOf(call))
+	if conflict != nil {
+		return conflict
+	}
+	if !found || intended.Outcome == sd.NotRun {
+		return err
+	}
+	corrected := *refusal
+	corrected.Outcome = intended.Outcome
+	return &corrected
+}
+
+// attempt runs a call once its request was understood.
+func (p *Performer) attempt(ctx context.Context, request sd.CallRequest, call keeper.Call, send Send) error {
 	if !p.parts.Journal.Ready() {
 		return unsafe()
 	}
--- a/performer/exchange.go
+++ b/performer/exchange.go
@@ -71,11 +71,8 @@
 	if request.Route.Idempotent {
 		return charge(p.serve(ctx, request, seek), request.Route)
 	}
-	shard, _ := call.Program.Shard()
-	intent := recorder.Intent{
-		Key:   recorder.Key{Workspace: call.Workspace, Program: call.Program, Call: call.ID},
-		Shard: shard, Digest: call.Digest,
-	}
+	intent := intentOf(call)
+	intent.Epoch = start.Attempt.Epoch
 	intended, err := p.parts.Journal.Intend(ctx, intent)
 	if err != nil {
 		return ended{refusal: refusalOf(err)}
@@ -88,6 +85,15 @@
 	return charge(done, request.Route)
 }
 
+// intentOf names a call that must run at most once.
+func intentOf(call keeper.Call) recorder.Intent {
+	shard, _ := call.Program.Shard()
+	return recorder.Intent{
+		Key:   recorder.Key{Workspace: call.Workspace, Program: call.Program, Call: call.ID},
+		Shard: shard, Digest: call.Digest,
+	}
+}
+
 // charge adds the cost of a call that ran or may have run.
 func charge(done ended, route sd.Route) ended {
 	if done.refusal == nil || done.refusal.Outcome != sd.NotRun {
--- a/performer/performer.go
+++ b/performer/performer.go
@@ -37,6 +37,8 @@
 	Ready() bool
 	// Intend records that a call is about to run. Only a fresh answer permits it.
 	Intend(ctx context.Context, intent recorder.Intent) (recorder.Intended, error)
+	// Recall tells what is recorded of an earlier submission of a call.
+	Recall(intent recorder.Intent) (intended recorder.Intended, found bool, err error)
 	// Settle records what came of a call that Intend permitted.
 	Settle(intent recorder.Intent, ticket recorder.Ticket, outcome sd.Outcome, answer string)
 }
