leaser: no island rule after a pause; hand-over by an urgent beat; refresh

A hole in the island rule, found while reading a failing trace: a host that pauses within its lease finds old beats waiting, or hears only then of a peer that has long reached the platform, and took TTL/3 more than it had. A pause of more than TTL/5 since the last renewal now forbids to go on past the lease. A leaving host keeps its shards while it can't reach the table.

--- a/leaser/doc.go
+++ b/leaser/doc.go
@@ -45,7 +45,8 @@
 // asks its process to finish with a shard that another host is preferred for
 // (Asked), at most a few at a time, and then releases it: the row names nobody
 // and keeps its epoch, and the next owner claims it without waiting. A leaving
-// host releases all its shards and then deletes its row.
+// host releases all its shards and then deletes its row; while it can't reach
+// the table, it keeps them.
 //
 // # Island rule
 //
@@ -53,8 +54,12 @@
 // shards while it hears a zone peer, or is the only host registered in its
 // zone, and nobody it hears reaches the platform. Once a peer is heard that
 // does, the host has TTL/3 to renew, directly or relayed by that peer. A host
-// that has peers and hears none stops when its lease ends. A host that stopped
-// holds nothing until a renewal succeeds, whatever it hears.
+// that has peers and hears none stops when its lease ends, and so does one whose
+// process paused for more than TTL/5 since its last renewal: what it finds waiting
+// may be old, and it may hear late of a peer that reaches the platform. A host that stopped
+// holds nothing until a renewal succeeds, whatever it hears. So a platform that
+// comes back for a moment only, too short to renew in, can make hosts stop; they
+// gain their shards again, under the same epochs, once they can renew.
 //
 // The rule assumes that a zone isn't split within itself: a running host that
 // reaches the platform is heard by each running host of its zone within TTL/3.
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -33,9 +33,14 @@
 	reachedAt sapphiredrum.Instant
 }
 
-// gap is the longest silence that counts as uninterrupted: between answers of
-// the table, beats of a peer and calls of this state. A request without an
-// answer for so long is given up.
+// pauseShare is the part of TTL beyond which a pause of the process forbids to go
+// on past the lease. With the silence that a peer's beats may have (a third) and
+// the time to renew (a third) it must stay below one TTL.
+const pauseShare = 5
+
+// gap is the longest silence that counts as uninterrupted, between answers of the
+// table and between beats of a peer. A request without an answer for so long is
+// given up.
 func (s *State) gap() sapphiredrum.Millis {
 	return s.settings.TTL / 3
 }
@@ -54,6 +59,7 @@
 // platform only while the time that this host watches rows runs.
 func (s *State) Beat(now sapphiredrum.Instant) Beat {
 	s.beats++
+	s.told = s.released
 	return Beat{
 		Host: s.settings.Host, Zone: s.settings.Zone, Address: s.settings.Address,
 		Incarnation: s.settings.Incarnation, Number: s.beats,
@@ -61,6 +67,12 @@
 	}
 }
 
+// Urgent reports whether a beat should go out at once, since a shard was
+// released after the last one.
+func (s *State) Urgent() bool {
+	return s.released > s.told
+}
+
 // Hear takes a heartbeat of a zone peer.
 func (s *State) Hear(now sapphiredrum.Instant, beat Beat) {
 	s.advance(now)
@@ -82,8 +94,20 @@
 	}
 }
 
-// advance moves the state to now: it ends the lease when its time has come.
+// Refresh asks for a scan before its time, for a caller that found a shard's
+// owner changed; scans stay a quarter of Scan apart.
+func (s *State) Refresh(now sapphiredrum.Instant) {
+	for _, c := range []*scan{&s.view.hostScan, &s.view.shardScan} {
+		c.next = min(c.next, max(now, c.lane.sent.Add(s.settings.Scan/4)))
+	}
+}
+
+// advance moves the state to now: it notes a pause of the process and ends the
+// lease when its time has come.
 func (s *State) advance(now sapphiredrum.Instant) {
+	if now.Since(s.last) > s.settings.TTL/pauseShare {
+		s.resumed = now
+	}
 	if s.lease.registered && !s.lease.stopped && now >= s.lease.sent.Add(s.settings.TTL) && !s.island(now) {
 		s.lease.stopped = true
 		s.reconcile()
@@ -98,7 +122,7 @@
 
 // island reports whether the island rule lets the host go on past its lease.
 func (s *State) island(now sapphiredrum.Instant) bool {
-	if now.Since(s.last) > s.gap() {
+	if s.resumed > s.lease.sent {
 		return false
 	}
 	if s.Reaches(now) && now.Since(s.reach.since) >= s.gap() {
--- a/leaser/plan.go
+++ b/leaser/plan.go
@@ -116,11 +116,16 @@
 }
 
 // releases returns the writes that give up the shards that are ready to move.
+// While the table is out of reach, the host keeps them.
 func (s *State) releases(now sapphiredrum.Instant) []sapphiredrum.Write {
 	var writes []sapphiredrum.Write
+	_, relays := s.relayPeer(now, 0)
+	if !s.Reaches(now) && !relays {
+		return nil
+	}
 	for n := range s.holds {
 		h := &s.holds[n]
-		if !s.mine(n) || !s.leaving && (!h.asked || !s.Reaches(now)) {
+		if !s.mine(n) || !s.leaving && !h.asked {
 			continue
 		}
 		ready := h.ready || !h.told || now >= h.askedAt.Add(s.settings.Grace)
--- a/leaser/runner.go
+++ b/leaser/runner.go
@@ -5,25 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"sapphiredrum.example/sapphiredrum"
 )
 
-// Relay sends table work to a zone peer, which does it with Perform. Its errors
-// are those of sapphiredrum.Table: Unavailable only if the peer certainly did
-// nothing.
-type Relay interface {
-	Relay(ctx context.Context, address sapphiredrum.Address, work Relayed) (Result, error)
-}
-
-// Result is the answer to Relayed work.
-type Result struct {
-	Rows     []sapphiredrum.Row
-	Sequence sapphiredrum.Sequence
-}
-
 // Runner runs a State: it performs the requests and delivers the events. All
 // methods may be called from any goroutine.
 type Runner struct {
@@ -44,6 +30,7 @@
 	wake   chan struct{}
 	ready  chan struct{}
 	events chan Event
+	urgent chan struct{}
 	// stop ends Run, started tells that it began and done that it has ended.
 	stop    context.CancelFunc
 	ctx     context.Context
@@ -62,7 +49,7 @@
 	return &Runner{
 		table: table, clock: clock, logger: logger, relay: relay, limit: settings.TTL / 3,
 		state: New(settings, clock.Now()),
-		wake:  make(chan struct{}, 1), ready: make(chan struct{}, 1), events: make(chan Event),
+		wake:  make(chan struct{}, 1), ready: make(chan struct{}, 1), events: make(chan Event), urgent: make(chan struct{}, 1),
 		stop: stop, ctx: ctx, started: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -73,6 +60,12 @@
 	return r.events
 }
 
+// Urgent returns a channel that tells when a beat should go out at once, since a
+// shard was released: the next owner then claims it without waiting for a scan.
+func (r *Runner) Urgent() <-chan struct{} {
+	return r.urgent
+}
+
 // Run works until ctx is done or Close is called. It returns nil then.
 func (r *Runner) Run(ctx context.Context) error {
 	first := false
@@ -172,6 +165,15 @@
 	r.nudge(r.wake)
 }
 
+// Refresh asks for a scan before its time, for a caller that found a shard's
+// owner changed.
+func (r *Runner) Refresh() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.state.Refresh(r.clock.Now())
+	r.nudge(r.wake)
+}
+
 // Leave starts the hand-over of all shards.
 func (r *Runner) Leave() {
 	r.mutex.Lock()
@@ -189,16 +191,6 @@
 	return r.state.Drained()
 }
 
-// Perform does relayed work at the host that reaches the table.
-func Perform(ctx context.Context, table sapphiredrum.Table, work Relayed) (Result, error) {
-	if len(work.Keys) > 0 {
-		rows, err := table.Read(ctx, work.Keys...)
-		return Result{Rows: rows}, err
-	}
-	sequence, err := table.Commit(ctx, work.Transaction)
-	return Result{Sequence: sequence}, err
-}
-
 // tick asks the state for due requests and queues its events.
 func (r *Runner) tick() []Request {
 	r.mutex.Lock()
@@ -213,53 +205,11 @@
 	return requests
 }
 
-// perform does one request and hands its answer to the state.
-func (r *Runner) perform(ctx context.Context, request Request) {
-	ctx, cancel := context.WithTimeout(ctx, r.limit.Duration())
-	defer cancel()
-	var result Result
-	var err error
-	switch q := request.(type) {
-	case ChangesRequest:
-		result.Rows, result.Sequence, err = r.table.Changes(ctx, q.Prefix, q.After)
-	case ReadRequest:
-		result.Rows, err = r.table.Read(ctx, q.Keys...)
-	case CommitRequest:
-		result.Sequence, err = r.table.Commit(ctx, q.Transaction)
-	case RelayRequest:
-		if r.relay == nil {
-			err = sapphiredrum.Unavailable.New("no relay")
-			break
-		}
-		r.logger.Info("request relayed by a peer", zap.Int("event", EventRelay), zap.String("peer", string(q.Peer)))
-		result, err = r.relay.Relay(ctx, q.Address, q.Work)
-	}
-	status := statusOf(err)
-	if status != Done {
-		r.logger.Warn("request failed", zap.Int("event", EventFailure), zap.Error(err))
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	defer r.collect()
-	r.state.Handle(r.clock.Now(), Reply{ID: request.request(), Status: status, Rows: result.Rows, Sequence: result.Sequence})
-	r.nudge(r.wake)
-}
-
-// statusOf maps the errors of sapphiredrum.Table; any other counts as uncertain.
-func statusOf(err error) Status {
-	switch {
-	case err == nil:
-		return Done
-	case errorx.IsOfType(err, sapphiredrum.Unavailable):
-		return Unavailable
-	case errorx.IsOfType(err, sapphiredrum.Conflict):
-		return Conflict
-	}
-	return Uncertain
-}
-
 // collect moves the state's events to the queue; the mutex is held.
 func (r *Runner) collect() {
+	if r.state.Urgent() {
+		r.nudge(r.urgent)
+	}
 	events := r.state.Events()
 	if len(events) == 0 {
 		return
--- a/leaser/state.go
+++ b/leaser/state.go
@@ -14,8 +14,9 @@
 	place    placement
 	// lastID is the last request's id.
 	lastID RequestID
-	// last is the time of the last call.
-	last sapphiredrum.Instant
+	// last is the time of the last call, resumed that of the last pause's end.
+	last    sapphiredrum.Instant
+	resumed sapphiredrum.Instant
 
 	reach  reach
 	lease  lease
@@ -26,8 +27,9 @@
 
 	holds  [sapphiredrum.ShardsPerZone]hold
 	events []Event
-	// released is the last commit that released a shard.
+	// released is the last commit that released a shard, told that of the last beat.
 	released sapphiredrum.Sequence
+	told     sapphiredrum.Sequence
 	beats    uint64
 	leaving  bool
 	drained  bool
