--- a/admitter/zones_test.go
+++ b/admitter/zones_test.go
@@ -68,7 +68,7 @@
 		h.address = sd.Address(strings.TrimPrefix(server.URL, "http://"))
 		w.hosts = append(w.hosts, h)
 		h.Renew(far)
-		h.Gain(account, 1, true)
+		h.Gain(account, 1)
 		h.Configure(w.config)
 	}
 	for _, h := range w.hosts {
