--- a/leaser/fuzz_test.go
+++ b/leaser/fuzz_test.go
@@ -95,12 +95,18 @@
 	}
 	if staying == 0 {
 		w.start(w.nodes[0])
+		staying = 1
 	}
 	w.run(t, int64(3*testTTL)+45000)
+	counts := map[sapphiredrum.HostID]int{}
 	for i, nodes := range w.held() {
 		if len(nodes) != 1 {
 			t.Fatalf("%d: shard %d is held by %d hosts after a quiet spell", w.time, i, len(nodes))
 		}
+		counts[nodes[0].name]++
+		if counts[nodes[0].name] > (sapphiredrum.ShardsPerZone+staying-1)/staying {
+			t.Fatalf("%d: %s holds more than its part of %d", w.time, nodes[0].name, staying)
+		}
 		for _, n := range w.nodes {
 			if n.state == nil || n.state.Drained() {
 				continue
--- a/leaser/world_test.go
+++ b/leaser/world_test.go
@@ -26,6 +26,8 @@
 	queue  []message
 	// down, slow and lossy are faults of the table.
 	down, slow, lossy bool
+	// slowed is when the table was last slow.
+	slowed int64
 	// outages are [from, to) of the table, cuts of the zone included.
 	outages [][2]int64
 	// split lets every second host hear only its like.
@@ -115,6 +117,9 @@
 func (w *world) step() {
 	w.time += w.pace
 	w.steps++
+	if w.slow {
+		w.slowed = w.time
+	}
 	due := w.queue
 	w.queue = nil
 	slices.SortStableFunc(due, func(a, b message) int { return int(a.at - b.at) })
@@ -242,7 +247,7 @@
 	}
 	for _, o := range w.outages {
 		seen := int64(testScan) + 600
-		if n.resumed > o[0] || w.slow {
+		if n.resumed > o[0] || w.slowed > o[0]-int64(testTTL) {
 			seen = int64(testTTL)/3 + 4600
 		}
 		if o[1]-o[0] >= seen && o[0] < decided && decided-o[1] < int64(testTTL)*95/100 {
