--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/faker"
+	"sapphiredrum.example/sapphiredrum/follower"
 )
 
 // actions are the steps of the test.
@@ -86,3 +92,45 @@
 		f.check(t)
 	})
 }
+
+// Operators who change the sheet all at once lose no change: the sheet in force
+// holds exactly what was acknowledged.
+func TestOperatorsTogether(t *testing.T) {
+	platform := faker.NewPlatform(sd.Clock{})
+	committer := &follower.Committer{Table: platform, Objects: platform}
+	acknowledged := make(chan sd.WorkspaceID, operators*hosts*keys)
+	var all sync.WaitGroup
+	for i := range operators * hosts {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for j := range keys {
+				id := sd.WorkspaceID(fmt.Sprint("desk-", i, "-", j))
+				_, err := committer.Update(context.Background(), "operator", string(id), func(sheet *sd.Sheet) error {
+					sheet.Workspaces = append(sheet.Workspaces, sd.Workspace{ID: id})
+					return nil
+				})
+				switch {
+				case err == nil:
+					acknowledged <- id
+				case !is(err, sd.Conflict):
+					t.Errorf("%s: %v", id, err)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	close(acknowledged)
+	var want, got []sd.WorkspaceID
+	for id := range acknowledged {
+		want = append(want, id)
+	}
+	head, sheet, err := committer.Head(context.Background())
+	for _, w := range sheet.Workspaces {
+		got = append(got, w.ID)
+	}
+	sorted := cmpopts.SortSlices(func(a, b sd.WorkspaceID) bool { return a < b })
+	if diff := cmp.Diff(want, got, sorted); diff != "" || err != nil || int(head.Revision) != len(want) {
+		t.Fatalf("revision %d, %v: %s", head.Revision, err, diff)
+	}
+}
