server, operator: keys in our own headers, withdrawn keys in old sheets; ports of tests

Found by TestKeyGoesNoFurther of package server (red before, 13 cases): a key in Sapphiredrum-Call reached targets as part of the stream's name. Found by reading: an old sheet made a withdrawn key valid again; apply refuses it (TestWithdrawnKeyStaysWithdrawn). Flaky and explained: six hosts 'never ready' twice; a host could not listen, since an outgoing connection had taken its port between choice and use. Tests take ports below that range now. launcher: beats go out at once after a release, forwards that meet a moved shard ask for news, sweepers hear the table's epochs.

--- a/cmd/sapphiredrum/process_test.go
+++ b/cmd/sapphiredrum/process_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -196,14 +197,22 @@
 	f.t.Fatalf("never happened: %s", what)
 }
 
+// ports counts the ports given to hosts.
+var ports atomic.Int64
+
 func free(t *testing.T) sd.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	// Ports below the range from which outgoing connections get theirs: none of
+	// these takes the port between this check and its use.
+	for port := 15000 + int(ports.Add(1)); port < 32000; port = 15000 + int(ports.Add(1)) {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = listener.Close()
+			return sd.Address(listener.Addr().String())
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return sd.Address(listener.Addr().String())
+	t.Fatal("no port is free")
+	return ""
 }
 
 func status(address sd.Address, path string) int {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,8 @@
 	Client  *messenger.Client
 	Config  func() *follower.Config
 	Clock   sd.Clock
+	// Refresh asks for news of the shards' owners.
+	Refresh func()
 }
 
 // Forwarder implements sd.Calls.
@@ -208,6 +210,7 @@
 		if !moving(err) {
 			return atMost(err, outcome)
 		}
+		f.Parts.Refresh()
 		if f.Parts.Clock.Now().Add(wait) > end || !pause(ctx, wait) {
 			return &sd.Refusal{Reason: sd.KeeperAway, Outcome: outcome, RetryAfter: sd.Second, Detail: "no host keeps the program at the moment"}
 		}
--- a/granter/cells.go
+++ b/granter/cells.go
@@ -22,6 +22,8 @@
 	reads int
 	// sweeper decides on the release of an engine's memory; nil for services.
 	sweeper *sweeper.State
+	// held are the programs of the latest report that lists them.
+	held []sd.ProgramID
 }
 
 // tick opens and closes cells as shards come and go, and lets all decide.
@@ -174,6 +176,7 @@
 	if p.sweeper != nil {
 		if whole {
 			p.sweeper.Load(now, load)
+			p.held = load.Programs
 		}
 		p.sweeper.Cache(now, events)
 	}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -25,6 +25,8 @@
 	// host.
 	Client *messenger.Client
 	Keeper Keeper
+	// Newest returns the epoch of a shard's owner as the table tells it.
+	Newest func(shard sd.ShardID) (sd.Epoch, bool)
 }
 
 // Granter guards the cells of the shards that this host holds. New makes one.
--- a/granter/sweep.go
+++ b/granter/sweep.go
@@ -66,6 +66,13 @@
 	if g.cells[p.cell] == nil || p.sweeper == nil {
 		return nil
 	}
+	for _, program := range p.held {
+		if shard, err := program.Shard(); err == nil {
+			if newest, known := g.parts.Newest(shard); known {
+				p.sweeper.Owner(g.parts.Clock.Now(), shard, newest)
+			}
+		}
+	}
 	return p.sweeper.Tick(g.parts.Clock.Now(), sweeper.Guard{Epoch: p.epoch, Holds: held && epoch == p.epoch})
 }
 
--- a/launcher/beats.go
+++ b/launcher/beats.go
@@ -78,6 +78,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-b.runner.Urgent():
 		}
 	}
 }
--- a/launcher/host.go
+++ b/launcher/host.go
@@ -112,7 +112,7 @@
 	h.granter = granter.New(granter.Parts{
 		Zone: h.settings.Zone, Locator: locator{runner: h.leaser}, Config: h.follower.Current,
 		Leaving: h.members.Leaving, Targets: h.outside.Targets, Clock: h.outside.Clock,
-		Client: h.client, Keeper: lives{host: h},
+		Client: h.client, Keeper: lives{host: h}, Newest: h.newest,
 	})
 }
 
@@ -144,7 +144,7 @@
 	h.forwarder = &forwarder.Forwarder{
 		Parts: forwarder.Parts{
 			Zone: h.settings.Zone, Locator: locator{runner: h.leaser}, Local: h.performer,
-			Client: h.client, Config: h.follower.Current, Clock: h.outside.Clock,
+			Client: h.client, Config: h.follower.Current, Clock: h.outside.Clock, Refresh: h.leaser.Refresh,
 		},
 		Settings: forwardSettings(h.settings),
 	}
--- a/launcher/lives.go
+++ b/launcher/lives.go
@@ -29,3 +29,9 @@
 	}
 	return epoch, answers
 }
+
+// newest returns the epoch of a shard's owner as this host last scanned it.
+func (h *Host) newest(shard sd.ShardID) (sd.Epoch, bool) {
+	owner, found := h.leaser.Owner(shard)
+	return owner.Epoch, found
+}
--- a/launcher/path_test.go
+++ b/launcher/path_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -193,14 +194,22 @@
 	r.t.Fatalf("never happened: %s", what)
 }
 
+// ports counts the ports given to hosts.
+var ports atomic.Int64
+
 func freePort(t testing.TB) sd.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	// Ports below the range from which outgoing connections get theirs: none of
+	// these takes the port between this check and its use.
+	for port := 20000 + int(ports.Add(1)); port < 32000; port = 20000 + int(ports.Add(1)) {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = listener.Close()
+			return sd.Address(listener.Addr().String())
+		}
 	}
-	defer listener.Close()
-	return sd.Address(listener.Addr().String())
+	t.Fatal("no port is free")
+	return ""
 }
 
 // reply is an HTTP answer as a caller sees it.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -77,6 +77,9 @@
 		fmt.Fprintf(d.Output, "nothing to change: revision %d is the same\n", head.Revision)
 		return nil
 	}
+	if err := keepsWithdrawals(current, sheet); err != nil {
+		return err
+	}
 	change, err := d.Committer.Commit(ctx, sd.Revision(basis), sheet, d.Author, note)
 	if err != nil {
 		return err
@@ -85,6 +88,23 @@
 	return nil
 }
 
+// keepsWithdrawals refuses a sheet that makes a withdrawn key valid again, as an
+// export from before the withdrawal would.
+func keepsWithdrawals(current, next sd.Sheet) error {
+	withdrawn := make(map[string]sd.KeyID)
+	for _, k := range current.Keys {
+		if k.Withdrawn {
+			withdrawn[k.Digest] = k.ID
+		}
+	}
+	for _, k := range next.Keys {
+		if id, found := withdrawn[k.Digest]; found && !k.Withdrawn {
+			return BadSheet.New("the sheet makes key %s valid again, which was withdrawn; issue a new key instead", id)
+		}
+	}
+	return nil
+}
+
 // Show prints the sheet in force.
 func (d *Desk) Show(ctx context.Context) error {
 	head, sheet, err := d.Committer.Head(ctx)
--- a/server/callers.go
+++ b/server/callers.go
@@ -189,6 +189,9 @@
 		Call:    sd.CallID(header.Get(callHeader)),
 		Head:    header.Get(headHeader),
 	}
+	if repeats(string(request.Call), secret) || repeats(string(request.Program), secret) || repeats(request.Head, secret) {
+		return request, false, sd.Refuse(sd.BadRequest, 0, "a header repeats the caller's key")
+	}
 	if len(request.Call) > maxCallID {
 		return request, false, sd.Refuse(sd.BadRequest, 0, callHeader+" is too long")
 	}
