--- a/launcher/path_test.go
+++ b/launcher/path_test.go
@@ -316,6 +316,12 @@
 		t.Fatalf("stream: done %v, text %q want %q, head %q", done, text, want, next)
 	}
 
+	repeated := first.must(t, 200, "POST", "/v1/chat/completions", hello,
+		"Sapphiredrum-Program", program, "Sapphiredrum-Head", head, "Sapphiredrum-Call", "c1")
+	if same, still, whole := events(t, repeated.body); same != text || still != next || !whole {
+		t.Fatalf("asked again: %q with head %q, before %q with %q", same, still, text, next)
+	}
+
 	booked := second.must(t, 200, "POST", "/courier", `{"to":"Kranj"}`,
 		"Sapphiredrum-Program", program, "Sapphiredrum-Head", next, "Sapphiredrum-Call", "c2")
 	again := first.must(t, 200, "POST", "/courier", `{"to":"Kranj"}`,
