--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -110,7 +110,7 @@
 			return sd.Refuse(sd.RateExceeded, verdict.RetryAfter, "the workspace is beyond its rate and burst")
 		}
 		wait := min(max(verdict.RetryAfter, sd.Millisecond), retryPause)
-		if a.parts.Clock.Now().Add(wait) > deadline || !pause(ctx, wait) {
+		if a.parts.Clock.Now().Add(wait) > deadline || !worker.Pause(ctx, wait) {
 			return sd.Refuse(sd.KeeperAway, max(verdict.RetryAfter, retryPause), "the workspace's account is moving to another host")
 		}
 	}
@@ -228,18 +228,6 @@
 	return messenger.Ask[limiter.Ask, limiter.Grant](attempt, a.parts.Client, address, "lend", ask)
 }
 
-// pause waits and reports whether ctx still runs.
-func pause(ctx context.Context, wait sd.Millis) bool {
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 const (
 	// askTimeout bounds a question to another host.
 	askTimeout = 400 * sd.Millisecond
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/joomcode/errorx"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/worker"
 )
 
 // Settings bound the retries of a call on one target.
@@ -113,14 +113,7 @@
 	}
 	wait := min(d.Settings.Backoff<<(attempt-1), d.Settings.Limit)
 	wait = wait/2 + sd.Millis(d.Draw(int(wait/2)+1))
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return worker.Pause(ctx, wait)
 }
 
 // cancel tells an engine to stop a stream, also when the call's context has ended.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"sapphiredrum.example/sapphiredrum/follower"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/performer"
+	"sapphiredrum.example/sapphiredrum/worker"
 )
 
 // Settings bound what a Forwarder waits for.
@@ -211,7 +212,7 @@
 			return atMost(err, outcome)
 		}
 		f.Parts.Refresh()
-		if f.Parts.Clock.Now().Add(wait) > end || !pause(ctx, wait) {
+		if f.Parts.Clock.Now().Add(wait) > end || !worker.Pause(ctx, wait) {
 			return &sd.Refusal{Reason: sd.KeeperAway, Outcome: outcome, RetryAfter: sd.Second, Detail: "no host keeps the program at the moment"}
 		}
 	}
@@ -269,18 +270,6 @@
 	return &sd.Refusal{Reason: sd.KeeperAway, Outcome: sd.Unknown, RetryAfter: sd.Second, Detail: "the host that kept the program was lost during the call"}
 }
 
-// pause waits and reports whether ctx still runs.
-func pause(ctx context.Context, wait sd.Millis) bool {
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 const (
 	firstWait   = 20 * sd.Millisecond
 	longestWait = 500 * sd.Millisecond
--- a/granter/seeker.go
+++ b/granter/seeker.go
@@ -68,7 +68,7 @@
 			return answer.Permit, nil
 		}
 		refusal := refusalOf(err)
-		if refusal.Reason != sd.KeeperMoving || s.clock.Now().Add(movePause) > patience || !pause(ctx, movePause) {
+		if refusal.Reason != sd.KeeperMoving || s.clock.Now().Add(movePause) > patience || !worker.Pause(ctx, movePause) {
 			return Permit{}, refusal
 		}
 	}
@@ -144,7 +144,7 @@
 					return nil
 				}
 			}
-			if !pause(attempt, movePause) {
+			if !worker.Pause(attempt, movePause) {
 				return nil
 			}
 		}
@@ -204,18 +204,6 @@
 	return sd.Refuse(sd.KeeperMoving, movePause, "the target's guard does not answer")
 }
 
-// pause waits and reports whether ctx still runs.
-func pause(ctx context.Context, wait sd.Millis) bool {
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 const (
 	// guardPatience bounds the wait for a guard that is on its way.
 	guardPatience = 2 * sd.Second
--- a/launcher/takeovers.go
+++ b/launcher/takeovers.go
@@ -99,7 +99,7 @@
 		if errorx.IsOfType(err, recorder.Overtaken) {
 			return
 		}
-		pause(ctx, restoreRest)
+		worker.Pause(ctx, restoreRest)
 	}
 }
 
@@ -195,16 +195,6 @@
 	return t.held[gained.Shard] == gained.Epoch
 }
 
-// pause waits or returns when ctx ends.
-func pause(ctx context.Context, wait sd.Millis) {
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 const (
 	yieldStep      = 20 * sd.Millisecond
 	restoreRest    = 100 * sd.Millisecond
