--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -285,3 +285,32 @@
 		t.Fatalf("after the outage: %d %s", answer.status, answer.body)
 	}
 }
+
+// A turn that only its copy at a zone peer has kept outlives its keeper: the
+// platform was away when it was acknowledged, and the keeper never came back.
+func TestCopiedTurnSurvivesKeeper(t *testing.T) {
+	r := newRig(t)
+	hosts := []*running{r.start("h1", "z1"), r.start("h2", "z1")}
+	r.settle()
+	program, _ := caller{hosts[0], secret}.program(t, `{}`)
+	owner, peer := hosts[0], hosts[1]
+	if !owner.host.Keeps(sd.ProgramID(program)) {
+		owner, peer = peer, owner
+	}
+	time.Sleep(300 * time.Millisecond)
+	r.platform.SetFaults(faker.PlatformFaults{Away: true})
+	answer := caller{owner, secret}.must(t, 200, "POST", "/v1/chat/completions", hello, "Sapphiredrum-Program", program)
+	text, head, _ := events(t, answer.body)
+	r.network.isolate(owner.settings.Peer)
+	r.platform.SetFaults(faker.PlatformFaults{})
+	var next reply
+	r.eventually("the peer goes on from the copied head", func() bool {
+		next, _ = caller{peer, secret}.send("POST", "/v1/chat/completions", hello, "Sapphiredrum-Program", program, "Sapphiredrum-Head", head)
+		return next.status != 0 && next.status != http.StatusServiceUnavailable
+	})
+	history := []sd.Message{{Role: "user", Content: "hello"}, {Role: faker.Role, Content: text}, {Role: "user", Content: "hello"}}
+	if got, _, done := events(t, next.body); !done || got != faker.Text(history, 8) {
+		t.Fatalf("after the takeover: %d %s", next.status, next.body)
+	}
+	r.network.heal()
+}
