forwarder: a keeper that falls silent counts as lost after 3 s

Cause: TestCopiedTurnSurvivesKeeper took 24 s. A trace showed one request held 20 s: it had been forwarded to a host that was cut off, and a cut connection gives no sign, so it waited for the route's whole timeout. Keepers send an empty frame at a call's start and each second. Ruled out: the takeover (2 s) and the guard's new start.

--- a/caller.go
+++ b/caller.go
@@ -57,7 +57,8 @@
 	Used   Tokens
 }
 
-// Frame is a part of the answer to a call; exactly one field is set.
+// Frame is a part of the answer to a call; exactly one field is set. Between hosts
+// an empty frame tells that the call is still running.
 type Frame struct {
 	Piece  *Piece
 	Answer *ServiceAnswer
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -6,5 +6,6 @@
 // shard's owner in one message. While a shard moves to another host, requests of
 // which nothing was run wait and are sent again to the new owner, for as long as a
 // takeover may last. What is known of a request that reached a host which then
-// died is stated truthfully.
+// died is stated truthfully. A keeper sends something each second while a call
+// runs; one that is silent for longer counts as lost.
 package forwarder
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -90,7 +91,9 @@
 		}
 		ctx, stop := context.WithTimeout(ctx, m.Left.Duration())
 		defer stop()
-		return f.Parts.Local.Call(ctx, m.Request, send)
+		return alive(ctx, send, func(send performer.Send) error {
+			return f.Parts.Local.Call(ctx, m.Request, send)
+		})
 	})
 }
 
@@ -155,6 +158,43 @@
 	})
 }
 
+// follow sends a call to its keeper and passes the answer on. A keeper that is
+// silent for too long counts as lost: a cut connection gives no other sign.
+func (f *Forwarder) follow(ctx context.Context, to sd.Address, message callMessage, pass func(sd.Frame) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(longestSilence.Duration(), cancel)
+	defer silence.Stop()
+	return messenger.Follow(ctx, f.Parts.Client, to, "call", message, func(frame sd.Frame) error {
+		silence.Reset(longestSilence.Duration())
+		if frame == (sd.Frame{}) {
+			return nil
+		}
+		return pass(frame)
+	})
+}
+
+// alive runs a call and sends an empty frame at its start and each second, so
+// that the caller's host can tell a slow target from a keeper that is lost.
+func alive(ctx context.Context, send performer.Send, call func(send performer.Send) error) error {
+	var mu sync.Mutex
+	locked := func(frame sd.Frame) error {
+		mu.Lock()
+		defer mu.Unlock()
+		return send(frame)
+	}
+	group := worker.NewGroup(ctx)
+	defer group.Close()
+	group.Go("alive", func(ctx context.Context) error {
+		for {
+			if locked(sd.Frame{}) != nil || !worker.Pause(ctx, aliveInterval) {
+				return nil
+			}
+		}
+	})
+	return call(locked)
+}
+
 // carry performs a call here or sends it to the given host.
 func (f *Forwarder) carry(ctx context.Context, to sd.Address, request sd.CallRequest, pass func(sd.Frame) error) error {
 	if to == "" {
@@ -164,7 +204,7 @@
 	if deadline, found := ctx.Deadline(); found {
 		left = sd.Millis(time.Until(deadline).Milliseconds())
 	}
-	return messenger.Follow(ctx, f.Parts.Client, to, "call", callMessage{Request: request, Left: left}, pass)
+	return f.follow(ctx, to, callMessage{Request: request, Left: left}, pass)
 }
 
 // ask brings a message to a program's keeper, or runs local if that is here.
@@ -275,4 +315,8 @@
 	longestWait = 500 * sd.Millisecond
 	askTimeout  = 5 * sd.Second
 	defaultLeft = 10 * sd.Minute
+	// aliveInterval is the longest time between two frames of a call that runs,
+	// longestSilence the time without one after which its keeper counts as lost.
+	aliveInterval  = sd.Second
+	longestSilence = 3 * sd.Second
 )
