--- a/launcher/takeovers.go
+++ b/launcher/takeovers.go
@@ -26,17 +26,29 @@
 	mu sync.Mutex
 	// held is the epoch under which each shard was gained last.
 	held map[sd.ShardID]sd.Epoch
-	// yielding are the shards that are to move, true once they were released.
-	yielding map[sd.ShardID]bool
+	// yielding are the shards that are to move, and how far each is.
+	yielding map[sd.ShardID]step
 	// sealed are the peers whose copies of a shard were taken over.
 	sealed map[sd.ShardID][]keeper.Peer
 }
 
+// step tells how far a shard that is to move is.
+type step int
+
+const (
+	// asked shards still serve.
+	asked step = iota
+	// closing shards take no new calls and wait for the running ones.
+	closing
+	// released shards are the next owner's.
+	released
+)
+
 // newTakeovers returns a follower of the leaser's events.
 func newTakeovers(h *Host) *takeovers {
 	return &takeovers{
 		host: h, held: make(map[sd.ShardID]sd.Epoch),
-		yielding: make(map[sd.ShardID]bool), sealed: make(map[sd.ShardID][]keeper.Peer),
+		yielding: make(map[sd.ShardID]step), sealed: make(map[sd.ShardID][]keeper.Peer),
 	}
 }
 
@@ -82,7 +94,7 @@
 		group.Go("lose", func(ctx context.Context) error { t.host.admitter.Lose(ctx, e.Shard); return nil })
 	case leaser.Asked:
 		t.mu.Lock()
-		t.yielding[e.Shard] = false
+		t.yielding[e.Shard] = asked
 		t.mu.Unlock()
 	}
 }
@@ -168,20 +180,34 @@
 	}
 }
 
-// yield releases the shards that are to move once their calls have ended. While
-// the platform is away nothing can move, so they stay open here.
+// yield releases the shards that are to move once their calls have ended, a few
+// at a time: a shard is served by nobody from its closing until its next owner has
+// restored it. While the platform is away nothing can move, so they stay open.
 func (t *takeovers) yield() {
 	reaches := t.host.leaser.Reaches()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for shard, released := range t.yielding {
+	moving := 0
+	for shard, at := range t.yielding {
 		switch {
 		case !reaches:
 			delete(t.yielding, shard)
 			t.host.leaser.Retract(shard)
 			t.host.performer.Reopen(shard)
-		case !released && t.host.performer.Yield(shard) && t.host.copier.stored(shard):
-			t.yielding[shard] = true
+		case at != asked:
+			moving++
+		}
+	}
+	for shard, at := range t.yielding {
+		if at == released || at == asked && moving >= movesAtOnce {
+			continue
+		}
+		if at == asked {
+			moving++
+			t.yielding[shard] = closing
+		}
+		if t.host.performer.Yield(shard) && t.host.copier.stored(shard) {
+			t.yielding[shard] = released
 			t.host.outside.Log.Info("shard handed over", zap.Int("event", eventHandOver), zap.Stringer("shard", shard))
 			t.host.leaser.Release(shard)
 		}
@@ -197,6 +223,7 @@
 
 const (
 	yieldStep      = 20 * sd.Millisecond
+	movesAtOnce    = 8
 	restoreRest    = 100 * sd.Millisecond
 	restoreTimeout = 10 * sd.Second
 )
--- a/launcher/zones_test.go
+++ b/launcher/zones_test.go
@@ -9,9 +9,9 @@
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
-// sevenSeconds is what "a few seconds" may last before new work must have
+// noticeTime is what "a few seconds" may last before new work must have
 // stopped: the 6 s in which a change is in force everywhere, and a call's queue.
-const sevenSeconds = 7 * time.Second
+const noticeTime = 7 * time.Second
 
 // A zone taken out receives no new work after a few seconds, its programs go on
 // elsewhere without a refusal, and it gets work again when it is back.
@@ -28,7 +28,7 @@
 		return r.engines["e1"].Counters().Starts > 5 && r.engines["e2"].Counters().Starts > 5
 	})
 	r.plan("z1", true)
-	time.Sleep(sevenSeconds)
+	time.Sleep(noticeTime)
 	before := r.engines["e1"].Counters().Starts
 	served := s.whole.Load()
 	time.Sleep(2 * time.Second)
@@ -75,7 +75,7 @@
 		}
 	}
 	r.platform.SetMembers([]sd.Member{{Address: leaving, Leaving: true}})
-	time.Sleep(sevenSeconds)
+	time.Sleep(noticeTime)
 	before := r.engines["e2"].Counters().Starts
 	time.Sleep(2 * time.Second)
 	if after := r.engines["e2"].Counters().Starts; after != before {
