recorder: shards of one former owner read its log once

A trace showed a shard released after 67 ms, gained after 17 ms and loaded 1.6 s later: 32 shards waited in one lane, each reading and decoding the leaving host's whole log again, 40 ms a shard. A load now takes in what an earlier one of the same row of loads has read. Ruled out: the release (67 ms) and the claim (17 ms).

--- a/recorder/back.go
+++ b/recorder/back.go
@@ -16,11 +16,13 @@
 	}
 	s.loading, s.burying = len(s.loads) > 0, false
 	if s.loading {
+		s.reuse(s.loads[0])
 		if l := s.loads[0]; len(l.names) > 0 {
 			return Get{Name: l.names[0]}, true
 		}
 		return Read{}, true
 	}
+	s.read = nil
 	if s.sweep == nil && len(s.trash) > 0 {
 		s.sweep = s.newSweep()
 	}
@@ -63,8 +65,13 @@
 		if err != nil {
 			return s.failBack(now, err)
 		}
+		if s.read == nil {
+			s.read = make(map[string]Segment)
+		}
+		s.read[l.names[0]] = segment
 		l.add(segment)
 		l.names = l.names[1:]
+		s.reuse(l)
 		if len(l.names) > 0 {
 			return nil
 		}
@@ -77,6 +84,19 @@
 	return []Event{Loaded{Tenure: l.tenure, Records: l.records, Peers: l.peers}}
 }
 
+// reuse takes the objects in that an earlier load of this row of loads has read:
+// the shards of a host that is gone have one log together.
+func (s *State) reuse(l *load) {
+	for len(l.names) > 0 {
+		segment, found := s.read[l.names[0]]
+		if !found {
+			return
+		}
+		l.add(segment)
+		l.names = l.names[1:]
+	}
+}
+
 // add takes the shard's section of a segment in. Sections of an earlier tenure
 // than those already read are obsolete: this log may hold some from before the
 // shard was away.
--- a/recorder/state.go
+++ b/recorder/state.go
@@ -50,6 +50,8 @@
 	take    *take
 	flush   *flush
 	loads   []*load
+	// read holds the objects read while loads wait.
+	read map[string]Segment
 	// loading tells whom the reading lane's action is for.
 	loading bool
 	burying bool
