--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -45,9 +46,9 @@
 // A call whose keeper got the message and never answered is not said to be not
 // run, whichever kind it is; one that no keeper can have got is.
 func TestOutcomeOfLostKeeper(t *testing.T) {
-	sent := 0
+	var sent atomic.Int64
 	deaf := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		sent++
+		sent.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	defer deaf.Close()
@@ -56,12 +57,12 @@
 	if refusal := forward(t, address, model); refusal.Outcome != sd.Unknown || refusal.RetryAfter == 0 {
 		t.Errorf("a lost model call: %+v", refusal)
 	}
-	if sent < 2 {
-		t.Errorf("a model call was tried %d times", sent)
+	if sent.Load() < 2 {
+		t.Errorf("a model call was tried %d times", sent.Load())
 	}
-	sent = 0
-	if refusal := forward(t, address, sd.Route{Kind: sd.ServiceRoute}); refusal.Outcome != sd.Unknown || sent != 1 {
-		t.Errorf("a lost call that must run once: %+v after %d tries", refusal, sent)
+	sent.Store(0)
+	if refusal := forward(t, address, sd.Route{Kind: sd.ServiceRoute}); refusal.Outcome != sd.Unknown || sent.Load() != 1 {
+		t.Errorf("a lost call that must run once: %+v after %d tries", refusal, sent.Load())
 	}
 	if refusal := forward(t, "127.0.0.1:1", model); refusal.Outcome != sd.NotRun {
 		t.Errorf("a call that no keeper got: %+v", refusal)
