--- a/test.sh
+++ b/test.sh
@@ -14,13 +14,13 @@
 flags="-rapid.seed=$seed -rapid.checks=$checks -rapid.nofailfile"
 if [ -n "$known" ]; then
   echo "known red, passed over: $known"
-  go test -race -run "^($known)\$" ./... 2>&1 | grep -E '^(---|ok|FAIL)' || true
+  go test -count=1 -race -run "^($known)\$" ./... 2>&1 | grep -E '^(---|ok|FAIL)' || true
 fi
 status=0
 # shellcheck disable=SC2086
-go test -race -timeout 20m -skip "$skip" $fuzzed $flags || status=1
+go test -count=1 -race -timeout 20m -skip "$skip" $fuzzed $flags || status=1
 if [ -n "$plain" ]; then
   # shellcheck disable=SC2086
-  go test -race -timeout 20m -skip "$skip" $plain || status=1
+  go test -count=1 -race -timeout 20m -skip "$skip" $plain || status=1
 fi
 exit $status
