--- a/launcher/overhead_test.go
+++ b/launcher/overhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -33,6 +34,7 @@
 		measure(b, func(int) error {
 			response, err := http.Post("http://"+string(service)+"/prices", "application/json", strings.NewReader("{}"))
 			if err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
 				_ = response.Body.Close()
 			}
 			return err
