--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -211,7 +212,11 @@
 	}
 }
 
-// Callers who hang up and callers who read slowly leave no slot taken.
+// hostMemory is what a host may use, by the size designed for.
+const hostMemory = 128 << 20
+
+// Callers who hang up and callers who read slowly leave no slot taken, and the
+// memory of all parties together stays within what one host may use.
 func TestHangUpsFreeSlots(t *testing.T) {
 	r := newRig(t)
 	one := r.start("h1", "z1")
@@ -243,7 +248,23 @@
 			}
 		})
 	}
-	group.Wait()
+	peak := uint64(0)
+	ended := make(chan struct{})
+	go func() { group.Wait(); close(ended) }()
+	for open := true; open; {
+		select {
+		case <-ended:
+			open = false
+		case <-time.After(20 * time.Millisecond):
+		}
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		peak = max(peak, memory.HeapInuse)
+	}
+	t.Logf("at most %d KB of heap in use", peak>>10)
+	if peak > hostMemory {
+		t.Errorf("%d bytes of heap in use, at most %d", peak, hostMemory)
+	}
 	r.eventually("every slot is free and no request is open", func() bool {
 		for _, e := range r.engines {
 			if c := e.Counters(); c.Running+c.Waiting > 0 {
