--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Runs every test with the race detector and a fixed seed. SEED=0 draws fresh
 # seeds, CHECKS sets the number of cases of each property. Tests listed in
-# KNOWN-RED.txt run too; their failures are printed and passed over.
+# KNOWN-RED.txt run too; their failures are printed and passed over. Packages
+# whose tests run whole hosts come one at a time, so that they have the machine.
 set -eu
 cd "$(dirname "$0")"
 seed=${SEED:-1}
@@ -21,6 +22,6 @@
 go test -count=1 -race -timeout 20m -skip "$skip" $fuzzed $flags || status=1
 if [ -n "$plain" ]; then
   # shellcheck disable=SC2086
-  go test -count=1 -race -timeout 20m -skip "$skip" $plain || status=1
+  go test -count=1 -race -p 1 -timeout 20m -skip "$skip" $plain || status=1
 fi
 exit $status
