--- a/follower/doc.go
+++ b/follower/doc.go
@@ -10,5 +10,7 @@
 // Committer writes a revision: the sheet as an object first, then the row, on
 // condition that the row still holds the revision that the operator compared
 // with. Of two operators who race, one gets a Conflict error that names the
-// other's change.
+// other's change. A commit whose answer was lost is settled by the row of its own
+// revision; where that is absent, the head row is rewritten as it is, after which
+// the commit can no longer take effect.
 package follower
