--- a/logger/logger.go
+++ b/logger/logger.go
@@ -165,6 +165,12 @@
 
 // Write implements zapcore.Core.
 func (c *core) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	for i, f := range fields {
+		// Stack traces are left out: the event numbers name the place.
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			fields[i] = zap.String(f.Key, err.Error())
+		}
+	}
 	line, err := c.encoder.EncodeEntry(entry, fields)
 	if err != nil {
 		return err
