relayer, gossiper, balancer: a store or zone out of reach is noticed at once

A late answer counts as a failure now, reservations end as soon as no host reaches the store, hosts cut off from most others are not ready, targets of silent zones are avoided, and requests that begin a program leave a third of a workspace's bucket to those under way.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -26,6 +26,8 @@
 	// the store's usual answer, and short against a program's patience.
 	pauseMin = 20 * sd.Millisecond
 	pauseMax = 250 * sd.Millisecond
+	// lookEvery is how often a waiting reservation looks whether the store is away.
+	lookEvery = 40 * sd.Millisecond
 	// sweepEvery is how often idle accounts are dropped from memory.
 	sweepEvery = 5 * sd.Second
 )
@@ -36,6 +38,8 @@
 	store    sd.Store
 	clock    sd.Clock
 	log      *zap.Logger
+	// Away reports whether the store is out of reach; nil means never.
+	Away func() bool
 	// Committed is told how long each transaction took, and its error.
 	Committed func(took sd.Millis, err error)
 
@@ -111,13 +115,28 @@
 // Unavailable; after the latter a reservation that may have been made is given
 // back.
 func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens) error {
+	if a.away() {
+		return sd.Unavailable.New("account not reached: store is away")
+	}
 	operation := &Operation{Kind: Reserve, Program: program, Turn: turn, Tokens: limit, Budget: budget}
 	w := a.worker(program)
 	done := w.add(operation)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
+	cause := "time is up"
+	look := time.NewTicker(lookEvery.Duration())
+	defer look.Stop()
+wait:
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			break wait
+		case <-look.C:
+			if a.away() {
+				cause = "store is away"
+				break wait
+			}
+		}
 	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -131,9 +150,11 @@
 		delete(w.waiters, operation)
 		operation.Until = a.clock.Now()
 	}
-	return sd.Unavailable.Wrap(ctx.Err(), "account not reached in time")
+	return sd.Unavailable.New("account not reached: %s", cause)
 }
 
+func (a *Archive) away() bool { return a.Away != nil && a.Away() }
+
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
 // store or nil. It returns a channel that gives nil once the store has it; the
 // work goes on without a reader.
@@ -244,6 +265,9 @@
 			t = a.cached(key)
 		}
 		if t == nil {
+			if a.away() {
+				return nil, sd.Unavailable.New("turn %s cannot be read: store is away", key)
+			}
 			if err := a.load(ctx, of, key, loaded, read); err != nil {
 				return nil, err
 			}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -54,6 +54,8 @@
 	targets   map[sd.TargetID]*target
 	pools     map[sd.GroupName]*pool
 	evacuated map[sd.ZoneName]bool
+	// silent zones are probably cut off from this host.
+	silent []sd.ZoneName
 	// hosts is the number of hosts among which the cold bound is shared.
 	hosts int
 	peers map[sd.HostID]report
@@ -165,6 +167,10 @@
 	}
 }
 
+// Silent sets the zones that are probably cut off: none of their hosts is heard.
+// Their targets get requests only when no other target is in sight.
+func (s *State) Silent(zones []sd.ZoneName) { s.silent = zones }
+
 // Register takes what a target says of itself. It reports whether the target is
 // another start than the one known.
 func (s *State) Register(r sd.Registration) bool {
@@ -287,16 +293,24 @@
 // target is in sight.
 func (s *State) grant(now sd.Instant, k *Ticket) bool {
 	p := s.pool(k.Pool)
-	var near, zone, far []*target
-	usable := 0
+	var near, zone, far, dark []*target
+	usable, lit := 0, 0
 	for _, t := range p.members {
 		if t.Leaving || s.evacuated[t.Zone] || slices.Contains(k.Avoid, t.ID) {
 			continue
 		}
 		usable++
+		cut := slices.Contains(s.silent, t.Zone)
+		if !cut {
+			lit++
+		}
 		if now < t.rest || !s.room(now, p, t) {
 			continue
 		}
+		if cut {
+			dark = append(dark, t)
+			continue
+		}
 		if t.ID == k.Prefer {
 			s.send(now, k, t)
 			return true
@@ -320,6 +334,10 @@
 			return true
 		}
 	}
+	if lit == 0 && len(dark) > 0 {
+		s.send(now, k, s.draw(now, dark))
+		return true
+	}
 	return false
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -130,6 +130,25 @@
 	return list
 }
 
+// Silent returns the availability zones of which no peer was heard lately.
+func (g *Gossiper) Silent() []sd.ZoneName {
+	limit := silentRounds * g.Interval()
+	now := g.Clock.Now()
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	heard := map[sd.ZoneName]bool{}
+	for _, p := range g.peers {
+		heard[p.Zone] = heard[p.Zone] || (!p.lost && now.Since(p.heard) <= limit)
+	}
+	var silent []sd.ZoneName
+	for zone, alive := range heard {
+		if !alive && zone != g.Self.Zone {
+			silent = append(silent, zone)
+		}
+	}
+	return silent
+}
+
 // Run sends and receives beats until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", string(g.Self.Address))
--- a/meterer/state.go
+++ b/meterer/state.go
@@ -89,17 +89,26 @@
 	}
 }
 
-// Admit takes a request of a workspace. It returns false and when to come back if
-// the workspace has used up its rate.
-func (s *State) Admit(now sd.Instant, workspace sd.WorkspaceID) (bool, sd.Millis) {
+// beginReserve is the part of a workspace's bucket that requests which begin a
+// program leave to programs under way. A program that stops halfway has used its
+// requests for nothing.
+const beginReserve = 0.35
+
+// Admit takes a request of a workspace; begins tells that it begins a program. It
+// returns false and when to come back if the workspace has used up its rate.
+func (s *State) Admit(now sd.Instant, workspace sd.WorkspaceID, begins bool) (bool, sd.Millis) {
 	b := s.buckets[workspace]
 	if b == nil || b.rate == 0 {
 		return true, 0
 	}
 	part := s.part(now)
 	b.fill(now, part)
-	if b.tokens < min(1, b.capacity()*part) {
-		return false, sd.Millis((1 - b.tokens) / (b.rate * part) * float64(sd.Second))
+	need := min(1, b.capacity()*part)
+	if begins {
+		need = max(need, b.capacity()*part*beginReserve)
+	}
+	if b.tokens < need {
+		return false, sd.Millis((need - b.tokens) / (b.rate * part) * float64(sd.Second))
 	}
 	b.tokens--
 	b.admitted++
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -21,8 +21,9 @@
 
 // Meter admits requests of workspaces.
 type Meter interface {
-	// Admit takes a request; if not, it tells when to come back.
-	Admit(workspace sd.WorkspaceID) (bool, sd.Millis)
+	// Admit takes a request, which may begin a program; if not, it tells when to
+	// come back.
+	Admit(workspace sd.WorkspaceID, begins bool) (bool, sd.Millis)
 	// Return gives back a request that no target has run.
 	Return(workspace sd.WorkspaceID)
 }
@@ -118,7 +119,7 @@
 	if !q.read() {
 		return
 	}
-	if admitted, wait := r.Meter.Admit(q.workspace); !admitted {
+	if admitted, wait := r.Meter.Admit(q.workspace, q.rule.Retained && q.ask.Previous == ""); !admitted {
 		q.refuse(http.StatusTooManyRequests, "rate used up", wait)
 		return
 	}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -166,19 +166,17 @@
 
 // do makes a call directly, and by way of a peer if that fails, takes long, or
 // has failed lately.
-func (r *Relay) do(ctx context.Context, o order, hedge sd.Millis) (sd.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, (hedge + callTimeout).Duration())
+func (r *Relay) do(parent context.Context, o order, hedge sd.Millis) (sd.Page, error) {
+	ctx, cancel := context.WithTimeout(parent, (hedge + callTimeout).Duration())
 	defer cancel()
 	outcomes := make(chan outcome, 2)
-	open := 0
-	start := func(direct bool) {
+	open, relayed := 0, false
+	ask := func(direct bool) {
 		open++
+		relayed = relayed || !direct
 		go func() {
 			if direct {
-				page, err := perform(ctx, r.direct, o)
-				if ctx.Err() == nil || definite(err) {
-					r.note(err)
-				}
+				page, err := r.measure(ctx, o)
 				outcomes <- outcome{page, err, true}
 				return
 			}
@@ -186,86 +184,96 @@
 			outcomes <- outcome{page, err, false}
 		}()
 	}
-	direct, relayed := r.try(), false
-	if direct {
-		start(true)
-	} else {
-		start(false)
-		relayed = true
-	}
+	ask(r.try())
 	timer := time.NewTimer(hedge.Duration())
 	defer timer.Stop()
 	uncertain := false
-	var last error
 	for {
 		select {
 		case end := <-outcomes:
 			open--
 			if definite(end.err) {
-				if !end.direct && direct && open > 0 {
-					// The peer was faster although it was asked later.
-					r.note(sd.Uncertain.New("no answer in %d ms", hedge))
-				}
 				return end.page, end.err
 			}
-			last = end.err
 			uncertain = uncertain || errorx.IsOfType(end.err, sd.Uncertain)
 			if !relayed && ctx.Err() == nil {
-				relayed = true
-				start(false)
+				ask(false)
+				continue
+			}
+			if open > 0 {
 				continue
 			}
-			if open == 0 {
-				if uncertain {
-					return sd.Page{}, sd.Uncertain.Wrap(last, "call may have taken effect")
-				}
-				return sd.Page{}, sd.Unavailable.Wrap(last, "store not reached")
+			if uncertain {
+				return sd.Page{}, sd.Uncertain.Wrap(end.err, "call may have taken effect")
 			}
+			return sd.Page{}, sd.Unavailable.Wrap(end.err, "store not reached")
 		case <-timer.C:
 			if !relayed {
-				relayed = true
-				start(false)
+				r.note(sd.Uncertain.New("no answer in %d ms", hedge), hedge)
+				ask(false)
 			}
 		case <-ctx.Done():
-			if direct {
-				r.note(sd.Uncertain.New("no answer in time"))
-			}
 			return sd.Page{}, sd.Uncertain.Wrap(ctx.Err(), "store did not answer in time")
 		}
 	}
 }
 
+// measure makes a call at the store itself and notes how that went.
+func (r *Relay) measure(ctx context.Context, o order) (sd.Page, error) {
+	start := r.clock.Now()
+	page, err := perform(ctx, r.direct, o)
+	if ctx.Err() != nil && !definite(err) {
+		// The call was cancelled here.
+		return page, err
+	}
+	took := r.clock.Now().Since(start)
+	if o.Watch != nil && definite(err) {
+		// A watch is meant to take long, its time tells nothing.
+		return page, err
+	}
+	r.note(err, took)
+	return page, err
+}
+
 // try reports whether a call should go to the store itself. While the store is
-// lost and a peer reaches it, calls go there, and a small read probes the way.
+// lost and a peer reaches it, calls go there. A small read probes the way.
 func (r *Relay) try() bool {
 	reached := len(r.peers(true)) > 0
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if !r.lost || !reached {
+	if !r.lost {
 		return true
 	}
 	if now.Since(r.probed) >= probeEvery {
 		r.probed = now
 		go r.probe()
 	}
-	return false
+	return !reached
 }
 
 // probe reads no row from the store itself.
 func (r *Relay) probe() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
 	defer cancel()
+	start := r.clock.Now()
 	_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
-	r.note(err)
+	r.note(err, r.clock.Now().Since(start))
+}
+
+// Away reports whether neither this host nor a peer that it hears reaches the
+// store in good time.
+func (r *Relay) Away() bool {
+	return !r.Reaches() && len(r.peers(true)) == 0
 }
 
-// note takes the outcome of a direct call.
-func (r *Relay) note(err error) {
+// note takes the outcome of a direct call. A store that answers late is not
+// reached in good time, and does not count as back either.
+func (r *Relay) note(err error, took sd.Millis) {
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if definite(err) {
+	if definite(err) && took < hedgeAfter {
 		r.failures = 0
 		if r.lost {
 			r.lost, r.backAt = false, now
@@ -276,7 +284,8 @@
 	r.failures++
 	if !r.lost && r.failures >= lostAfter {
 		r.lost, r.lostAt, r.probed = true, now, now
-		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures), zap.Error(err))
+		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures),
+			zap.Int64("took_ms", int64(took)), zap.Error(err))
 	}
 }
 
--- a/starter/host.go
+++ b/starter/host.go
@@ -108,6 +108,7 @@
 	h.archive = archiver.New(archiver.Settings{
 		Memory: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
 	}, h.relay, h.clock, log)
+	h.archive.Away = h.relay.Away
 	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock})
 	h.receiver = receiver.New(receiver.Parts{
 		Clock: h.clock, Log: log, Meter: h.meter, Gate: h.gate, Archive: h.archive, Exchanger: h.exchanger, Measures: h.measures,
@@ -265,7 +266,11 @@
 	if t := h.receiver.Table(); t != nil {
 		beat.Revision = t.Plan.Revision
 	}
-	h.gate.Update(func(s *balancer.State, now sd.Instant) { beat.Inflight, beat.Sent = s.Beat(now) })
+	silent := h.gossiper.Silent()
+	h.gate.Update(func(s *balancer.State, now sd.Instant) {
+		s.Silent(silent)
+		beat.Inflight, beat.Sent = s.Beat(now)
+	})
 	h.meter.update(func(s *meterer.State, _ sd.Instant) { beat.Admitted = s.Beat() })
 }
 
@@ -275,9 +280,15 @@
 	h.meter.update(func(s *meterer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Incarnation, beat.Admitted) })
 }
 
+// isolated reports whether the host is cut off from most others and from the
+// store: callers are served better elsewhere.
+func (h *Host) isolated() bool {
+	return 2*(len(h.gossiper.Alive(false))+1) < h.gossiper.Hosts() && h.relay.Away()
+}
+
 // ready reports whether the host may get new connections.
 func (h *Host) ready() bool {
-	return !h.draining.Load() && h.receiver.Table() != nil && h.targets.Load()
+	return !h.draining.Load() && h.receiver.Table() != nil && h.targets.Load() && !h.isolated()
 }
 
 // meter guards the meterer's state.
@@ -294,8 +305,8 @@
 }
 
 // Admit implements receiver.Meter.
-func (m *meter) Admit(workspace sd.WorkspaceID) (admitted bool, wait sd.Millis) {
-	m.update(func(s *meterer.State, now sd.Instant) { admitted, wait = s.Admit(now, workspace) })
+func (m *meter) Admit(workspace sd.WorkspaceID, begins bool) (admitted bool, wait sd.Millis) {
+	m.update(func(s *meterer.State, now sd.Instant) { admitted, wait = s.Admit(now, workspace, begins) })
 	return admitted, wait
 }
 
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -103,11 +103,11 @@
 		zap.NamedError("cut", err), zap.NamedError("row", gone))
 }
 
-// callerHandler serves callers; while the host drains they are asked to close
-// their connections.
+// callerHandler serves callers; while the host drains or is cut off they are asked
+// to close their connections.
 func (h *Host) callerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if h.draining.Load() {
+		if h.draining.Load() || h.isolated() {
 			w.Header().Set("Connection", "close")
 		}
 		h.receiver.ServeHTTP(w, req)
