archiver: programs go on while no host reaches the store

A host now claims a program with the agreement of most hosts, reserves by what all of them know of its account, and keeps a turn once a peer holds a copy; the store gets both when it is back.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/messenger"
 )
 
 // Settings of an Archive.
@@ -36,16 +37,18 @@
 type Archive struct {
 	settings Settings
 	store    sd.Store
+	peers    Peers
 	clock    sd.Clock
 	log      *zap.Logger
-	// Away reports whether the store is out of reach; nil means never.
-	Away func() bool
 	// Committed is told how long each transaction took, and its error.
 	Committed func(took sd.Millis, err error)
 
 	lanes     [Parts]*worker
 	cacheLock sync.Mutex
 	cache     Cache
+
+	copyLock sync.Mutex
+	copies   []copied
 }
 
 // worker runs one Lane.
@@ -54,12 +57,17 @@
 	lane    Lane
 	waiters map[*Operation]chan error
 	wake    chan struct{}
+
+	claims map[Key]*claim
+	fences map[Key]fence
+	// forwarded are turns that the holder of a claim has reserved for this host.
+	forwarded map[Key]sd.Address
 }
 
 // New returns an Archive; Run must be running for its operations to end.
-func New(settings Settings, store sd.Store, clock sd.Clock, log *zap.Logger) *Archive {
+func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
-		settings: settings, store: store, clock: clock, log: log,
+		settings: settings, store: store, peers: peers, clock: clock, log: log,
 		cache: Cache{Bytes: int(settings.Memory), Retention: settings.Retention},
 	}
 	for i, part := range AllParts() {
@@ -72,14 +80,18 @@
 
 // Run sends transactions until ctx ends, and waits for those under way.
 func (a *Archive) Run(ctx context.Context) error {
-	ends := make(chan struct{}, Parts)
+	ends := make(chan struct{}, Parts+1)
+	go func() {
+		a.oversee(ctx)
+		ends <- struct{}{}
+	}()
 	for _, w := range a.lanes {
 		go func() {
 			a.work(ctx, w)
 			ends <- struct{}{}
 		}()
 	}
-	for range a.lanes {
+	for range Parts + 1 {
 		<-ends
 	}
 	return ctx.Err()
@@ -111,58 +123,118 @@
 
 func (a *Archive) worker(program Key) *worker { return a.lanes[program[0]%Parts] }
 
-// Reserve takes a turn's most from its program's budget. Errors are Exhausted and
-// Unavailable; after the latter a reservation that may have been made is given
-// back.
-func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens) error {
-	if a.away() {
-		return sd.Unavailable.New("account not reached: store is away")
+// Reserve takes a turn's most from its program's budget; fresh tells that the
+// program may be new. Errors are Exhausted and Unavailable; after the latter a
+// reservation that may have been made is given back.
+//
+// While the store is away, a host that a majority agrees to reserves by what is
+// known of the account.
+func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens, fresh bool) error {
+	request := Forwarded{Program: program, Turn: turn, Limit: limit, Budget: budget, Fresh: fresh}
+	if a.away() || a.claimed(program) {
+		return a.reserveAway(ctx, request, true)
 	}
 	operation := &Operation{Kind: Reserve, Program: program, Turn: turn, Tokens: limit, Budget: budget}
 	w := a.worker(program)
 	done := w.add(operation)
-	cause := "time is up"
 	look := time.NewTicker(lookEvery.Duration())
 	defer look.Stop()
-wait:
-	for {
+	for ctx.Err() == nil {
 		select {
 		case err := <-done:
 			return err
 		case <-ctx.Done():
-			break wait
 		case <-look.C:
 			if a.away() {
-				cause = "store is away"
-				break wait
+				if ended, err := a.leave(w, operation, done); ended {
+					return err
+				}
+				return a.reserveAway(ctx, request, true)
 			}
 		}
 	}
+	if ended, err := a.leave(w, operation, done); ended && err != nil {
+		return err
+	} else if ended {
+		w.add(&Operation{Kind: Cancel, Program: program, Turn: turn})
+	}
+	return sd.Unavailable.Wrap(ctx.Err(), "account not reached in time")
+}
+
+// leave stops waiting for a reservation. It reports whether the reservation had
+// ended, and how; otherwise it will be given back.
+func (a *Archive) leave(w *worker, operation *Operation, done <-chan error) (bool, error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	select {
 	case err := <-done:
-		if err == nil {
-			w.lane.Add(&Operation{Kind: Cancel, Program: program, Turn: turn})
-			w.signal()
-		}
+		return true, err
 	default:
 		delete(w.waiters, operation)
 		operation.Until = a.clock.Now()
+		return false, nil
 	}
-	return sd.Unavailable.New("account not reached: %s", cause)
 }
 
-func (a *Archive) away() bool { return a.Away != nil && a.Away() }
+// claimed reports whether a claim on the program, of this host or another, is
+// still in force.
+func (a *Archive) claimed(program Key) bool {
+	w := a.worker(program)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.claims[program] != nil {
+		return true
+	}
+	f, fenced := w.fences[program]
+	return fenced && slices.Contains(a.alive(), f.holder)
+}
 
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
-// store or nil. It returns a channel that gives nil once the store has it; the
-// work goes on without a reader.
-func (a *Archive) Settle(program, turn Key, used sd.Tokens, kept *Turn) <-chan error {
+// store or nil. It returns nil once the store has it or, while the store is away,
+// a peer holds a copy. Otherwise the error is Unavailable when ctx ends; the work
+// goes on all the same.
+func (a *Archive) Settle(ctx context.Context, program, turn Key, used sd.Tokens, kept *Turn) error {
 	if kept != nil {
 		a.remember(kept)
 	}
-	return a.worker(program).add(&Operation{Kind: Settle, Program: program, Turn: turn, Tokens: used, Kept: kept})
+	o := Operation{Kind: Settle, Program: program, Turn: turn, Tokens: used, Kept: kept}
+	w := a.worker(program)
+	w.lock.Lock()
+	holder, forwarded := w.forwarded[turn]
+	delete(w.forwarded, turn)
+	if w.close(program, turn) || forwarded {
+		o.Kind = Charge
+	}
+	w.lock.Unlock()
+	if forwarded {
+		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout.Duration())
+		_, err := messenger.Ask[Copied, Done](asked, a.peers.Client, holder, messageSettle, Copied{a.peers.Self, []Operation{o}})
+		cancel()
+		if err == nil {
+			// This host writes the turn as well if the holder does not.
+			_, err = a.answerCopy(ctx, Copied{a.peers.Self, []Operation{o}})
+			return err
+		}
+		a.log.Warn("holder of a claim did not take a turn", zap.Int("event", eventClaim), zap.Stringer("program", program), zap.Error(err))
+	}
+	operation := o
+	done := w.add(&operation)
+	look := time.NewTicker(lookEvery.Duration())
+	defer look.Stop()
+	for {
+		if a.away() {
+			if err := a.copyOut(ctx, o); err == nil {
+				return nil
+			}
+		}
+		select {
+		case err := <-done:
+			return err
+		case <-look.C:
+		case <-ctx.Done():
+			return sd.Unavailable.Wrap(ctx.Err(), "turn %s is not written in time", turn)
+		}
+	}
 }
 
 func (w *worker) add(operation *Operation) <-chan error {
@@ -211,7 +283,7 @@
 			a.Committed(a.clock.Now().Since(start), err)
 		}
 		w.lock.Lock()
-		w.deliver(w.lane.Done(a.clock.Now(), page, err, errorx.IsOfType(err, sd.Uncertain)))
+		w.deliver(w.lane.Done(a.clock.Now(), page, err))
 		w.lock.Unlock()
 		if err == nil || errorx.IsOfType(err, sd.Conflict) {
 			pause = 0
@@ -265,9 +337,6 @@
 			t = a.cached(key)
 		}
 		if t == nil {
-			if a.away() {
-				return nil, sd.Unavailable.New("turn %s cannot be read: store is away", key)
-			}
 			if err := a.load(ctx, of, key, loaded, read); err != nil {
 				return nil, err
 			}
@@ -292,6 +361,13 @@
 // load reads the rows of the program, and if the turn is not among them looks for
 // it in all parts. Errors are Absent and Unavailable.
 func (a *Archive) load(ctx context.Context, program, turn Key, loaded map[Key]bool, read map[Key]*Turn) error {
+	if a.away() {
+		a.recall(ctx, turn, read)
+		if read[turn] == nil {
+			return sd.Unavailable.New("turn %s cannot be read: store is away", turn)
+		}
+		return nil
+	}
 	if !loaded[program] {
 		loaded[program] = true
 		if err := a.read(ctx, program, read); err != nil || read[turn] != nil {
@@ -303,7 +379,7 @@
 		return err
 	}
 	if !found {
-		return sd.Absent.New("turn %s is not kept", turn)
+		return a.missing(ctx, turn, read)
 	}
 	if err := a.read(ctx, other, read); err != nil {
 		return err
@@ -314,6 +390,19 @@
 	return nil
 }
 
+// missing decides about a turn that the store does not have: a host that cannot be
+// asked may hold it and has yet to write it.
+func (a *Archive) missing(ctx context.Context, turn Key, read map[Key]*Turn) error {
+	answered := a.recall(ctx, turn, read)
+	if read[turn] != nil {
+		return nil
+	}
+	if a.peers.Hosts != nil && answered+1 < a.peers.Hosts() {
+		return sd.Unavailable.New("turn %s may be with one of %d hosts that did not answer", turn, a.peers.Hosts()-1-answered)
+	}
+	return sd.Absent.New("turn %s is not kept", turn)
+}
+
 // read adds a program's turns to read.
 func (a *Archive) read(ctx context.Context, program Key, read map[Key]*Turn) error {
 	part, from, to := Part(program), program.String()+"/", program.String()+"0"
--- a/archiver/events.go
+++ b/archiver/events.go
@@ -3,4 +3,6 @@
 // The numbers of this package's log events; docs/EVENTS.md lists them.
 const (
 	eventMalformed = 601
+	eventClaim     = 602
+	eventCopies    = 603
 )
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/joomcode/errorx"
+
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
@@ -17,6 +19,9 @@
 	Settle
 	// Cancel gives back a reservation that may or may not have been made.
 	Cancel
+	// Charge adds what a turn used that ran without a reservation in the store. The
+	// turn's own row tells whether it was charged before.
+	Charge
 )
 
 // Operation is a change of one program's account. It is applied once, however
@@ -81,6 +86,7 @@
 	outcomes   []error
 	rows       map[Key]*seen
 	written    map[Key]bool
+	expect     []sd.Record
 }
 
 // Add queues an operation.
@@ -178,6 +184,10 @@
 			update.Expect = append(update.Expect, sd.Record{Cell: accountCell(l.Part, o.Program), Version: known.version})
 			entries += 2
 		}
+		if o.Kind == Charge && o.Kept != nil {
+			update.Expect = append(update.Expect, sd.Record{Cell: puts[0].Cell})
+			entries++
+		}
 		outcome, changed := apply(&row.account, o)
 		b.written[o.Program] = b.written[o.Program] || changed
 		b.operations = append(b.operations, o)
@@ -195,6 +205,7 @@
 		}
 	}
 	l.pending = slices.Clone(l.pending[taken:])
+	b.expect = update.Expect
 	l.batch = b
 	return update, true
 }
@@ -213,6 +224,9 @@
 		return nil, true
 	case Settle:
 		return nil, a.Settle(o.Turn, o.Tokens)
+	case Charge:
+		a.Spent += o.Tokens
+		return nil, true
 	default:
 		// The row is written even if it holds no such reservation: a transaction that
 		// would still make one then finds another version.
@@ -221,8 +235,10 @@
 	}
 }
 
-// Done tells what became of the transaction that Next returned.
-func (l *Lane) Done(now sd.Instant, page sd.Page, err error, uncertain bool) []Ended {
+// Done tells what became of the transaction that Next returned. On a Conflict
+// error the page holds the current rows of those expected.
+func (l *Lane) Done(now sd.Instant, page sd.Page, err error) []Ended {
+	uncertain, conflict := errorx.IsOfType(err, sd.Uncertain), errorx.IsOfType(err, sd.Conflict)
 	b := l.batch
 	l.batch = nil
 	if err == nil {
@@ -244,14 +260,27 @@
 		}
 	}
 	l.pending = append(b.operations, l.pending...)
-	var ended []Ended
+	if !conflict {
+		return nil
+	}
+	current := map[string]sd.Record{}
 	for _, record := range page.Records {
-		program, ok := accountProgram(record.Key)
-		if !ok || record.Table != TablePrograms {
+		if record.Table == TablePrograms && !record.Removed {
+			current[record.Key] = record
+		}
+	}
+	var ended []Ended
+	for _, expected := range b.expect {
+		record := current[expected.Key]
+		program, isAccount := accountProgram(expected.Key)
+		if !isAccount {
+			if record.Version > 0 {
+				ended = append(ended, l.charged(expected.Key)...)
+			}
 			continue
 		}
 		row := &seen{version: record.Version, at: now}
-		if record.Version > 0 && !record.Removed {
+		if record.Version > 0 {
 			account, err := DecodeAccount(record.Value)
 			if err != nil {
 				ended = append(ended, l.drop(program, err)...)
@@ -259,13 +288,55 @@
 			}
 			row.account = account
 		}
-		if known := l.rows[program]; known == nil || known.version != row.version {
-			l.rows[program] = row
-		}
+		l.rows[program] = row
 	}
 	return ended
 }
 
+// charged ends the Charge whose turn's row exists already.
+func (l *Lane) charged(key string) []Ended {
+	var ended []Ended
+	l.pending = slices.DeleteFunc(l.pending, func(o *Operation) bool {
+		match := o.Kind == Charge && o.Kept != nil && turnName(o.Kept) == key
+		if match {
+			ended = append(ended, Ended{o, nil})
+		}
+		return match
+	})
+	return ended
+}
+
+// Project returns the account as it will be once all operations of this host have
+// taken effect, and the version on which that rests. Known tells whether the
+// account was ever seen.
+func (l *Lane) Project(program Key) (account Account, version uint64, known bool) {
+	if row := l.rows[program]; row != nil {
+		account, version, known = row.account, row.version, true
+	}
+	for _, o := range l.Operations(program) {
+		// A reservation that does not fit is refused when its turn comes.
+		_, _ = apply(&account, &o)
+	}
+	return account, version, known
+}
+
+// Operations returns the operations of a program that have not ended, in order.
+func (l *Lane) Operations(program Key) []Operation {
+	var list []Operation
+	add := func(operations []*Operation) {
+		for _, o := range operations {
+			if o.Program == program {
+				list = append(list, *o)
+			}
+		}
+	}
+	if l.batch != nil {
+		add(l.batch.operations)
+	}
+	add(l.pending)
+	return list
+}
+
 // drop ends all operations of a program whose account cannot be read.
 func (l *Lane) drop(program Key, err error) []Ended {
 	var ended []Ended
@@ -280,7 +351,7 @@
 
 // puts returns the rows that store a Settle's turn.
 func (l *Lane) puts(o *Operation) []sd.Record {
-	if o.Kind != Settle || o.Kept == nil {
+	if (o.Kind != Settle && o.Kind != Charge) || o.Kept == nil {
 		return nil
 	}
 	rows := turnRows(l.Part, o.Kept)
@@ -322,11 +393,14 @@
 	return ParseKey(key[:2*keySize])
 }
 
+// turnName returns the key of a turn's first row.
+func turnName(t *Turn) string { return t.Program.String() + "/" + t.Key.String() }
+
 // turnRows spreads a turn over as many rows as its length needs. The first one's
 // key is the turn's; the others follow it in the order of keys.
 func turnRows(part string, t *Turn) []sd.Record {
 	value := t.Encode()
-	key := t.Program.String() + "/" + t.Key.String()
+	key := turnName(t)
 	var rows []sd.Record
 	for i := 0; i == 0 || len(value) > 0; i++ {
 		n := min(len(value), rowBytes)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -109,6 +109,20 @@
 	return len(g.peers) + 1
 }
 
+// Lost returns the peers that were not heard for at least the given time.
+func (g *Gossiper) Lost(silent sd.Millis) []sd.HostID {
+	now := g.Clock.Now()
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	var list []sd.HostID
+	for _, p := range g.peers {
+		if now.Since(p.heard) >= silent {
+			list = append(list, p.Host)
+		}
+	}
+	return list
+}
+
 // Interval returns the time between two rounds.
 func (g *Gossiper) Interval() sd.Millis {
 	return max(shortest, sd.Millis(int(sd.Second)*g.Hosts()/sendRate))
--- a/meterer/state.go
+++ b/meterer/state.go
@@ -24,6 +24,8 @@
 	at     sd.Instant
 	// admitted counts this host's admissions.
 	admitted uint64
+	// drained is when a request under way was last refused.
+	drained sd.Instant
 }
 
 type peer struct {
@@ -94,6 +96,10 @@
 // requests for nothing.
 const beginReserve = 0.35
 
+// beginPause is how long after a refusal within a program the reserve is held:
+// about as long as a program runs.
+const beginPause = 3 * sd.Second
+
 // Admit takes a request of a workspace; begins tells that it begins a program. It
 // returns false and when to come back if the workspace has used up its rate.
 func (s *State) Admit(now sd.Instant, workspace sd.WorkspaceID, begins bool) (bool, sd.Millis) {
@@ -104,10 +110,13 @@
 	part := s.part(now)
 	b.fill(now, part)
 	need := min(1, b.capacity()*part)
-	if begins {
+	if begins && b.drained > 0 && now.Since(b.drained) < beginPause {
 		need = max(need, b.capacity()*part*beginReserve)
 	}
 	if b.tokens < need {
+		if !begins {
+			b.drained = now
+		}
 		return false, sd.Millis((need - b.tokens) / (b.rate * part) * float64(sd.Second))
 	}
 	b.tokens--
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -24,6 +24,7 @@
 	}
 	key := archiver.TurnKey(q.workspace, q.ask.Request)
 	kept := &archiver.Turn{Program: program, Key: key, Input: q.body}
+	fresh := true
 	if q.ask.Previous != "" {
 		previous := archiver.TurnKey(q.workspace, q.ask.Previous)
 		chain, err := q.Archive.Chain(ctx, program, previous)
@@ -41,12 +42,13 @@
 		q.chain = chain
 		last := chain[len(chain)-1]
 		kept.Previous, kept.Origin, q.prefer = last.Key, last.Program, last.Target
+		fresh = last.Program != program
 	}
 	budget := q.ask.Budget
 	if !q.ask.Budgeted {
 		budget = unbounded
 	}
-	if err := q.Archive.Reserve(ctx, program, key, q.ask.Limit, budget); err != nil {
+	if err := q.Archive.Reserve(ctx, program, key, q.ask.Limit, budget, fresh); err != nil {
 		if errorx.IsOfType(err, archiver.Exhausted) {
 			q.Log.Info("budget does not hold the turn", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			q.Meter.Return(q.workspace)
@@ -63,25 +65,35 @@
 		settled = true
 		used := sd.Tokens(s.events) * q.table.EventTokens(q.pool)
 		if !s.whole {
-			q.Archive.Settle(program, key, used, nil)
+			q.settle(ctx, program, key, used)
 			return false
 		}
 		kept.Target, kept.Output = q.target, s.output
-		select {
-		case err := <-q.Archive.Settle(program, key, used, kept):
-			if err != nil {
-				q.Log.Warn("turn is not kept", zap.Int("event", eventTurn), q.id(), zap.Error(err))
-			}
-			return err == nil
-		case <-ctx.Done():
-			q.Log.Warn("turn is not kept in time", zap.Int("event", eventTurn), q.id())
+		if err := q.Archive.Settle(ctx, program, key, used, kept); err != nil {
+			q.Log.Warn("turn is not kept", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			return false
 		}
+		return true
 	}
 	defer func() {
 		if !settled {
-			q.Archive.Settle(program, key, sd.Tokens(s.events)*q.table.EventTokens(q.pool), nil)
+			q.settle(ctx, program, key, sd.Tokens(s.events)*q.table.EventTokens(q.pool))
 		}
 	}()
 	q.serve(ctx, s)
 }
+
+// settle accounts for a turn that failed; nobody waits for that.
+func (q *request) settle(ctx context.Context, program, key archiver.Key, used sd.Tokens) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
+	go func() {
+		defer cancel()
+		if err := q.Archive.Settle(ctx, program, key, used, nil); err != nil {
+			q.Log.Info("account of a failed turn is not written yet", zap.Int("event", eventTurn), q.id(), zap.Error(err))
+		}
+	}()
+}
+
+// settleTimeout bounds the wait for a failed turn's account; it is written later
+// all the same.
+const settleTimeout = 2 * sd.Second
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -1,13 +1,8 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -16,6 +11,7 @@
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/messenger"
 )
 
 // Events of this package; docs/EVENTS.md lists them.
@@ -30,14 +26,11 @@
 	hedgeAfter = 120 * sd.Millisecond
 	// callTimeout bounds a call: a slow store takes some 600 ms.
 	callTimeout = 1500 * sd.Millisecond
-	// peerConnect bounds a connection to a peer.
-	peerConnect = 300 * sd.Millisecond
 	// lostAfter is the number of failures in a row after which the store counts as
 	// lost to this host; one alone may be a lost answer.
 	lostAfter = 2
 	// probeEvery is how often a lost store is tried again.
 	probeEvery = 300 * sd.Millisecond
-	relayBytes = 8 << 20
 )
 
 // probeTable is the table that a probe reads; its rows do not matter.
@@ -51,7 +44,7 @@
 	zone   sd.ZoneName
 	clock  sd.Clock
 	log    *zap.Logger
-	client *http.Client
+	client *messenger.Client
 	// Relayed is told of each call that a peer made.
 	Relayed func()
 
@@ -64,19 +57,10 @@
 }
 
 // New returns a Relay of direct; peers returns the hosts that are alive.
-func New(direct sd.Store, peers func(reaching bool) []gossiper.Peer, zone sd.ZoneName, clock sd.Clock, log *zap.Logger) *Relay {
-	dialer := &net.Dialer{Timeout: peerConnect.Duration()}
-	return &Relay{
-		direct: direct, peers: peers, zone: zone, clock: clock, log: log,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: (10 * sd.Second).Duration(),
-		}},
-	}
+func New(direct sd.Store, peers func(reaching bool) []gossiper.Peer, zone sd.ZoneName, client *messenger.Client, clock sd.Clock, log *zap.Logger) *Relay {
+	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log}
 }
 
-// Close drops the connections to peers.
-func (r *Relay) Close() { r.client.CloseIdleConnections() }
-
 // Reaches reports whether this host reaches the store itself.
 func (r *Relay) Reaches() bool {
 	r.lock.Lock()
@@ -94,8 +78,8 @@
 	return r.clock.Now().Since(r.backAt)
 }
 
-// order is a call in the form in which peers pass it on.
-type order struct {
+// Order is a call in the form in which peers pass it on.
+type Order struct {
 	Update *sd.Update `json:"update,omitempty"`
 	List   *listOrder `json:"list,omitempty"`
 	Watch  *watch     `json:"watch,omitempty"`
@@ -111,8 +95,9 @@
 	Wait  sd.Millis
 }
 
-// result is what a peer returns.
-type result struct {
+// Result is what a peer returns. A conflict comes with its page, so errors are
+// told by their kind.
+type Result struct {
 	Page    sd.Page
 	Kind    string
 	Message string
@@ -121,27 +106,28 @@
 // The kinds of errors on the wire between hosts.
 const (
 	kindUnavailable = "unavailable"
+	kindUncertain   = "uncertain"
 	kindConflict    = "conflict"
 	kindAbsent      = "absent"
 )
 
 // Commit implements sd.Store.
 func (r *Relay) Commit(ctx context.Context, update sd.Update) (sd.Page, error) {
-	return r.do(ctx, order{Update: &update}, hedgeAfter)
+	return r.do(ctx, Order{Update: &update}, hedgeAfter)
 }
 
 // List implements sd.Store.
 func (r *Relay) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
-	return r.do(ctx, order{List: &listOrder{table, part, from, to}}, hedgeAfter)
+	return r.do(ctx, Order{List: &listOrder{table, part, from, to}}, hedgeAfter)
 }
 
 // Watch implements sd.Store.
 func (r *Relay) Watch(ctx context.Context, table string, after uint64, wait sd.Millis) (sd.Page, error) {
-	return r.do(ctx, order{Watch: &watch{table, after, wait}}, wait+hedgeAfter)
+	return r.do(ctx, Order{Watch: &watch{table, after, wait}}, wait+hedgeAfter)
 }
 
 // perform makes a call at a store.
-func perform(ctx context.Context, store sd.Store, o order) (sd.Page, error) {
+func perform(ctx context.Context, store sd.Store, o Order) (sd.Page, error) {
 	switch {
 	case o.Update != nil:
 		return store.Commit(ctx, *o.Update)
@@ -166,7 +152,7 @@
 
 // do makes a call directly, and by way of a peer if that fails, takes long, or
 // has failed lately.
-func (r *Relay) do(parent context.Context, o order, hedge sd.Millis) (sd.Page, error) {
+func (r *Relay) do(parent context.Context, o Order, hedge sd.Millis) (sd.Page, error) {
 	ctx, cancel := context.WithTimeout(parent, (hedge + callTimeout).Duration())
 	defer cancel()
 	outcomes := make(chan outcome, 2)
@@ -219,7 +205,7 @@
 }
 
 // measure makes a call at the store itself and notes how that went.
-func (r *Relay) measure(ctx context.Context, o order) (sd.Page, error) {
+func (r *Relay) measure(ctx context.Context, o Order) (sd.Page, error) {
 	start := r.clock.Now()
 	page, err := perform(ctx, r.direct, o)
 	if ctx.Err() != nil && !definite(err) {
@@ -290,7 +276,7 @@
 }
 
 // ask has a peer make the call, one of the own zone if there is one.
-func (r *Relay) ask(ctx context.Context, o order) (sd.Page, error) {
+func (r *Relay) ask(ctx context.Context, o Order) (sd.Page, error) {
 	peers := r.peers(true)
 	if len(peers) == 0 {
 		return sd.Page{}, sd.Unavailable.New("no peer reaches the store")
@@ -305,30 +291,13 @@
 		peers = near
 	}
 	peer := peers[rand.IntN(len(peers))]
-	body, err := json.Marshal(o)
-	if err != nil {
-		return sd.Page{}, sd.Unavailable.Wrap(err, "order cannot be encoded")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(peer.Address)+Path, bytes.NewReader(body))
-	if err != nil {
-		return sd.Page{}, sd.Unavailable.Wrap(err, "order cannot be made")
-	}
 	if r.Relayed != nil {
 		r.Relayed()
 	}
-	answer, err := r.client.Do(request)
+	got, err := messenger.Ask[Order, Result](ctx, r.client, peer.Address, Message, o)
 	if err != nil {
 		return sd.Page{}, sd.Uncertain.Wrap(err, "peer %s did not answer", peer.Host)
 	}
-	defer answer.Body.Close()
-	var got result
-	content, err := io.ReadAll(io.LimitReader(answer.Body, relayBytes))
-	if err == nil {
-		err = json.Unmarshal(content, &got)
-	}
-	if err != nil || answer.StatusCode != http.StatusOK {
-		return sd.Page{}, sd.Uncertain.New("answer of peer %s does not parse", peer.Host)
-	}
 	switch got.Kind {
 	case "":
 		return got.Page, nil
@@ -342,20 +311,15 @@
 	return got.Page, sd.Uncertain.New("%s", got.Message)
 }
 
-// Path is where hosts take orders from one another.
-const Path = "/store"
+// Message is the name under which hosts send orders to one another.
+const Message = "store"
 
-// ServeHTTP makes another host's call, directly only.
-func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	var o order
-	if err := json.NewDecoder(io.LimitReader(req.Body, relayBytes)).Decode(&o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	page, err := perform(req.Context(), r.direct, o)
-	got := result{Page: page}
+// Answer makes another host's call, directly only.
+func (r *Relay) Answer(ctx context.Context, o Order) (Result, error) {
+	page, err := perform(ctx, r.direct, o)
+	got := Result{Page: page}
 	if err != nil {
-		got.Message, got.Kind = err.Error(), "uncertain"
+		got.Message, got.Kind = err.Error(), kindUncertain
 		switch {
 		case errorx.IsOfType(err, sd.Conflict):
 			got.Kind = kindConflict
@@ -365,8 +329,5 @@
 			got.Kind = kindUnavailable
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(got); err != nil {
-		r.log.Warn("relayed answer was not delivered", zap.Int("event", eventStoreLost), zap.Error(err))
-	}
+	return got, nil
 }
--- a/starter/host.go
+++ b/starter/host.go
@@ -16,6 +16,7 @@
 	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/meterer"
 	"sapphiredrum.example/sapphiredrum/observer"
 	"sapphiredrum.example/sapphiredrum/platform"
@@ -57,6 +58,11 @@
 	targetPace = 400 * sd.Millisecond
 	// peerWait is how long the watch of the hosts waits.
 	peerWait = 3 * sd.Second
+	// sweepEvery is how often hosts that are gone are looked for.
+	sweepEvery = 5 * sd.Second
+	// goneAfter is the silence after which a host counts as gone for good; it is
+	// several times the longest cut that operators plan for.
+	goneAfter = 30 * sd.Second
 	// storePause is the pause after a failed write of this host's row.
 	storePause = 300 * sd.Millisecond
 	// returnGrace is how long after the store's return lapsed registrations still
@@ -73,6 +79,7 @@
 	incarnation sd.Incarnation
 
 	client    *platform.Client
+	peers     *messenger.Client
 	relay     *relayer.Relay
 	gossiper  *gossiper.Gossiper
 	gate      *receiver.Gate
@@ -84,6 +91,10 @@
 	idle      idleConnections
 	lapsed    lapsed
 
+	rowLock sync.Mutex
+	// rows holds the versions of the hosts' rows.
+	rows map[sd.HostID]sd.Record
+
 	draining atomic.Bool
 	targets  atomic.Bool
 }
@@ -92,23 +103,26 @@
 func New(settings platform.Settings, path string, log *zap.Logger) *Host {
 	h := &Host{
 		settings: settings, path: path, clock: sd.NewClock(), log: log, incarnation: sd.NewIncarnation(),
-		measures: receiver.NewMeasures(),
+		measures: receiver.NewMeasures(), rows: map[sd.HostID]sd.Record{},
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	h.client = platform.NewClient(settings.Store)
+	h.peers = messenger.NewClient(nil)
 	h.gossiper = &gossiper.Gossiper{
 		Self: gossiper.Peer{Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation},
 		Fill: h.fill, Heard: h.heard, Clock: h.clock, Log: log,
 	}
-	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.clock, log)
+	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
 	h.gate = receiver.NewGate(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdOver: settings.ColdOver, ColdSlack: settings.ColdSlack,
 	}, h.clock)
 	h.meter = &meter{clock: h.clock, state: meterer.New(h.clock.Now())}
 	h.archive = archiver.New(archiver.Settings{
 		Memory: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
-	}, h.relay, h.clock, log)
-	h.archive.Away = h.relay.Away
+	}, h.relay, archiver.Peers{
+		Self: h.gossiper.Self, Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Hosts: h.gossiper.Hosts,
+		Away: h.relay.Away, Settled: h.relay.Settled, Client: h.peers,
+	}, h.clock, log)
 	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock})
 	h.receiver = receiver.New(receiver.Parts{
 		Clock: h.clock, Log: log, Meter: h.meter, Gate: h.gate, Archive: h.archive, Exchanger: h.exchanger, Measures: h.measures,
@@ -144,7 +158,7 @@
 	add(func(inner context.Context) error { return h.serve(inner, ctx) })
 	err := group.Run()
 	h.exchanger.Close()
-	h.relay.Close()
+	h.peers.Close()
 	h.client.Close()
 	h.log.Info("host stops", zap.Int("event", eventStops), zap.Error(err))
 	if ctx.Err() != nil {
@@ -223,6 +237,9 @@
 // peersChanged takes the rows of other hosts.
 func (h *Host) peersChanged(records []sd.Record) {
 	for _, record := range records {
+		h.rowLock.Lock()
+		h.rows[sd.HostID(record.Key)] = sd.Record{Cell: record.Cell, Version: record.Version}
+		h.rowLock.Unlock()
 		if record.Removed {
 			h.gossiper.Remove(sd.HostID(record.Key))
 			h.meter.update(func(s *meterer.State, _ sd.Instant) { s.Forget(sd.HostID(record.Key)) })
@@ -256,10 +273,31 @@
 		h.log.Warn("row of this host is not written", zap.Int("event", eventPublish), zap.Error(err))
 		pause(ctx, storePause)
 	}
-	<-ctx.Done()
+	for pause(ctx, sweepEvery) {
+		h.sweepPeers(ctx)
+	}
 	return ctx.Err()
 }
 
+// sweepPeers removes the rows of hosts that are gone for good; the first of the
+// hosts alive does it.
+func (h *Host) sweepPeers(ctx context.Context) {
+	for _, p := range h.gossiper.Alive(false) {
+		if p.Host < h.settings.Host {
+			return
+		}
+	}
+	for _, host := range h.gossiper.Lost(goneAfter) {
+		h.rowLock.Lock()
+		row := h.rows[host]
+		h.rowLock.Unlock()
+		ctx, cancel := context.WithTimeout(ctx, sweepEvery.Duration())
+		_, err := h.relay.Commit(ctx, sd.Update{Expect: []sd.Record{row}, Remove: []sd.Cell{row.Cell}})
+		cancel()
+		h.log.Info("row of a lost host removed", zap.Int("event", eventPublish), zap.String("host", string(host)), zap.Error(err))
+	}
+}
+
 // fill completes a beat.
 func (h *Host) fill(beat *gossiper.Beat) {
 	beat.Reaches = h.relay.Reaches()
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/platform"
 	"sapphiredrum.example/sapphiredrum/relayer"
 )
@@ -131,7 +132,8 @@
 // peerHandler serves other hosts.
 func (h *Host) peerHandler() http.Handler {
 	e := echo.New()
-	e.POST(relayer.Path, echo.WrapHandler(h.relay))
+	messenger.Handle(e, relayer.Message, h.relay.Answer)
+	h.archive.Answer(e)
 	return e
 }
 
