observer, starter: removed rows stay removed; lapsed registrations count only after an outage

It is held now only if no host reached the store for two beats, until 2.1 s after its return. A removed row keeps its version, so that a late answer cannot bring it back.

--- a/observer/view.go
+++ b/observer/view.go
@@ -6,6 +6,7 @@
 
 // View is a table as last seen. The zero View has seen nothing. It is pure.
 type View struct {
+	// rows holds removed rows too, so that a late answer does not bring them back.
 	rows    map[string]sd.Record
 	version uint64
 	listed  bool
@@ -35,9 +36,10 @@
 		}
 	}
 	for key, old := range v.rows {
-		if !present[key] {
-			delete(v.rows, key)
-			changed = append(changed, sd.Record{Cell: old.Cell, Version: version, Removed: true})
+		if !present[key] && !old.Removed {
+			gone := sd.Record{Cell: old.Cell, Version: version, Removed: true}
+			v.rows[key] = gone
+			changed = append(changed, gone)
 		}
 	}
 	v.version, v.listed = version, true
@@ -48,14 +50,6 @@
 func (v *View) Change(records []sd.Record, version uint64) []sd.Record {
 	var changed []sd.Record
 	for _, r := range records {
-		if r.Removed {
-			old, known := v.rows[r.Key]
-			if known && old.Version < r.Version {
-				delete(v.rows, r.Key)
-				changed = append(changed, r)
-			}
-			continue
-		}
 		if v.take(r) {
 			changed = append(changed, r)
 		}
--- a/starter/host.go
+++ b/starter/host.go
@@ -67,7 +67,7 @@
 	storePause = 300 * sd.Millisecond
 	// returnGrace is how long after the store's return lapsed registrations still
 	// count: targets that live are registered again within two seconds.
-	returnGrace = 2500 * sd.Millisecond
+	returnGrace = 2100 * sd.Millisecond
 )
 
 // Host is one entry host. New makes one, Run runs it once.
@@ -90,6 +90,7 @@
 	measures  *receiver.Measures
 	idle      idleConnections
 	lapsed    lapsed
+	outage    outage
 
 	rowLock sync.Mutex
 	// rows holds the versions of the hosts' rows.
@@ -204,13 +205,13 @@
 // targetsChanged takes registrations. One that lapsed while the store was away
 // counts until its target has had time to return.
 func (h *Host) targetsChanged(records []sd.Record) {
-	hold := h.relay.Settled() < returnGrace
-	h.gate.Update(func(s *balancer.State, now sd.Instant) {
+	until, hold := h.outage.grace(h.clock.Now(), 2*h.settings.Beat)
+	h.gate.Update(func(s *balancer.State, _ sd.Instant) {
 		for _, record := range records {
 			id := sd.TargetID(record.Key)
 			if record.Removed {
 				if hold {
-					h.lapsed.add(id, now.Add(returnGrace))
+					h.lapsed.add(id, until)
 					continue
 				}
 				s.Remove(id)
@@ -301,6 +302,7 @@
 // fill completes a beat.
 func (h *Host) fill(beat *gossiper.Beat) {
 	beat.Reaches = h.relay.Reaches()
+	h.outage.observe(h.clock.Now(), h.relay.Away())
 	if t := h.receiver.Table(); t != nil {
 		beat.Revision = t.Plan.Revision
 	}
@@ -353,6 +355,34 @@
 	m.update(func(s *meterer.State, _ sd.Instant) { s.Return(workspace) })
 }
 
+// outage tells when no host in reach last reached the store, and for how long.
+type outage struct {
+	lock         sync.Mutex
+	away         bool
+	began, ended sd.Instant
+}
+
+func (o *outage) observe(now sd.Instant, away bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if away && !o.away {
+		o.began = now
+	}
+	if away {
+		o.ended = now
+	}
+	o.away = away
+}
+
+// grace returns until when lapsed registrations count, if the last outage was
+// long enough for registrations to lapse in it.
+func (o *outage) grace(now sd.Instant, least sd.Millis) (sd.Instant, bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	until := o.ended.Add(returnGrace)
+	return until, o.ended > 0 && o.ended.Since(o.began) >= least && now < until
+}
+
 // lapsed holds targets whose registrations lapsed while the store was away.
 type lapsed struct {
 	lock  sync.Mutex
