--- a/balancer/state.go
+++ b/balancer/state.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/gossiper"
 )
 
 // Settings of a State; zero fields take the defaults.
@@ -82,13 +83,14 @@
 	// sent holds when the last requests were sent, for the cold bound.
 	sent []sd.Instant
 	rank uint64
+	code gossiper.Code
 }
 
 // report is what another host last told.
 type report struct {
 	at       sd.Instant
-	inflight map[sd.TargetID]int
-	sent     map[sd.TargetID]int
+	inflight map[gossiper.Code]int
+	sent     map[gossiper.Code]int
 }
 
 // Ticket is a request that waits for a target.
@@ -180,7 +182,7 @@
 		if t != nil {
 			s.Remove(r.ID)
 		}
-		t = &target{rank: xxhash.Sum64String(string(s.settings.Host) + "|" + string(r.ID))}
+		t = &target{rank: xxhash.Sum64String(string(s.settings.Host) + "|" + string(r.ID)), code: gossiper.CodeOf(r.ID)}
 		s.targets[r.ID] = t
 		p := s.pool(r.Pool)
 		p.members = append(p.members, t)
@@ -368,7 +370,7 @@
 	others := 0
 	for _, r := range s.peers {
 		if now.Since(r.at) < heardFor {
-			others += r.inflight[t.ID]
+			others += r.inflight[t.code]
 		}
 	}
 	if now.Since(t.toldAt) < toldFor && t.toldAt != 0 {
@@ -395,7 +397,7 @@
 	others, silent := 0.0, s.hosts-1
 	for _, r := range s.peers {
 		if now.Since(r.at) < heardFor {
-			others += float64(r.sent[t.ID])
+			others += float64(r.sent[t.code])
 			silent--
 		}
 	}
@@ -468,20 +470,20 @@
 
 // Beat returns what this host tells the others: its requests under way and those
 // sent in the last second.
-func (s *State) Beat(now sd.Instant) (inflight, sent map[sd.TargetID]int) {
-	inflight, sent = map[sd.TargetID]int{}, map[sd.TargetID]int{}
-	for id, t := range s.targets {
+func (s *State) Beat(now sd.Instant) (inflight, sent map[gossiper.Code]int) {
+	inflight, sent = map[gossiper.Code]int{}, map[gossiper.Code]int{}
+	for _, t := range s.targets {
 		if t.inflight > 0 {
-			inflight[id] = t.inflight
+			inflight[t.code] = t.inflight
 		}
 		if n := t.lately(now); n > 0 {
-			sent[id] = n
+			sent[t.code] = n
 		}
 	}
 	return inflight, sent
 }
 
 // Heard takes what another host told.
-func (s *State) Heard(now sd.Instant, host sd.HostID, inflight, sent map[sd.TargetID]int) {
+func (s *State) Heard(now sd.Instant, host sd.HostID, inflight, sent map[gossiper.Code]int) {
 	s.peers[host] = report{at: now, inflight: inflight, sent: sent}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,11 +26,16 @@
 	sendRate = 90
 	// shortest is the least time between two rounds.
 	shortest = 100 * sd.Millisecond
+	// jitterLeast and jitterSpan spread the rounds around their interval.
+	jitterLeast = 0.6
+	jitterSpan  = 0.8
 	// silentRounds is the number of rounds without a word after which a peer counts
-	// as cut off.
-	silentRounds = 4
-	// datagramBytes bounds a datagram; a beat of a large fleet takes some 4 KB.
-	datagramBytes = 48 << 10
+	// as cut off; two lost datagrams in a row are rare.
+	silentRounds = 3
+	// silentLeast bounds that time from below.
+	silentLeast = 350 * sd.Millisecond
+	// datagramBytes bounds a datagram; a beat of a large fleet takes some 1.5 KB.
+	datagramBytes = 32 << 10
 )
 
 // Peer is another host.
@@ -40,19 +46,6 @@
 	Incarnation sd.Incarnation
 }
 
-// Beat is what a host tells the others.
-type Beat struct {
-	Host        sd.HostID      `json:"h"`
-	Incarnation sd.Incarnation `json:"i"`
-	Number      uint64         `json:"n"`
-	Revision    sd.Revision    `json:"r"`
-	// Reaches tells that the host reaches the store itself.
-	Reaches  bool                      `json:"s"`
-	Inflight map[sd.TargetID]int       `json:"f,omitempty"`
-	Sent     map[sd.TargetID]int       `json:"t,omitempty"`
-	Admitted map[sd.WorkspaceID]uint64 `json:"a,omitempty"`
-}
-
 // Gossiper sends and receives beats. It is safe for concurrent use.
 type Gossiper struct {
 	// Self is this host.
@@ -66,6 +59,8 @@
 
 	lock  sync.Mutex
 	peers map[sd.HostID]*state
+	// addresses are those of the peers, resolved.
+	addresses map[sd.Address]*net.UDPAddr
 }
 
 type state struct {
@@ -109,6 +104,18 @@
 	return len(g.peers) + 1
 }
 
+// Reach returns the number of hosts in reach, this one included; hosts of silent
+// zones count as cut off at once.
+func (g *Gossiper) Reach(silent []sd.ZoneName) int {
+	reach := 1
+	for _, p := range g.Alive(false) {
+		if !slices.Contains(silent, p.Zone) {
+			reach++
+		}
+	}
+	return reach
+}
+
 // Lost returns the peers that were not heard for at least the given time.
 func (g *Gossiper) Lost(silent sd.Millis) []sd.HostID {
 	now := g.Clock.Now()
@@ -128,10 +135,13 @@
 	return max(shortest, sd.Millis(int(sd.Second)*g.Hosts()/sendRate))
 }
 
+// Silence returns how long a peer may say nothing before it counts as cut off.
+func (g *Gossiper) Silence() sd.Millis { return max(silentLeast, silentRounds*g.Interval()) }
+
 // Alive returns the peers that were heard lately; reaching selects those that
 // reach the store.
 func (g *Gossiper) Alive(reaching bool) []Peer {
-	limit := silentRounds * g.Interval()
+	limit := g.Silence()
 	now := g.Clock.Now()
 	g.lock.Lock()
 	defer g.lock.Unlock()
@@ -144,19 +154,23 @@
 	return list
 }
 
-// Silent returns the availability zones of which no peer was heard lately.
+// Silent returns the availability zones of which no peer was heard lately. Where a
+// zone has many hosts one of them is heard often, so that a cut shows sooner than
+// the silence of a single host.
 func (g *Gossiper) Silent() []sd.ZoneName {
-	limit := silentRounds * g.Interval()
+	limit := g.Interval()
 	now := g.Clock.Now()
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	heard := map[sd.ZoneName]bool{}
+	last := map[sd.ZoneName]sd.Instant{}
+	hosts := map[sd.ZoneName]sd.Millis{}
 	for _, p := range g.peers {
-		heard[p.Zone] = heard[p.Zone] || (!p.lost && now.Since(p.heard) <= limit)
+		last[p.Zone] = max(last[p.Zone], p.heard)
+		hosts[p.Zone]++
 	}
 	var silent []sd.ZoneName
-	for zone, alive := range heard {
-		if !alive && zone != g.Self.Zone {
+	for zone, heard := range last {
+		if zone != g.Self.Zone && now.Since(heard) > max(silentLeast, 2*silentRounds*limit/hosts[zone]) {
 			silent = append(silent, zone)
 		}
 	}
@@ -173,7 +187,9 @@
 	go func() { received <- g.receive(conn) }()
 	number := uint64(0)
 	for {
-		timer := time.NewTimer(g.Interval().Duration())
+		// Hosts that start together must not go on speaking together: a zone would
+		// seem silent between the rounds.
+		timer := time.NewTimer(time.Duration((jitterLeast + rand.Float64()*jitterSpan) * float64(g.Interval().Duration())))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -193,17 +209,15 @@
 func (g *Gossiper) send(conn net.PacketConn, number uint64) {
 	beat := Beat{Host: g.Self.Host, Incarnation: g.Self.Incarnation, Number: number}
 	g.Fill(&beat)
-	body, err := json.Marshal(beat)
-	if err != nil {
-		g.Log.Error("beat cannot be encoded", zap.Int("event", eventPeerLost), zap.Error(err))
-		return
-	}
-	limit := silentRounds * g.Interval()
+	body := beat.Encode()
+	limit := g.Silence()
 	now := g.Clock.Now()
 	g.lock.Lock()
-	addresses := make([]sd.Address, 0, len(g.peers))
+	addresses := make([]*net.UDPAddr, 0, len(g.peers))
 	for _, p := range g.peers {
-		addresses = append(addresses, p.Address)
+		if to := g.resolve(p.Address); to != nil {
+			addresses = append(addresses, to)
+		}
 		if !p.lost && now.Since(p.heard) > limit {
 			p.lost = true
 			g.Log.Warn("peer is silent", zap.Int("event", eventPeerLost), zap.String("peer", string(p.Host)),
@@ -211,12 +225,26 @@
 		}
 	}
 	g.lock.Unlock()
-	for _, address := range addresses {
-		if to, err := net.ResolveUDPAddr("udp4", string(address)); err == nil {
-			// A datagram that cannot be sent counts as lost.
-			_, _ = conn.WriteTo(body, to)
-		}
+	for _, to := range addresses {
+		// A datagram that cannot be sent counts as lost.
+		_, _ = conn.WriteTo(body, to)
+	}
+}
+
+// resolve returns the socket address of an IP number and port, or nil.
+func (g *Gossiper) resolve(address sd.Address) *net.UDPAddr {
+	if to, known := g.addresses[address]; known {
+		return to
+	}
+	if g.addresses == nil {
+		g.addresses = map[sd.Address]*net.UDPAddr{}
+	}
+	to, err := net.ResolveUDPAddr("udp4", string(address))
+	if err != nil {
+		g.Log.Error("address of a peer cannot be used", zap.Int("event", eventPeerLost), zap.String("address", string(address)), zap.Error(err))
 	}
+	g.addresses[address] = to
+	return to
 }
 
 func (g *Gossiper) receive(conn net.PacketConn) error {
@@ -226,8 +254,7 @@
 		if err != nil {
 			return sd.Unavailable.Wrap(err, "beats cannot be received")
 		}
-		var beat Beat
-		if json.Unmarshal(buffer[:n], &beat) == nil && g.take(beat) {
+		if beat, ok := DecodeBeat(buffer[:n]); ok && g.take(beat) {
 			g.Heard(beat)
 		}
 	}
--- a/meterer/state.go
+++ b/meterer/state.go
@@ -2,19 +2,17 @@
 
 import (
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/gossiper"
 )
 
-// Silence is how long a host may say nothing before its part is left to it: three
-// usual intervals, so that one lost message does not count.
-const Silence = 350 * sd.Millisecond
-
 // State is one host's view of all workspaces' buckets. It is pure; its owner
 // passes the time in, under one lock.
 type State struct {
-	buckets map[sd.WorkspaceID]*bucket
+	buckets map[gossiper.Code]*bucket
 	peers   map[sd.HostID]*peer
-	hosts   int
-	started sd.Instant
+	// hosts is the number of hosts that may be admitting, reach the number of those
+	// that are in reach, both with this one.
+	hosts, reach int
 }
 
 type bucket struct {
@@ -29,21 +27,24 @@
 }
 
 type peer struct {
-	heard       sd.Instant
 	incarnation sd.Incarnation
-	admitted    map[sd.WorkspaceID]uint64
+	admitted    map[gossiper.Code]uint64
 }
 
-// New returns the state of a host that starts now. Its buckets start empty, as
-// those of a restarted fleet must.
-func New(now sd.Instant) *State {
-	return &State{buckets: map[sd.WorkspaceID]*bucket{}, peers: map[sd.HostID]*peer{}, hosts: 1, started: now}
+// New returns the state of a host. Its buckets start empty, as those of a
+// restarted fleet must.
+func New() *State {
+	return &State{buckets: map[gossiper.Code]*bucket{}, peers: map[sd.HostID]*peer{}, hosts: 1, reach: 1}
 }
 
-// Hosts sets the number of hosts that may be admitting, this one included.
-func (s *State) Hosts(now sd.Instant, count int) {
+// Hosts sets the number of hosts that may be admitting and of those in reach,
+// both with this one.
+func (s *State) Hosts(now sd.Instant, hosts, reach int) {
+	if hosts == s.hosts && reach == s.reach {
+		return
+	}
 	s.fillAll(now)
-	s.hosts = max(count, 1)
+	s.hosts, s.reach = max(hosts, 1), max(reach, 1)
 }
 
 // Configure sets the workspaces of a plan. A workspace without a rate is not
@@ -51,15 +52,16 @@
 func (s *State) Configure(now sd.Instant, workspaces []sd.Workspace) {
 	s.fillAll(now)
 	old := s.buckets
-	s.buckets = make(map[sd.WorkspaceID]*bucket, len(workspaces))
+	s.buckets = make(map[gossiper.Code]*bucket, len(workspaces))
 	for _, w := range workspaces {
-		b := old[w.ID]
+		code := gossiper.CodeOf(w.ID)
+		b := old[code]
 		if b == nil {
 			b = &bucket{at: now}
 		}
 		b.rate, b.burst = float64(w.Rate), float64(w.Burst)
 		b.tokens = min(b.tokens, b.capacity())
-		s.buckets[w.ID] = b
+		s.buckets[code] = b
 	}
 }
 
@@ -67,20 +69,11 @@
 func (b *bucket) capacity() float64 { return max(b.burst, 1) }
 
 // part is the share of the fleet's rate that this host may count on.
-func (s *State) part(now sd.Instant) float64 {
-	heard := 1
-	for _, p := range s.peers {
-		if now.Since(p.heard) <= Silence {
-			heard++
-		}
-	}
-	return min(float64(heard)/float64(s.hosts), 1)
-}
+func (s *State) part() float64 { return min(float64(s.reach)/float64(s.hosts), 1) }
 
 func (s *State) fillAll(now sd.Instant) {
-	part := s.part(now)
 	for _, b := range s.buckets {
-		b.fill(now, part)
+		b.fill(now, s.part())
 	}
 }
 
@@ -100,44 +93,57 @@
 // about as long as a program runs.
 const beginPause = 3 * sd.Second
 
-// Admit takes a request of a workspace; begins tells that it begins a program. It
-// returns false and when to come back if the workspace has used up its rate.
-func (s *State) Admit(now sd.Instant, workspace sd.WorkspaceID, begins bool) (bool, sd.Millis) {
-	b := s.buckets[workspace]
+// Verdict tells whether a request is admitted, and what decided it.
+type Verdict struct {
+	Admitted bool
+	// Wait is when to come back.
+	Wait sd.Millis
+	// Tokens is what was left in the bucket, Need what the request had to find there.
+	Tokens, Need float64
+	Rate         sd.Rate
+	// Part is the share of the fleet that is in reach.
+	Part sd.Share
+}
+
+// Admit takes a request of a workspace; begins tells that it begins a program.
+func (s *State) Admit(now sd.Instant, workspace sd.WorkspaceID, begins bool) Verdict {
+	b := s.buckets[gossiper.CodeOf(workspace)]
 	if b == nil || b.rate == 0 {
-		return true, 0
+		return Verdict{Admitted: true}
 	}
-	part := s.part(now)
+	part := s.part()
 	b.fill(now, part)
 	need := min(1, b.capacity()*part)
 	if begins && b.drained > 0 && now.Since(b.drained) < beginPause {
 		need = max(need, b.capacity()*part*beginReserve)
 	}
-	if b.tokens < need {
+	v := Verdict{Admitted: b.tokens >= need, Tokens: b.tokens, Need: need, Rate: sd.Rate(b.rate), Part: sd.Share(part)}
+	if !v.Admitted {
 		if !begins {
 			b.drained = now
 		}
-		return false, sd.Millis((need - b.tokens) / (b.rate * part) * float64(sd.Second))
+		v.Wait = sd.Millis((need - b.tokens) / (b.rate * part) * float64(sd.Second))
+		return v
 	}
 	b.tokens--
 	b.admitted++
-	return true, 0
+	return v
 }
 
 // Return gives back an admission whose request was not sent anywhere.
 func (s *State) Return(workspace sd.WorkspaceID) {
-	if b := s.buckets[workspace]; b != nil && b.rate > 0 && b.admitted > 0 {
+	if b := s.buckets[gossiper.CodeOf(workspace)]; b != nil && b.rate > 0 && b.admitted > 0 {
 		b.admitted--
 		b.tokens = min(b.tokens+1, b.capacity())
 	}
 }
 
 // Beat returns this host's admissions of each workspace since it started.
-func (s *State) Beat() map[sd.WorkspaceID]uint64 {
-	counts := map[sd.WorkspaceID]uint64{}
-	for id, b := range s.buckets {
+func (s *State) Beat() map[gossiper.Code]uint64 {
+	counts := map[gossiper.Code]uint64{}
+	for code, b := range s.buckets {
 		if b.admitted > 0 {
-			counts[id] = b.admitted
+			counts[code] = b.admitted
 		}
 	}
 	return counts
@@ -145,23 +151,21 @@
 
 // Heard takes the counts of another host. Counts of another start of that host
 // begin at zero.
-func (s *State) Heard(now sd.Instant, host sd.HostID, incarnation sd.Incarnation, counts map[sd.WorkspaceID]uint64) {
-	s.fillAll(now)
+func (s *State) Heard(now sd.Instant, host sd.HostID, incarnation sd.Incarnation, counts map[gossiper.Code]uint64) {
 	p := s.peers[host]
 	if p == nil || p.incarnation != incarnation {
-		p = &peer{incarnation: incarnation, admitted: map[sd.WorkspaceID]uint64{}}
+		p = &peer{incarnation: incarnation, admitted: map[gossiper.Code]uint64{}}
 		s.peers[host] = p
 	}
-	p.heard = now
-	for id, count := range counts {
-		before := p.admitted[id]
+	for code, count := range counts {
+		before := p.admitted[code]
 		if count == before {
 			continue
 		}
-		p.admitted[id] = count
-		if b := s.buckets[id]; b != nil {
-			b.tokens -= float64(int64(count - before))
-			b.tokens = min(b.tokens, b.capacity())
+		p.admitted[code] = count
+		if b := s.buckets[code]; b != nil {
+			b.fill(now, s.part())
+			b.tokens = min(b.tokens-float64(int64(count-before)), b.capacity())
 		}
 	}
 }
@@ -171,7 +175,7 @@
 
 // Tokens returns what is left of a workspace's bucket in this host's view.
 func (s *State) Tokens(workspace sd.WorkspaceID) float64 {
-	if b := s.buckets[workspace]; b != nil {
+	if b := s.buckets[gossiper.CodeOf(workspace)]; b != nil {
 		return b.tokens
 	}
 	return 0
--- a/receiver/measures.go
+++ b/receiver/measures.go
@@ -15,6 +15,7 @@
 	eventRefusal = 641
 	eventAttempt = 642
 	eventTurn    = 643
+	eventRate    = 644
 )
 
 // Measures are the counters and histograms of a host.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,14 +16,14 @@
 	"sapphiredrum.example/sapphiredrum/archiver"
 	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/exchanger"
+	"sapphiredrum.example/sapphiredrum/meterer"
 	"sapphiredrum.example/sapphiredrum/platform"
 )
 
 // Meter admits requests of workspaces.
 type Meter interface {
-	// Admit takes a request, which may begin a program; if not, it tells when to
-	// come back.
-	Admit(workspace sd.WorkspaceID, begins bool) (bool, sd.Millis)
+	// Admit takes a request, which may begin a program.
+	Admit(workspace sd.WorkspaceID, begins bool) meterer.Verdict
 	// Return gives back a request that no target has run.
 	Return(workspace sd.WorkspaceID)
 }
@@ -119,8 +119,11 @@
 	if !q.read() {
 		return
 	}
-	if admitted, wait := r.Meter.Admit(q.workspace, q.rule.Retained && q.ask.Previous == ""); !admitted {
-		q.refuse(http.StatusTooManyRequests, "rate used up", wait)
+	if v := r.Meter.Admit(q.workspace, q.rule.Retained && q.ask.Previous == ""); !v.Admitted {
+		q.Log.Info("rate used up", zap.Int("event", eventRate), q.id(), zap.String("workspace", string(q.workspace)),
+			zap.Float64("tokens", v.Tokens), zap.Float64("need", v.Need), zap.Float64("rate", float64(v.Rate)),
+			zap.Float64("part", float64(v.Part)), zap.Int64("wait_ms", int64(v.Wait)))
+		q.refuse(http.StatusTooManyRequests, "rate used up", v.Wait)
 		return
 	}
 	if q.rule.Retained {
--- a/starter/host.go
+++ b/starter/host.go
@@ -117,7 +117,7 @@
 	h.gate = receiver.NewGate(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdOver: settings.ColdOver, ColdSlack: settings.ColdSlack,
 	}, h.clock)
-	h.meter = &meter{clock: h.clock, state: meterer.New(h.clock.Now())}
+	h.meter = &meter{clock: h.clock, state: meterer.New()}
 	h.archive = archiver.New(archiver.Settings{
 		Memory: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
 	}, h.relay, archiver.Peers{
@@ -254,7 +254,6 @@
 		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation})
 	}
 	hosts := h.gossiper.Hosts()
-	h.meter.update(func(s *meterer.State, now sd.Instant) { s.Hosts(now, hosts) })
 	h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Hosts(hosts) })
 }
 
@@ -307,11 +306,15 @@
 		beat.Revision = t.Plan.Revision
 	}
 	silent := h.gossiper.Silent()
+	hosts, reach := h.gossiper.Hosts(), h.gossiper.Reach(silent)
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
 		s.Silent(silent)
 		beat.Inflight, beat.Sent = s.Beat(now)
 	})
-	h.meter.update(func(s *meterer.State, _ sd.Instant) { beat.Admitted = s.Beat() })
+	h.meter.update(func(s *meterer.State, now sd.Instant) {
+		s.Hosts(now, hosts, reach)
+		beat.Admitted = s.Beat()
+	})
 }
 
 // heard takes another host's beat.
@@ -345,9 +348,9 @@
 }
 
 // Admit implements receiver.Meter.
-func (m *meter) Admit(workspace sd.WorkspaceID, begins bool) (admitted bool, wait sd.Millis) {
-	m.update(func(s *meterer.State, now sd.Instant) { admitted, wait = s.Admit(now, workspace, begins) })
-	return admitted, wait
+func (m *meter) Admit(workspace sd.WorkspaceID, begins bool) (v meterer.Verdict) {
+	m.update(func(s *meterer.State, now sd.Instant) { v = s.Admit(now, workspace, begins) })
+	return v
 }
 
 // Return implements receiver.Meter.
