--- a/balancer/state.go
+++ b/balancer/state.go
@@ -21,6 +21,8 @@
 	// ColdOver and ColdSlack bound the requests to a target in a second: its cold
 	// rate times ColdOver plus ColdSlack.
 	ColdOver, ColdSlack float64
+	// Connected reports whether a connection to a target is at hand; nil means never.
+	Connected func(sd.Address) bool
 	// Random returns a number from 0 to below n.
 	Random func(n int) int
 }
@@ -35,6 +37,9 @@
 	// toldFor is how long the load in a target's answer counts: about as long as a
 	// request runs.
 	toldFor = 300 * sd.Millisecond
+	// nearlyFull is the load above which a connection at hand counts for less than a
+	// free slot; targets slow down when they are nearly full.
+	nearlyFull = 0.7
 	// restFirst and restMost are how long a target rests after failed connections.
 	restFirst = 300 * sd.Millisecond
 	restMost  = 3 * sd.Second
@@ -332,7 +337,7 @@
 	}
 	for _, list := range [][]*target{near, zone, far} {
 		if len(list) > 0 {
-			s.send(now, k, s.draw(now, list))
+			s.send(now, k, s.draw(now, s.connected(now, list)))
 			return true
 		}
 	}
@@ -343,6 +348,24 @@
 	return false
 }
 
+// connected returns the targets of the list to which a connection is at hand and
+// that are not nearly full; if there are none, the list.
+func (s *State) connected(now sd.Instant, list []*target) []*target {
+	if s.settings.Connected == nil {
+		return list
+	}
+	var at []*target
+	for _, t := range list {
+		if s.relative(now, t) < nearlyFull && s.settings.Connected(t.Address) {
+			at = append(at, t)
+		}
+	}
+	if len(at) == 0 {
+		return list
+	}
+	return at
+}
+
 // draw returns the less loaded of two drawn targets.
 func (s *State) draw(now sd.Instant, list []*target) *target {
 	first := s.settings.Random(len(list))
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -38,6 +38,9 @@
 	// inlineBody is the size up to which a body is sent before the answer is read;
 	// larger ones could block on a target that answers early.
 	inlineBody = 16 << 10
+	// distrust is how long connections are kept for a shorter time after a target has
+	// dropped one without notice.
+	distrust = 20 * sd.Second
 	// strays bounds the answers to earlier requests that are skipped.
 	strays = 3
 	// strayBytes bounds the body of a skipped answer.
@@ -66,15 +69,19 @@
 	lock  sync.Mutex
 	idle  map[sd.Address][]*connection
 	ended bool
+	// trust bounds the idle time until doubted; targets that drop idle connections
+	// without notice shorten it.
+	trust   sd.Millis
+	doubted sd.Instant
 }
 
 type connection struct {
 	net.Conn
 	reader  *bufio.Reader
 	address sd.Address
-	// until is when the connection may no longer be reused.
-	until sd.Instant
-	used  bool
+	// since is when the connection was last used, until when it may no longer be.
+	since, until sd.Instant
+	used         bool
 }
 
 // New returns an Exchanger without connections.
@@ -168,6 +175,9 @@
 	for range strays + 1 {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
+			if conn.used && !skipped && ctx.Err() == nil {
+				x.doubt(conn)
+			}
 			return fail(err)
 		}
 		if response.StatusCode < 200 {
@@ -249,12 +259,31 @@
 	return len(x.idle[address]) > 0
 }
 
+// doubt notes that a kept connection had been dropped without notice: others are
+// kept for half the time after which this one was gone.
+func (x *Exchanger) doubt(conn *connection) {
+	now := x.settings.Clock.Now()
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	half := now.Since(conn.since) / 2
+	if now < x.doubted {
+		half = min(half, x.trust)
+	}
+	x.trust, x.doubted = half, now.Add(distrust)
+	for _, list := range x.idle {
+		for _, other := range list {
+			other.until = min(other.until, other.since.Add(half))
+		}
+	}
+}
+
 func (x *Exchanger) keep(conn *connection, keepAlive string) {
 	idle := x.settings.Idle
+	// A time that the target names goes before the default.
 	for part := range strings.SplitSeq(keepAlive, ",") {
 		if text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout="); found {
 			if seconds, err := strconv.Atoi(text); err == nil {
-				idle = min(idle, sd.Millis(seconds)*sd.Second-idleMargin)
+				idle = sd.Millis(seconds)*sd.Second - idleMargin
 			}
 		}
 	}
@@ -263,8 +292,12 @@
 		return
 	}
 	conn.used = true
-	conn.until = x.settings.Clock.Now().Add(idle)
+	conn.since = x.settings.Clock.Now()
 	x.lock.Lock()
+	if conn.since < x.doubted {
+		idle = min(idle, x.trust)
+	}
+	conn.until = conn.since.Add(idle)
 	list := x.idle[conn.address]
 	if x.ended || len(list) >= x.settings.Kept {
 		x.lock.Unlock()
--- a/starter/host.go
+++ b/starter/host.go
@@ -49,13 +49,13 @@
 	// keepTurns is how long turns and accounts stay in memory; as long as callers
 	// usually may go on from a turn.
 	keepTurns = 60 * sd.Second
-	// planWait and targetWait are how long watches wait: well under the time in
-	// which a change must be in force.
-	planWait   = sd.Second
+	// planWait and targetWait are how long watches wait: under the time in which a
+	// change must be in force, as a connection may fall silent.
+	planWait   = 1300 * sd.Millisecond
 	targetWait = sd.Second
-	// targetPace is the least time between two reads of the targets, which change
-	// many times a second.
-	targetPace = 400 * sd.Millisecond
+	// targetPace is the part of the drain time that may pass between two reads of
+	// the targets, which change many times a second.
+	targetPace = 0.35
 	// peerWait is how long the watch of the hosts waits.
 	peerWait = 3 * sd.Second
 	// sweepEvery is how often hosts that are gone are looked for.
@@ -114,8 +114,10 @@
 		Fill: h.fill, Heard: h.heard, Clock: h.clock, Log: log,
 	}
 	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
+	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock})
 	h.gate = receiver.NewGate(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdOver: settings.ColdOver, ColdSlack: settings.ColdSlack,
+		Connected: h.exchanger.HasIdle,
 	}, h.clock)
 	h.meter = &meter{clock: h.clock, state: meterer.New()}
 	h.archive = archiver.New(archiver.Settings{
@@ -124,7 +126,6 @@
 		Self: h.gossiper.Self, Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Hosts: h.gossiper.Hosts,
 		Away: h.relay.Away, Settled: h.relay.Settled, Client: h.peers,
 	}, h.clock, log)
-	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock})
 	h.receiver = receiver.New(receiver.Parts{
 		Clock: h.clock, Log: log, Meter: h.meter, Gate: h.gate, Archive: h.archive, Exchanger: h.exchanger, Measures: h.measures,
 	})
@@ -153,7 +154,7 @@
 	add(h.publish)
 	add(h.reload)
 	add(h.follow(platform.OperatorTable, planWait, 0, h.operatorChanged))
-	add(h.follow(platform.TargetTable, targetWait, targetPace, h.targetsChanged))
+	add(h.follow(platform.TargetTable, targetWait, sd.Millis(targetPace*float64(h.settings.Drain)), h.targetsChanged))
 	add(h.follow(platform.PeerTable, peerWait, 0, h.peersChanged))
 	add(h.lapse)
 	add(func(inner context.Context) error { return h.serve(inner, ctx) })
