archiver: one host sequences the operations of a part; balancer, meterer: what large fleets showed

Operations of a part now go to one host, whose lane puts many into a transaction; refusals for load are told from a store that turns a host away. Hosts that restart took the whole history of others' admissions at once and refused everything (429): counts now begin where a host begins to listen. Connections were opened for a prefix that was worth less than they cost.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -27,7 +28,7 @@
 	// the store's usual answer, and short against a program's patience.
 	pauseMin = 20 * sd.Millisecond
 	pauseMax = 250 * sd.Millisecond
-	// lookEvery is how often a waiting reservation looks whether the store is away.
+	// lookEvery is how often a waiting operation looks whether the store is away.
 	lookEvery = 40 * sd.Millisecond
 	// sweepEvery is how often idle accounts are dropped from memory.
 	sweepEvery = 5 * sd.Second
@@ -49,6 +50,8 @@
 
 	copyLock sync.Mutex
 	copies   []copied
+
+	suspects suspects
 }
 
 // worker runs one Lane.
@@ -60,8 +63,8 @@
 
 	claims map[Key]*claim
 	fences map[Key]fence
-	// forwarded are turns that the holder of a claim has reserved for this host.
-	forwarded map[Key]sd.Address
+	// placed are reservations that another host has made for this one.
+	placed map[Key]sd.Address
 }
 
 // New returns an Archive; Run must be running for its operations to end.
@@ -73,6 +76,7 @@
 	for i, part := range AllParts() {
 		a.lanes[i] = &worker{
 			lane: Lane{Part: part}, waiters: map[*Operation]chan error{}, wake: make(chan struct{}, 1),
+			placed: map[Key]sd.Address{},
 		}
 	}
 	return a
@@ -123,42 +127,62 @@
 
 func (a *Archive) worker(program Key) *worker { return a.lanes[program[0]%Parts] }
 
-// Reserve takes a turn's most from its program's budget; fresh tells that the
-// program may be new. Errors are Exhausted and Unavailable; after the latter a
-// reservation that may have been made is given back.
+// Reserve takes a turn's most from its program's budget and returns the key of
+// the reservation; fresh tells that the program may be new. Errors are Exhausted
+// and Unavailable; after the latter a reservation that may have been made is
+// given back.
 //
-// While the store is away, a host that a majority agrees to reserves by what is
-// known of the account.
-func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens, fresh bool) error {
-	request := Forwarded{Program: program, Turn: turn, Limit: limit, Budget: budget, Fresh: fresh}
-	if a.away() || a.claimed(program) {
-		return a.reserveAway(ctx, request, true)
-	}
-	operation := &Operation{Kind: Reserve, Program: program, Turn: turn, Tokens: limit, Budget: budget}
-	w := a.worker(program)
+// The host that sequences the program's part does it, or this one if that does
+// not answer. While the store is away, a host that a majority agrees to reserves
+// by what is known of the account.
+func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens, fresh bool) (Key, error) {
+	hold := holdKey(turn, "first")
+	order := Placement{Program: program, Hold: hold, Limit: limit, Budget: budget, Fresh: fresh}
+	if at := a.sequencer(program); at != "" {
+		placed, decided, err := a.place(ctx, at, order)
+		if err == nil || decided {
+			return placed, err
+		}
+		if ctx.Err() != nil {
+			return hold, sd.Unavailable.Wrap(err, "account not reached in time")
+		}
+		order.Hold = holdKey(turn, "second")
+	}
+	return a.reserve(ctx, order)
+}
+
+// reserve takes a turn's most by this host's own lane or claim. It returns the
+// key of the reservation.
+func (a *Archive) reserve(ctx context.Context, order Placement) (Key, error) {
+	if a.away() || a.claimed(order.Program) {
+		return order.Hold, a.reserveAway(ctx, order, true)
+	}
+	operation := &Operation{Kind: Reserve, Program: order.Program, Hold: order.Hold, Tokens: order.Limit, Budget: order.Budget}
+	w := a.worker(order.Program)
 	done := w.add(operation)
 	look := time.NewTicker(lookEvery.Duration())
 	defer look.Stop()
 	for ctx.Err() == nil {
 		select {
 		case err := <-done:
-			return err
+			return order.Hold, err
 		case <-ctx.Done():
 		case <-look.C:
 			if a.away() {
 				if ended, err := a.leave(w, operation, done); ended {
-					return err
+					return order.Hold, err
 				}
-				return a.reserveAway(ctx, request, true)
+				order.Hold = holdKey(order.Hold, "away")
+				return order.Hold, a.reserveAway(ctx, order, true)
 			}
 		}
 	}
 	if ended, err := a.leave(w, operation, done); ended && err != nil {
-		return err
+		return order.Hold, err
 	} else if ended {
-		w.add(&Operation{Kind: Cancel, Program: program, Turn: turn})
+		w.add(&Operation{Kind: Cancel, Program: order.Program, Hold: order.Hold})
 	}
-	return sd.Unavailable.Wrap(ctx.Err(), "account not reached in time")
+	return order.Hold, sd.Unavailable.Wrap(ctx.Err(), "account not reached in time")
 }
 
 // leave stops waiting for a reservation. It reports whether the reservation had
@@ -186,37 +210,43 @@
 		return true
 	}
 	f, fenced := w.fences[program]
-	return fenced && slices.Contains(a.alive(), f.holder)
+	return fenced && a.lives(f.holder)
 }
 
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
 // store or nil. It returns nil once the store has it or, while the store is away,
 // a peer holds a copy. Otherwise the error is Unavailable when ctx ends; the work
 // goes on all the same.
-func (a *Archive) Settle(ctx context.Context, program, turn Key, used sd.Tokens, kept *Turn) error {
+func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
 	if kept != nil {
 		a.remember(kept)
 	}
-	o := Operation{Kind: Settle, Program: program, Turn: turn, Tokens: used, Kept: kept}
+	o := Operation{Kind: Settle, Program: program, Hold: hold, Tokens: used, Kept: kept}
 	w := a.worker(program)
 	w.lock.Lock()
-	holder, forwarded := w.forwarded[turn]
-	delete(w.forwarded, turn)
-	if w.close(program, turn) || forwarded {
-		o.Kind = Charge
-	}
+	at, placed := w.placed[hold]
+	delete(w.placed, hold)
 	w.lock.Unlock()
-	if forwarded {
-		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout.Duration())
-		_, err := messenger.Ask[Copied, Done](asked, a.peers.Client, holder, messageSettle, Copied{a.peers.Self, []Operation{o}})
+	if placed && !a.suspects.has(a.clock.Now(), at) {
+		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
+		_, err := messenger.Ask[Operation, Done](asked, a.peers.Client, at, messageSettle, o)
 		cancel()
 		if err == nil {
-			// This host writes the turn as well if the holder does not.
-			_, err = a.answerCopy(ctx, Copied{a.peers.Self, []Operation{o}})
-			return err
+			return nil
 		}
-		a.log.Warn("holder of a claim did not take a turn", zap.Int("event", eventClaim), zap.Stringer("program", program), zap.Error(err))
+		a.suspects.add(a.clock.Now(), at)
+		a.log.Warn("sequencer did not settle a turn", zap.Int("event", eventSequencer), zap.Stringer("program", program),
+			zap.String("sequencer", string(at)), zap.Error(err))
 	}
+	return a.settle(ctx, o)
+}
+
+// settle ends a turn by this host's own lane.
+func (a *Archive) settle(ctx context.Context, o Operation) error {
+	w := a.worker(o.Program)
+	w.lock.Lock()
+	w.close(o.Program, o.Hold)
+	w.lock.Unlock()
 	operation := o
 	done := w.add(&operation)
 	look := time.NewTicker(lookEvery.Duration())
@@ -232,7 +262,7 @@
 			return err
 		case <-look.C:
 		case <-ctx.Done():
-			return sd.Unavailable.Wrap(ctx.Err(), "turn %s is not written in time", turn)
+			return sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
 		}
 	}
 }
@@ -290,7 +320,8 @@
 			continue
 		}
 		pause = min(max(2*pause, pauseMin), pauseMax)
-		if !sleep(ctx, pause) {
+		// Lanes that failed together must not come back together.
+		if !sleep(ctx, pause/2+sd.Millis(rand.Int64N(int64(pause)))) {
 			return
 		}
 	}
@@ -306,7 +337,7 @@
 			continue
 		}
 		if end.Operation.Kind == Reserve && end.Err == nil {
-			w.lane.Add(&Operation{Kind: Cancel, Program: end.Operation.Program, Turn: end.Operation.Turn})
+			w.lane.Add(&Operation{Kind: Cancel, Program: end.Operation.Program, Hold: end.Operation.Hold})
 		}
 	}
 }
@@ -324,9 +355,14 @@
 	return a.cache.Len()
 }
 
-// Chain returns the turns that lead to the turn last, oldest first, and makes the
-// account of program known. Errors are Absent (there is no such turn) and
-// Unavailable.
+func (a *Archive) cached(key Key) *Turn {
+	a.cacheLock.Lock()
+	defer a.cacheLock.Unlock()
+	return a.cache.Get(key)
+}
+
+// Chain returns the turns that lead to the turn last, oldest first. Errors are
+// Absent (there is no such turn) and Unavailable.
 func (a *Archive) Chain(ctx context.Context, program, last Key) ([]*Turn, error) {
 	var chain []*Turn
 	read := map[Key]*Turn{}
@@ -352,14 +388,8 @@
 	return chain, nil
 }
 
-func (a *Archive) cached(key Key) *Turn {
-	a.cacheLock.Lock()
-	defer a.cacheLock.Unlock()
-	return a.cache.Get(key)
-}
-
-// load reads the rows of the program, and if the turn is not among them looks for
-// it in all parts. Errors are Absent and Unavailable.
+// load finds a turn: at the host that sequences the program, in the rows of the
+// program, in all parts, at any host. Errors are Absent and Unavailable.
 func (a *Archive) load(ctx context.Context, program, turn Key, loaded map[Key]bool, read map[Key]*Turn) error {
 	if a.away() {
 		a.recall(ctx, turn, read)
@@ -370,6 +400,13 @@
 	}
 	if !loaded[program] {
 		loaded[program] = true
+		if at := a.sequencer(program); at != "" {
+			a.recallFrom(ctx, at, turn, read)
+			if read[turn] != nil {
+				loaded[program] = false
+				return nil
+			}
+		}
 		if err := a.read(ctx, program, read); err != nil || read[turn] != nil {
 			return err
 		}
--- a/archiver/events.go
+++ b/archiver/events.go
@@ -5,4 +5,5 @@
 	eventMalformed = 601
 	eventClaim     = 602
 	eventCopies    = 603
+	eventSequencer = 604
 )
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -15,13 +15,11 @@
 const (
 	// Reserve takes a turn's most from the budget.
 	Reserve Kind = iota
-	// Settle replaces a reservation with what the turn used, and keeps the turn.
+	// Settle charges what the turn used, in place of its reservation if there is
+	// one, and keeps the turn.
 	Settle
 	// Cancel gives back a reservation that may or may not have been made.
 	Cancel
-	// Charge adds what a turn used that ran without a reservation in the store. The
-	// turn's own row tells whether it was charged before.
-	Charge
 )
 
 // Operation is a change of one program's account. It is applied once, however
@@ -29,7 +27,8 @@
 type Operation struct {
 	Kind    Kind
 	Program Key
-	Turn    Key
+	// Hold is the key of the reservation.
+	Hold Key
 	// Tokens is the most of a Reserve, what a Settle used.
 	Tokens sd.Tokens
 	// Budget bounds a Reserve.
@@ -144,7 +143,7 @@
 		}
 		ended = append(ended, Ended{o, sd.Unavailable.New("account not reached in time")})
 		if o.sent {
-			kept = append(kept, &Operation{Kind: Cancel, Program: o.Program, Turn: o.Turn})
+			kept = append(kept, &Operation{Kind: Cancel, Program: o.Program, Hold: o.Hold})
 		}
 	}
 	l.pending = kept
@@ -184,7 +183,9 @@
 			update.Expect = append(update.Expect, sd.Record{Cell: accountCell(l.Part, o.Program), Version: known.version})
 			entries += 2
 		}
-		if o.Kind == Charge && o.Kept != nil {
+		if o.Kind == Settle && o.Kept != nil && !row.account.Holds(o.Hold) {
+			// The turn ran without a reservation in the store, or was settled before:
+			// its own row tells.
 			update.Expect = append(update.Expect, sd.Record{Cell: puts[0].Cell})
 			entries++
 		}
@@ -211,26 +212,28 @@
 }
 
 // apply changes the account. It returns the outcome and whether the row is to be
-// written.
+// written. A Settle that stores a turn is always due: the turn's row, which must
+// be absent unless its reservation is open, tells whether it was settled before.
 func apply(a *Account, o *Operation) (error, bool) {
 	switch o.Kind {
 	case Reserve:
-		if a.Holds(o.Turn) {
+		if a.Holds(o.Hold) {
 			return nil, false
 		}
-		if !a.Reserve(o.Turn, o.Tokens, o.Budget) {
+		if !a.Reserve(o.Hold, o.Tokens, o.Budget) {
 			return Exhausted.New("spent %d, open %d, most %d, budget %d", a.Spent, a.Reserved(), o.Tokens, o.Budget), false
 		}
 		return nil, true
 	case Settle:
-		return nil, a.Settle(o.Turn, o.Tokens)
-	case Charge:
-		a.Spent += o.Tokens
+		if o.Kept == nil && a.ended(o.Hold) {
+			return nil, false
+		}
+		a.Settle(o.Hold, o.Tokens)
 		return nil, true
 	default:
 		// The row is written even if it holds no such reservation: a transaction that
 		// would still make one then finds another version.
-		a.Settle(o.Turn, 0)
+		a.Settle(o.Hold, 0)
 		return nil, true
 	}
 }
@@ -293,11 +296,11 @@
 	return ended
 }
 
-// charged ends the Charge whose turn's row exists already.
+// charged ends the Settle whose turn's row exists already.
 func (l *Lane) charged(key string) []Ended {
 	var ended []Ended
 	l.pending = slices.DeleteFunc(l.pending, func(o *Operation) bool {
-		match := o.Kind == Charge && o.Kept != nil && turnName(o.Kept) == key
+		match := o.Kind == Settle && o.Kept != nil && turnName(o.Kept) == key
 		if match {
 			ended = append(ended, Ended{o, nil})
 		}
@@ -351,7 +354,7 @@
 
 // puts returns the rows that store a Settle's turn.
 func (l *Lane) puts(o *Operation) []sd.Record {
-	if (o.Kind != Settle && o.Kind != Charge) || o.Kept == nil {
+	if o.Kind != Settle || o.Kept == nil {
 		return nil
 	}
 	rows := turnRows(l.Part, o.Kept)
@@ -362,9 +365,10 @@
 }
 
 // Parts is the number of parts over which programs are spread. It may never
-// change while rows are kept. The store orders some 200 transactions a second in
-// a part; 16 parts keep the wait there under a millisecond at 800 in all.
-const Parts = 16
+// change while rows are kept. A part has one transaction under way at a time, some
+// 100 a second; the fewer parts, the more operations share one. Four keep a large
+// fleet at a third of the store's rate and its wait at half a transaction.
+const Parts = 4
 
 // Part returns the part of a program's rows.
 func Part(program Key) string {
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -66,7 +65,7 @@
 	holder gossiper.Peer
 }
 
-// copied is a peer's operation that this host writes if the peer cannot.
+// copied is another host's operation that this host writes too.
 type copied struct {
 	from      gossiper.Peer
 	operation Operation
@@ -98,20 +97,7 @@
 	Operations []Operation
 }
 
-// Forwarded asks the holder of a claim to reserve a turn.
-type Forwarded struct {
-	Program, Turn Key
-	Limit, Budget sd.Tokens
-	Fresh         bool
-}
-
-// Granted is the answer to Forwarded.
-type Granted struct {
-	Exhausted string
-}
-
-// Copied gives a host operations to write if the sender cannot, or, in a settle
-// message, to write at once.
+// Copied gives a host operations to write if the sender cannot.
 type Copied struct {
 	From       gossiper.Peer
 	Operations []Operation
@@ -144,17 +130,24 @@
 	return a.peers.Alive()
 }
 
+// same reports whether two peers are the same start of a host.
+func same(a, b gossiper.Peer) bool { return a.Host == b.Host && a.Incarnation == b.Incarnation }
+
+// lives reports whether a peer was heard lately.
+func (a *Archive) lives(p gossiper.Peer) bool {
+	return slices.ContainsFunc(a.alive(), func(other gossiper.Peer) bool { return same(p, other) })
+}
+
 // answerClaim leaves a program to another host, unless this host or a third one
 // has claimed it.
 func (a *Archive) answerClaim(_ context.Context, request Claim) (Claimed, error) {
 	w := a.worker(request.Program)
-	alive := a.alive()
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	if c := w.claims[request.Program]; c != nil {
 		return Claimed{Holder: a.peers.Self.Address}, nil
 	}
-	if f, fenced := w.fences[request.Program]; fenced && f.holder != request.From && slices.Contains(alive, f.holder) {
+	if f, fenced := w.fences[request.Program]; fenced && !same(f.holder, request.From) && a.lives(f.holder) {
 		return Claimed{Holder: f.holder.Address}, nil
 	}
 	if w.fences == nil {
@@ -174,7 +167,7 @@
 func (a *Archive) claim(ctx context.Context, program Key) (*claim, sd.Address, error) {
 	w := a.worker(program)
 	w.lock.Lock()
-	if f, fenced := w.fences[program]; fenced && slices.Contains(a.alive(), f.holder) {
+	if f, fenced := w.fences[program]; fenced && a.lives(f.holder) {
 		w.lock.Unlock()
 		return nil, f.holder.Address, nil
 	}
@@ -270,8 +263,9 @@
 }
 
 // reserveAway reserves a turn while the store is away. Errors are Exhausted and
-// Unavailable.
-func (a *Archive) reserveAway(ctx context.Context, request Forwarded, forward bool) error {
+// Unavailable. Where another host has the claim, that one is asked if forward is
+// set.
+func (a *Archive) reserveAway(ctx context.Context, request Placement, forward bool) error {
 	c, holder, err := a.claim(ctx, request.Program)
 	if err != nil {
 		return err
@@ -280,7 +274,8 @@
 		if !forward {
 			return sd.Unavailable.New("program %s is with another host", request.Program)
 		}
-		return a.forward(ctx, holder, request)
+		_, _, err := a.place(ctx, holder, request)
+		return err
 	}
 	w := a.worker(request.Program)
 	w.lock.Lock()
@@ -289,72 +284,20 @@
 	if !known && !request.Fresh {
 		return sd.Unavailable.New("account of program %s is not known", request.Program)
 	}
-	if !account.Reserve(request.Turn, request.Limit, request.Budget) {
+	if !account.Reserve(request.Hold, request.Limit, request.Budget) {
 		return Exhausted.New("spent %d, open %d, most %d, budget %d", account.Spent, account.Reserved(), request.Limit, request.Budget)
 	}
-	if !slices.ContainsFunc(c.open, func(r Reservation) bool { return r.Turn == request.Turn }) {
-		c.open = append(c.open, Reservation{request.Turn, request.Limit})
+	if !slices.ContainsFunc(c.open, func(r Reservation) bool { return r.Hold == request.Hold }) {
+		c.open = append(c.open, Reservation{request.Hold, request.Limit})
 	}
 	return nil
 }
 
-// forward has the holder of a claim reserve the turn.
-func (a *Archive) forward(ctx context.Context, holder sd.Address, request Forwarded) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-	defer cancel()
-	granted, err := messenger.Ask[Forwarded, Granted](ctx, a.peers.Client, holder, messageReserve, request)
-	if err != nil {
-		return sd.Unavailable.Wrap(err, "holder of the claim did not answer")
-	}
-	if granted.Exhausted != "" {
-		return Exhausted.New("%s", granted.Exhausted)
-	}
-	w := a.worker(request.Program)
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if w.forwarded == nil {
-		w.forwarded = map[Key]sd.Address{}
-	}
-	w.forwarded[request.Turn] = holder
-	return nil
-}
-
-// answerReserve reserves a turn for another host.
-func (a *Archive) answerReserve(ctx context.Context, request Forwarded) (Granted, error) {
-	err := a.reserveAway(ctx, request, false)
-	if errorx.IsOfType(err, Exhausted) {
-		return Granted{Exhausted: err.Error()}, nil
-	}
-	return Granted{}, err
-}
-
-// answerSettle takes over operations that belong to a claim of this host.
-func (a *Archive) answerSettle(_ context.Context, request Copied) (Done, error) {
-	for i := range request.Operations {
-		o := request.Operations[i]
-		if o.Kept != nil {
-			a.remember(o.Kept)
-		}
-		w := a.worker(o.Program)
-		w.lock.Lock()
-		w.close(o.Program, o.Turn)
-		w.lane.Add(&o)
-		w.lock.Unlock()
-		w.signal()
-	}
-	return Done{}, nil
-}
-
-// close ends a turn that ran without a reservation in the store, and reports
-// whether there was one.
-func (w *worker) close(program, turn Key) bool {
-	c := w.claims[program]
-	if c == nil {
-		return false
+// close ends a turn that ran without a reservation in the store.
+func (w *worker) close(program, hold Key) {
+	if c := w.claims[program]; c != nil {
+		c.open = slices.DeleteFunc(c.open, func(r Reservation) bool { return r.Hold == hold })
 	}
-	before := len(c.open)
-	c.open = slices.DeleteFunc(c.open, func(r Reservation) bool { return r.Turn == turn })
-	return len(c.open) < before
 }
 
 // answerCopy keeps operations of a peer in case that it cannot write them.
@@ -388,17 +331,15 @@
 // returns how many answered.
 func (a *Archive) recall(ctx context.Context, turn Key, read map[Key]*Turn) int {
 	peers := a.alive()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-	defer cancel()
 	type reply struct {
-		Recalled
-		err error
+		turns []*Turn
+		err   error
 	}
 	replies := make(chan reply, len(peers))
 	for _, p := range peers {
 		go func() {
-			answer, err := messenger.Ask[Recall, Recalled](ctx, a.peers.Client, p.Address, messageRecall, Recall{turn})
-			replies <- reply{answer, err}
+			turns, err := a.askTurns(ctx, p.Address, turn)
+			replies <- reply{turns, err}
 		}()
 	}
 	answered := 0
@@ -407,10 +348,7 @@
 		if r.err == nil {
 			answered++
 		}
-		for _, t := range r.Turns {
-			read[t.Key] = t
-			a.remember(t)
-		}
+		a.take(r.turns, read)
 		if read[turn] != nil {
 			break
 		}
@@ -418,6 +356,30 @@
 	return answered
 }
 
+// recallFrom asks one host for a turn and adds what it has to read.
+func (a *Archive) recallFrom(ctx context.Context, at sd.Address, turn Key, read map[Key]*Turn) {
+	turns, err := a.askTurns(ctx, at, turn)
+	if err != nil {
+		a.suspects.add(a.clock.Now(), at)
+		return
+	}
+	a.take(turns, read)
+}
+
+func (a *Archive) askTurns(ctx context.Context, at sd.Address, turn Key) ([]*Turn, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	answer, err := messenger.Ask[Recall, Recalled](ctx, a.peers.Client, at, messageRecall, Recall{turn})
+	return answer.Turns, err
+}
+
+func (a *Archive) take(turns []*Turn, read map[Key]*Turn) {
+	for _, t := range turns {
+		read[t.Key] = t
+		a.remember(t)
+	}
+}
+
 // majority reports whether this host hears most of the fleet. A smaller part may
 // be cut off from hosts that reach the store, and must decide nothing.
 func (a *Archive) majority() bool { return 2*(len(a.alive())+1) > a.peers.Hosts() }
@@ -441,7 +403,7 @@
 			far++
 		}
 		if far > 1 {
-			at := int(o.Turn[0]) % far
+			at := int(o.Hold[0]) % far
 			peers[0], peers[at] = peers[at], peers[0]
 		}
 	}
@@ -459,7 +421,7 @@
 			break
 		}
 	}
-	return sd.Unavailable.New("no peer took a copy of turn %s", o.Turn)
+	return sd.Unavailable.New("no peer took a copy of the turn")
 }
 
 // oversee ends claims and fences once the store is back for a while, and writes
--- /dev/null
+++ b/archiver/sequence.go
@@ -0,0 +1,144 @@
+package archiver
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/messenger"
+)
+
+const (
+	// placeTimeout bounds a reservation at the sequencer: some twenty transactions.
+	placeTimeout = 400 * sd.Millisecond
+	// settleTimeout bounds a settlement there, which also waits for copies while the
+	// store is away.
+	settleTimeout = 900 * sd.Millisecond
+	// suspectFor is how long a sequencer that did not answer is passed over.
+	suspectFor = sd.Second
+	// strong is the part of the strongest host's power that a sequencer must have.
+	strong = 0.7
+)
+
+// Placement asks the sequencer of a program's part to reserve a turn.
+type Placement struct {
+	Program, Hold Key
+	Limit, Budget sd.Tokens
+	// Fresh tells that the program may be new.
+	Fresh bool
+}
+
+// Placed is the answer to a Placement: the key of the reservation, or why there is
+// none.
+type Placed struct {
+	Hold               Key
+	Exhausted, Refused string
+}
+
+// suspects are hosts that did not answer lately.
+type suspects struct {
+	lock  sync.Mutex
+	until map[sd.Address]sd.Instant
+}
+
+func (s *suspects) add(now sd.Instant, at sd.Address) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.until == nil {
+		s.until = map[sd.Address]sd.Instant{}
+	}
+	s.until[at] = now.Add(suspectFor)
+}
+
+func (s *suspects) has(now sd.Instant, at sd.Address) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return now < s.until[at]
+}
+
+// Sequencer returns the host that sequences a part's operations: the strong hosts
+// are ranked anew for each part. It decides nothing by being chosen; where two
+// hosts disagree on who it is, their transactions conflict and one tries again.
+func Sequencer(part string, hosts []gossiper.Peer) gossiper.Peer {
+	strongest := 0.0
+	for _, h := range hosts {
+		strongest = max(strongest, h.Power)
+	}
+	var best gossiper.Peer
+	most := uint64(0)
+	for _, h := range hosts {
+		if h.Power < strong*strongest || h.Leaving {
+			continue
+		}
+		if rank := xxhash.Sum64String(part + "|" + string(h.Host)); rank >= most {
+			best, most = h, rank
+		}
+	}
+	return best
+}
+
+// sequencer returns the address of the host to which a program's operations go,
+// or nothing if that is this one.
+func (a *Archive) sequencer(program Key) sd.Address {
+	if a.peers.Alive == nil {
+		return ""
+	}
+	now := a.clock.Now()
+	hosts := []gossiper.Peer{a.peers.Self}
+	for _, p := range a.peers.Alive() {
+		if !a.suspects.has(now, p.Address) {
+			hosts = append(hosts, p)
+		}
+	}
+	if at := Sequencer(Part(program), hosts); at.Host != "" && at.Host != a.peers.Self.Host {
+		return at.Address
+	}
+	return ""
+}
+
+// place has the sequencer reserve a turn and returns the key of the reservation.
+// It reports whether the sequencer has decided; if not, the caller may try
+// elsewhere.
+func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (Key, bool, error) {
+	asked, cancel := context.WithTimeout(ctx, placeTimeout.Duration())
+	defer cancel()
+	placed, err := messenger.Ask[Placement, Placed](asked, a.peers.Client, at, messageReserve, order)
+	switch {
+	case err != nil:
+		a.suspects.add(a.clock.Now(), at)
+		return order.Hold, false, sd.Unavailable.Wrap(err, "sequencer %s did not answer", at)
+	case placed.Exhausted != "":
+		return order.Hold, true, Exhausted.New("%s", placed.Exhausted)
+	case placed.Refused != "":
+		return order.Hold, true, sd.Unavailable.New("%s", placed.Refused)
+	}
+	w := a.worker(order.Program)
+	w.lock.Lock()
+	w.placed[placed.Hold] = at
+	w.lock.Unlock()
+	return placed.Hold, true, nil
+}
+
+// answerReserve reserves a turn for another host.
+func (a *Archive) answerReserve(ctx context.Context, order Placement) (Placed, error) {
+	hold, err := a.reserve(ctx, order)
+	switch {
+	case err == nil:
+		return Placed{Hold: hold}, nil
+	case errorx.IsOfType(err, Exhausted):
+		return Placed{Exhausted: err.Error()}, nil
+	}
+	return Placed{Refused: err.Error()}, nil
+}
+
+// answerSettle settles a turn for another host.
+func (a *Archive) answerSettle(ctx context.Context, o Operation) (Done, error) {
+	if o.Kept != nil {
+		a.remember(o.Kept)
+	}
+	return Done{}, a.settle(ctx, o)
+}
--- a/archiver/turn.go
+++ b/archiver/turn.go
@@ -25,6 +25,9 @@
 	return digest("t", string(workspace), string(turn))
 }
 
+// holdKey returns the key of the nth reservation for a turn.
+func holdKey(turn Key, nth string) Key { return digest("h", string(turn[:]), nth) }
+
 func digest(kind, workspace, id string) Key {
 	sum := sha256.Sum256([]byte(kind + "\x00" + workspace + "\x00" + id))
 	return Key(sum[:keySize])
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -40,6 +40,9 @@
 	// nearlyFull is the load above which a connection at hand counts for less than a
 	// free slot; targets slow down when they are nearly full.
 	nearlyFull = 0.7
+	// longPrompt is the prompt that is worth a new connection to the target that
+	// holds it: engines read some 100 tokens in a millisecond.
+	longPrompt = 4000
 	// restFirst and restMost are how long a target rests after failed connections.
 	restFirst = 300 * sd.Millisecond
 	restMost  = 3 * sd.Second
@@ -103,6 +106,8 @@
 	Pool sd.GroupName
 	// Prefer is the target that holds the request's prefix, or empty.
 	Prefer sd.TargetID
+	// Prompt is the length of the request's prompt: what is read again elsewhere.
+	Prompt sd.Tokens
 	// Avoid are targets that have refused the request.
 	Avoid []sd.TargetID
 	Tier  sd.Tier
@@ -318,7 +323,7 @@
 			dark = append(dark, t)
 			continue
 		}
-		if t.ID == k.Prefer {
+		if t.ID == k.Prefer && (k.Prompt >= longPrompt || s.settings.Connected == nil || s.settings.Connected(t.Address)) {
 			s.send(now, k, t)
 			return true
 		}
--- a/errors.go
+++ b/errors.go
@@ -14,6 +14,9 @@
 	// Unavailable marks an operation that certainly took no effect because the
 	// other side could not be reached or declined.
 	Unavailable = Errors.NewType("unavailable", errorx.Temporary())
+	// Crowded marks an operation that was refused, with no effect, because the other
+	// side had too much to do.
+	Crowded = Unavailable.NewSubtype("crowded")
 	// Uncertain marks an operation whose effect is unknown: its answer was lost.
 	Uncertain = Errors.NewType("uncertain", errorx.Timeout())
 	// Conflict marks a conditional write whose condition did not hold.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -41,6 +41,10 @@
 	// distrust is how long connections are kept for a shorter time after a target has
 	// dropped one without notice.
 	distrust = 20 * sd.Second
+	// dropShows is how soon a dropped connection shows: a round trip and some.
+	dropShows = 20 * sd.Millisecond
+	// idleLeast is the shortest idle time that is blamed for a dropped connection.
+	idleLeast = 500 * sd.Millisecond
 	// strays bounds the answers to earlier requests that are skipped.
 	strays = 3
 	// strayBytes bounds the body of a skipped answer.
@@ -135,6 +139,7 @@
 // connection turned out to be closed before any byte was sent.
 func (x *Exchanger) send(ctx context.Context, conn *connection, call Call) (answer *Answer, err error, stale bool) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	sent := x.settings.Clock.Now()
 	fail := func(err error) (*Answer, error, bool) {
 		stop()
 		_ = conn.Close()
@@ -176,7 +181,7 @@
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
 			if conn.used && !skipped && ctx.Err() == nil {
-				x.doubt(conn)
+				x.doubt(conn, sent)
 			}
 			return fail(err)
 		}
@@ -261,11 +266,17 @@
 
 // doubt notes that a kept connection had been dropped without notice: others are
 // kept for half the time after which this one was gone.
-func (x *Exchanger) doubt(conn *connection) {
+//
+// A target that resets a connection long after the request came, or one that was
+// hardly idle, failed for another reason.
+func (x *Exchanger) doubt(conn *connection, sent sd.Instant) {
 	now := x.settings.Clock.Now()
+	if now.Since(sent) > dropShows || sent.Since(conn.since) < idleLeast {
+		return
+	}
 	x.lock.Lock()
 	defer x.lock.Unlock()
-	half := now.Since(conn.since) / 2
+	half := max(sent.Since(conn.since)/2, idleLeast)
 	if now < x.doubted {
 		half = min(half, x.trust)
 	}
--- a/gossiper/beat.go
+++ b/gossiper/beat.go
@@ -23,12 +23,20 @@
 	Revision    sd.Revision
 	// Reaches tells that the host reaches the store itself.
 	Reaches bool
+	// Leaving tells that the host is about to end.
+	Leaving bool
 	// Inflight counts requests under way, Sent those of the last second, by target.
 	Inflight, Sent map[Code]int
 	// Admitted counts requests since the host started, by workspace.
 	Admitted map[Code]uint64
 }
 
+// The bits of a beat's flags.
+const (
+	flagReaches = 1 << iota
+	flagLeaving
+)
+
 // formatBeat is the first byte of a beat.
 const formatBeat = 'b'
 
@@ -40,11 +48,14 @@
 	for _, value := range []uint64{uint64(b.Incarnation), b.Number, uint64(b.Revision)} {
 		out = binary.AppendUvarint(out, value)
 	}
-	reaches := byte(0)
+	flags := byte(0)
 	if b.Reaches {
-		reaches = 1
+		flags |= flagReaches
 	}
-	out = append(out, reaches)
+	if b.Leaving {
+		flags |= flagLeaving
+	}
+	out = append(out, flags)
 	out = appendCounts(out, b.Inflight)
 	out = appendCounts(out, b.Sent)
 	return appendCounts(out, b.Admitted)
@@ -68,7 +79,9 @@
 	r := reader{rest: body[2+body[1]:]}
 	b.Incarnation = sd.Incarnation(r.number())
 	b.Number, b.Revision = r.number(), sd.Revision(r.number())
-	b.Reaches = len(r.rest) > 0 && r.rest[0] == 1
+	if len(r.rest) > 0 {
+		b.Reaches, b.Leaving = r.rest[0]&flagReaches != 0, r.rest[0]&flagLeaving != 0
+	}
 	r.skip(1)
 	b.Inflight, b.Sent, b.Admitted = readCounts[int](&r), readCounts[int](&r), readCounts[uint64](&r)
 	return b, !r.failed && len(r.rest) == 0
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -44,6 +44,10 @@
 	Zone        sd.ZoneName
 	Address     sd.Address
 	Incarnation sd.Incarnation
+	// Power is the host's processor share, in cores.
+	Power float64
+	// Leaving hosts take no new duties.
+	Leaving bool
 }
 
 // Gossiper sends and receives beats. It is safe for concurrent use.
@@ -81,7 +85,7 @@
 	if g.peers == nil {
 		g.peers = map[sd.HostID]*state{}
 	}
-	if old := g.peers[p.Host]; old != nil && old.Peer == p {
+	if old := g.peers[p.Host]; old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address {
 		return
 	}
 	g.peers[p.Host] = &state{Peer: p, heard: g.Clock.Now(), lost: true}
@@ -269,7 +273,7 @@
 	if p == nil || p.Incarnation != beat.Incarnation || p.number >= beat.Number {
 		return false
 	}
-	p.number, p.reaches, p.heard = beat.Number, beat.Reaches, g.Clock.Now()
+	p.number, p.reaches, p.heard, p.Leaving = beat.Number, beat.Reaches, g.Clock.Now(), beat.Leaving
 	if p.lost {
 		p.lost = false
 		g.Log.Info("peer is heard", zap.Int("event", eventPeerFound), zap.String("peer", string(p.Host)),
--- a/meterer/state.go
+++ b/meterer/state.go
@@ -22,6 +22,8 @@
 	at     sd.Instant
 	// admitted counts this host's admissions.
 	admitted uint64
+	// changed is when admitted last changed.
+	changed sd.Instant
 	// drained is when a request under way was last refused.
 	drained sd.Instant
 }
@@ -29,8 +31,14 @@
 type peer struct {
 	incarnation sd.Incarnation
 	admitted    map[gossiper.Code]uint64
+	// whole tells that the host was heard from its start, so that a count not heard
+	// before was zero.
+	whole bool
 }
 
+// earlyBeats is the number of first beats of which the host's counts are all recent.
+const earlyBeats = 8
+
 // New returns the state of a host. Its buckets start empty, as those of a
 // restarted fleet must.
 func New() *State {
@@ -127,22 +135,25 @@
 	}
 	b.tokens--
 	b.admitted++
+	b.changed = now
 	return v
 }
 
 // Return gives back an admission whose request was not sent anywhere.
-func (s *State) Return(workspace sd.WorkspaceID) {
+func (s *State) Return(now sd.Instant, workspace sd.WorkspaceID) {
 	if b := s.buckets[gossiper.CodeOf(workspace)]; b != nil && b.rate > 0 && b.admitted > 0 {
 		b.admitted--
+		b.changed = now
 		b.tokens = min(b.tokens+1, b.capacity())
 	}
 }
 
-// Beat returns this host's admissions of each workspace since it started.
-func (s *State) Beat() map[gossiper.Code]uint64 {
+// Beat returns this host's admissions since it started, of the workspaces that
+// changed within lately: often enough that each change is told several times.
+func (s *State) Beat(now sd.Instant, lately sd.Millis) map[gossiper.Code]uint64 {
 	counts := map[gossiper.Code]uint64{}
 	for code, b := range s.buckets {
-		if b.admitted > 0 {
+		if b.admitted > 0 && now.Since(b.changed) <= lately {
 			counts[code] = b.admitted
 		}
 	}
@@ -151,18 +162,19 @@
 
 // Heard takes the counts of another host. Counts of another start of that host
 // begin at zero.
-func (s *State) Heard(now sd.Instant, host sd.HostID, incarnation sd.Incarnation, counts map[gossiper.Code]uint64) {
+func (s *State) Heard(now sd.Instant, host sd.HostID, incarnation sd.Incarnation, number uint64, counts map[gossiper.Code]uint64) {
 	p := s.peers[host]
 	if p == nil || p.incarnation != incarnation {
-		p = &peer{incarnation: incarnation, admitted: map[gossiper.Code]uint64{}}
+		p = &peer{incarnation: incarnation, admitted: map[gossiper.Code]uint64{}, whole: number <= earlyBeats}
 		s.peers[host] = p
 	}
 	for code, count := range counts {
-		before := p.admitted[code]
-		if count == before {
+		before, known := p.admitted[code]
+		p.admitted[code] = count
+		if count == before || (!known && !p.whole) {
+			// What was admitted before this host listened is past.
 			continue
 		}
-		p.admitted[code] = count
 		if b := s.buckets[code]; b != nil {
 			b.fill(now, s.part())
 			b.tokens = min(b.tokens-float64(int64(count-before)), b.capacity())
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -246,7 +246,7 @@
 			return
 		}
 		ticket := &balancer.Ticket{
-			Pool: q.pool, Prefer: q.prefer, Avoid: avoid, Tier: q.tier, Latest: q.deadline.Add(-startReserve),
+			Pool: q.pool, Prefer: q.prefer, Prompt: q.ask.Prompt, Avoid: avoid, Tier: q.tier, Latest: q.deadline.Add(-startReserve),
 		}
 		if q.ask.ProgramLeft > 0 {
 			ticket.Due = q.arrived.Add(q.ask.ProgramLeft)
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -48,7 +48,8 @@
 	if !q.ask.Budgeted {
 		budget = unbounded
 	}
-	if err := q.Archive.Reserve(ctx, program, key, q.ask.Limit, budget, fresh); err != nil {
+	hold, err := q.Archive.Reserve(ctx, program, key, q.ask.Limit, budget, fresh)
+	if err != nil {
 		if errorx.IsOfType(err, archiver.Exhausted) {
 			q.Log.Info("budget does not hold the turn", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			q.Meter.Return(q.workspace)
@@ -65,11 +66,11 @@
 		settled = true
 		used := sd.Tokens(s.events) * q.table.EventTokens(q.pool)
 		if !s.whole {
-			q.settle(ctx, program, key, used)
+			q.settle(ctx, program, hold, used)
 			return false
 		}
 		kept.Target, kept.Output = q.target, s.output
-		if err := q.Archive.Settle(ctx, program, key, used, kept); err != nil {
+		if err := q.Archive.Settle(ctx, program, hold, used, kept); err != nil {
 			q.Log.Warn("turn is not kept", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			return false
 		}
@@ -77,18 +78,18 @@
 	}
 	defer func() {
 		if !settled {
-			q.settle(ctx, program, key, sd.Tokens(s.events)*q.table.EventTokens(q.pool))
+			q.settle(ctx, program, hold, sd.Tokens(s.events)*q.table.EventTokens(q.pool))
 		}
 	}()
 	q.serve(ctx, s)
 }
 
 // settle accounts for a turn that failed; nobody waits for that.
-func (q *request) settle(ctx context.Context, program, key archiver.Key, used sd.Tokens) {
+func (q *request) settle(ctx context.Context, program, hold archiver.Key, used sd.Tokens) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
 	go func() {
 		defer cancel()
-		if err := q.Archive.Settle(ctx, program, key, used, nil); err != nil {
+		if err := q.Archive.Settle(ctx, program, hold, used, nil); err != nil {
 			q.Log.Info("account of a failed turn is not written yet", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 		}
 	}()
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -29,6 +29,10 @@
 	// lostAfter is the number of failures in a row after which the store counts as
 	// lost to this host; one alone may be a lost answer.
 	lostAfter = 2
+	// refusedCalls and refusedFor tell a store that turns this host away from one
+	// that has too much to do: the latter answers some calls in between.
+	refusedCalls = 6
+	refusedFor   = 200 * sd.Millisecond
 	// probeEvery is how often a lost store is tried again.
 	probeEvery = 300 * sd.Millisecond
 )
@@ -50,10 +54,13 @@
 
 	lock     sync.Mutex
 	failures int
-	lost     bool
-	lostAt   sd.Instant
-	backAt   sd.Instant
-	probed   sd.Instant
+	// refused counts calls refused for overload with no other answer between them.
+	refused   int
+	refusedAt sd.Instant
+	lost      bool
+	lostAt    sd.Instant
+	backAt    sd.Instant
+	probed    sd.Instant
 }
 
 // New returns a Relay of direct; peers returns the hosts that are alive.
@@ -106,6 +113,7 @@
 // The kinds of errors on the wire between hosts.
 const (
 	kindUnavailable = "unavailable"
+	kindCrowded     = "crowded"
 	kindUncertain   = "uncertain"
 	kindConflict    = "conflict"
 	kindAbsent      = "absent"
@@ -181,6 +189,10 @@
 			if definite(end.err) {
 				return end.page, end.err
 			}
+			if errorx.IsOfType(end.err, sd.Crowded) && r.Reaches() {
+				// A peer would only add to what the store has to do.
+				return sd.Page{}, end.err
+			}
 			uncertain = uncertain || errorx.IsOfType(end.err, sd.Uncertain)
 			if !relayed && ctx.Err() == nil {
 				ask(false)
@@ -260,13 +272,24 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if definite(err) && took < hedgeAfter {
-		r.failures = 0
+		r.failures, r.refused = 0, 0
 		if r.lost {
 			r.lost, r.backAt = false, now
 			r.log.Info("store is reached again", zap.Int("event", eventStoreBack), zap.Int64("lost_ms", int64(now.Since(r.lostAt))))
 		}
 		return
 	}
+	if errorx.IsOfType(err, sd.Crowded) {
+		// The store refuses some calls of all hosts when there are too many, and all
+		// calls of some hosts when it turns those away.
+		if r.refused == 0 {
+			r.refusedAt = now
+		}
+		r.refused++
+		if r.refused < refusedCalls || now.Since(r.refusedAt) < refusedFor {
+			return
+		}
+	}
 	r.failures++
 	if !r.lost && r.failures >= lostAfter {
 		r.lost, r.lostAt, r.probed = true, now, now
@@ -305,6 +328,8 @@
 		return got.Page, sd.Conflict.New("%s", got.Message)
 	case kindAbsent:
 		return got.Page, sd.Absent.New("%s", got.Message)
+	case kindCrowded:
+		return got.Page, sd.Crowded.New("%s", got.Message)
 	case kindUnavailable:
 		return got.Page, sd.Unavailable.New("%s", got.Message)
 	}
@@ -325,6 +350,8 @@
 			got.Kind = kindConflict
 		case errorx.IsOfType(err, sd.Absent):
 			got.Kind = kindAbsent
+		case errorx.IsOfType(err, sd.Crowded):
+			got.Kind = kindCrowded
 		case errorx.IsOfType(err, sd.Unavailable):
 			got.Kind = kindUnavailable
 		}
--- a/starter/host.go
+++ b/starter/host.go
@@ -1,13 +1,16 @@
 package starter
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 
+	"github.com/joomcode/errorx"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
@@ -37,7 +40,7 @@
 	eventDrains     = 658
 	eventStops      = 659
 	eventPublish    = 660
-	eventServer     = 661
+	eventCounts     = 661
 )
 
 const (
@@ -63,6 +66,11 @@
 	// goneAfter is the silence after which a host counts as gone for good; it is
 	// several times the longest cut that operators plan for.
 	goneAfter = 30 * sd.Second
+	// toldFor is the number of rounds in which a changed count is told: datagrams may
+	// be lost.
+	toldFor = 5
+	// tellEvery is how often the counters are logged.
+	tellEvery = 10 * sd.Second
 	// storePause is the pause after a failed write of this host's row.
 	storePause = 300 * sd.Millisecond
 	// returnGrace is how long after the store's return lapsed registrations still
@@ -110,7 +118,7 @@
 	h.client = platform.NewClient(settings.Store)
 	h.peers = messenger.NewClient(nil)
 	h.gossiper = &gossiper.Gossiper{
-		Self: gossiper.Peer{Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation},
+		Self: gossiper.Peer{Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation, Power: settings.Power},
 		Fill: h.fill, Heard: h.heard, Clock: h.clock, Log: log,
 	}
 	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
@@ -157,6 +165,7 @@
 	add(h.follow(platform.TargetTable, targetWait, sd.Millis(targetPace*float64(h.settings.Drain)), h.targetsChanged))
 	add(h.follow(platform.PeerTable, peerWait, 0, h.peersChanged))
 	add(h.lapse)
+	add(h.tell)
 	add(func(inner context.Context) error { return h.serve(inner, ctx) })
 	err := group.Run()
 	h.exchanger.Close()
@@ -252,7 +261,7 @@
 			h.log.Warn("row of a host cannot be used", zap.Int("event", eventPublish), zap.String("host", record.Key), zap.Error(err))
 			continue
 		}
-		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation})
+		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation, Power: row.Power})
 	}
 	hosts := h.gossiper.Hosts()
 	h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Hosts(hosts) })
@@ -262,7 +271,7 @@
 func (h *Host) publish(ctx context.Context) error {
 	cell := sd.Cell{Table: platform.PeerTable, Key: string(h.settings.Host)}
 	value, err := json.Marshal(platform.PeerRow{
-		Host: h.settings.Host, Zone: h.settings.Zone, Address: h.settings.Peers, Incarnation: h.incarnation,
+		Host: h.settings.Host, Zone: h.settings.Zone, Address: h.settings.Peers, Incarnation: h.incarnation, Power: h.settings.Power,
 	})
 	if err != nil {
 		return sd.Unavailable.Wrap(err, "row of this host")
@@ -301,7 +310,7 @@
 
 // fill completes a beat.
 func (h *Host) fill(beat *gossiper.Beat) {
-	beat.Reaches = h.relay.Reaches()
+	beat.Reaches, beat.Leaving = h.relay.Reaches(), h.draining.Load()
 	h.outage.observe(h.clock.Now(), h.relay.Away())
 	if t := h.receiver.Table(); t != nil {
 		beat.Revision = t.Plan.Revision
@@ -314,14 +323,14 @@
 	})
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
 		s.Hosts(now, hosts, reach)
-		beat.Admitted = s.Beat()
+		beat.Admitted = s.Beat(now, toldFor*h.gossiper.Interval())
 	})
 }
 
 // heard takes another host's beat.
 func (h *Host) heard(beat gossiper.Beat) {
 	h.gate.Update(func(s *balancer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Inflight, beat.Sent) })
-	h.meter.update(func(s *meterer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Incarnation, beat.Admitted) })
+	h.meter.update(func(s *meterer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Incarnation, beat.Number, beat.Admitted) })
 }
 
 // isolated reports whether the host is cut off from most others and from the
@@ -356,7 +365,7 @@
 
 // Return implements receiver.Meter.
 func (m *meter) Return(workspace sd.WorkspaceID) {
-	m.update(func(s *meterer.State, _ sd.Instant) { s.Return(workspace) })
+	m.update(func(s *meterer.State, now sd.Instant) { s.Return(now, workspace) })
 }
 
 // outage tells when no host in reach last reached the store, and for how long.
@@ -446,9 +455,14 @@
 	h.relay.Relayed = func() { set.GetOrCreateCounter("store_calls_relayed_total").Inc() }
 	h.archive.Committed = func(took sd.Millis, err error) {
 		set.GetOrCreateHistogram("store_commit_seconds").Update(float64(took) / float64(sd.Second))
-		if err != nil {
-			set.GetOrCreateCounter("store_commit_failures_total").Inc()
+		outcome := "done"
+		switch {
+		case errorx.IsOfType(err, sd.Conflict):
+			outcome = "conflict"
+		case err != nil:
+			outcome = "failed"
 		}
+		set.GetOrCreateCounter(`store_commits_total{outcome="` + outcome + `"}`).Inc()
 	}
 	set.NewGauge("peers", func() float64 { return float64(len(h.gossiper.Alive(false))) })
 	set.NewGauge("target_connections_idle", func() float64 { return float64(h.exchanger.Idle()) })
@@ -464,6 +478,28 @@
 	})
 }
 
+// tell logs the counters now and then, for those who have only the log.
+func (h *Host) tell(ctx context.Context) error {
+	for pause(ctx, tellEvery) {
+		var page bytes.Buffer
+		h.measures.Set.WritePrometheus(&page)
+		var fields []zap.Field
+		for line := range strings.Lines(page.String()) {
+			name, value, found := strings.Cut(strings.TrimSpace(line), "} ")
+			if found {
+				name += "}"
+			} else {
+				name, value, found = strings.Cut(strings.TrimSpace(line), " ")
+			}
+			if found && !strings.Contains(name, "vmrange") {
+				fields = append(fields, zap.String(name, value))
+			}
+		}
+		h.log.Info("counts", append([]zap.Field{zap.Int("event", eventCounts)}, fields...)...)
+	}
+	return ctx.Err()
+}
+
 // handler answers the ports that hosts and the platform use.
 func (h *Host) readyHandler(w http.ResponseWriter) {
 	if h.ready() {
