archiver: accounts are known where a program is served

Answers of the sequencer carry the account, claims collect what hosts have learned, and a program that begins without the store counts as known.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -63,6 +63,8 @@
 
 	claims map[Key]*claim
 	fences map[Key]fence
+	// learned are accounts as the holders of claims know them.
+	learned map[Key]Snapshot
 	// placed are reservations that another host has made for this one.
 	placed map[Key]sd.Address
 }
@@ -155,7 +157,7 @@
 // key of the reservation.
 func (a *Archive) reserve(ctx context.Context, order Placement) (Key, error) {
 	if a.away() || a.claimed(order.Program) {
-		return order.Hold, a.reserveAway(ctx, order, true)
+		return order.Hold, a.reserveAway(ctx, order)
 	}
 	operation := &Operation{Kind: Reserve, Program: order.Program, Hold: order.Hold, Tokens: order.Limit, Budget: order.Budget}
 	w := a.worker(order.Program)
@@ -173,7 +175,7 @@
 					return order.Hold, err
 				}
 				order.Hold = holdKey(order.Hold, "away")
-				return order.Hold, a.reserveAway(ctx, order, true)
+				return order.Hold, a.reserveAway(ctx, order)
 			}
 		}
 	}
@@ -229,9 +231,12 @@
 	w.lock.Unlock()
 	if placed && !a.suspects.has(a.clock.Now(), at) {
 		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
-		_, err := messenger.Ask[Operation, Done](asked, a.peers.Client, at, messageSettle, o)
+		known, err := messenger.Ask[Operation, Snapshot](asked, a.peers.Client, at, messageSettle, o)
 		cancel()
 		if err == nil {
+			w.lock.Lock()
+			w.learn(a.clock.Now(), program, known)
+			w.lock.Unlock()
 			return nil
 		}
 		a.suspects.add(a.clock.Now(), at)
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -309,20 +309,6 @@
 	return ended
 }
 
-// Project returns the account as it will be once all operations of this host have
-// taken effect, and the version on which that rests. Known tells whether the
-// account was ever seen.
-func (l *Lane) Project(program Key) (account Account, version uint64, known bool) {
-	if row := l.rows[program]; row != nil {
-		account, version, known = row.account, row.version, true
-	}
-	for _, o := range l.Operations(program) {
-		// A reservation that does not fit is refused when its turn comes.
-		_, _ = apply(&account, &o)
-	}
-	return account, version, known
-}
-
 // Operations returns the operations of a program that have not ended, in order.
 func (l *Lane) Operations(program Key) []Operation {
 	var list []Operation
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -154,14 +154,30 @@
 		w.fences = map[Key]fence{}
 	}
 	w.fences[request.Program] = fence{holder: request.From}
-	answer := Claimed{Operations: w.lane.Operations(request.Program)}
+	answer := Claimed{Operations: append(w.lane.Operations(request.Program), a.copiesOf(request.Program)...)}
 	if row := w.lane.rows[request.Program]; row != nil {
 		answer.Known, answer.Account, answer.Version = true, row.account, row.version
 	}
+	if s, learned := w.learned[request.Program]; learned && newer(s.Version, s.Account, answer.Version, answer.Account) {
+		answer.Known, answer.Account, answer.Version = true, s.Account, s.Version
+	}
 	answer.Known = answer.Known || len(answer.Operations) > 0
 	return answer, nil
 }
 
+// copiesOf returns the operations of a program that this host holds for others.
+func (a *Archive) copiesOf(program Key) []Operation {
+	a.copyLock.Lock()
+	defer a.copyLock.Unlock()
+	var list []Operation
+	for _, c := range a.copies {
+		if c.operation.Program == program {
+			list = append(list, c.operation)
+		}
+	}
+	return list
+}
+
 // claim makes sure that this host has the claim on a program. It returns the
 // address of the host that has it instead, if one has. Errors are Unavailable.
 func (a *Archive) claim(ctx context.Context, program Key) (*claim, sd.Address, error) {
@@ -238,7 +254,7 @@
 		}
 		agreed++
 		c.known = c.known || r.Known
-		if r.Version > c.version {
+		if newer(r.Version, r.Account, c.version, c.base) {
 			c.base, c.version = r.Account, r.Version
 		}
 		c.foreign = append(c.foreign, r.Operations...)
@@ -248,30 +264,35 @@
 
 // project returns the account of a claimed program with all that is known.
 func (w *worker) project(program Key, c *claim) (Account, bool) {
-	account, version, known := w.lane.Project(program)
-	if c.version > version {
+	account, version, known := Account{}, uint64(0), c.known
+	if row := w.lane.rows[program]; row != nil {
+		account, version, known = row.account, row.version, true
+	}
+	if s, learned := w.learned[program]; learned && newer(s.Version, s.Account, version, account) {
+		account, version, known = s.Account, s.Version, true
+	}
+	if newer(c.version, c.base, version, account) {
 		account = c.base
-		for _, o := range w.lane.Operations(program) {
+	}
+	for _, o := range append(w.lane.Operations(program), c.foreign...) {
+		// An account that another host projected may hold the operation already.
+		if !account.ended(o.Hold) {
 			_, _ = apply(&account, &o)
 		}
 	}
-	for _, o := range c.foreign {
-		_, _ = apply(&account, &o)
-	}
 	account.Open = append(slices.Clone(account.Open), c.open...)
-	return account, known || c.known
+	return account, known
 }
 
 // reserveAway reserves a turn while the store is away. Errors are Exhausted and
-// Unavailable. Where another host has the claim, that one is asked if forward is
-// set.
-func (a *Archive) reserveAway(ctx context.Context, request Placement, forward bool) error {
+// Unavailable. Where another host has the claim, that one is asked.
+func (a *Archive) reserveAway(ctx context.Context, request Placement) error {
 	c, holder, err := a.claim(ctx, request.Program)
 	if err != nil {
 		return err
 	}
 	if c == nil {
-		if !forward {
+		if request.Final {
 			return sd.Unavailable.New("program %s is with another host", request.Program)
 		}
 		_, _, err := a.place(ctx, holder, request)
@@ -287,6 +308,8 @@
 	if !account.Reserve(request.Hold, request.Limit, request.Budget) {
 		return Exhausted.New("spent %d, open %d, most %d, budget %d", account.Spent, account.Reserved(), request.Limit, request.Budget)
 	}
+	// A program that begins here is known from now on.
+	c.known = true
 	if !slices.ContainsFunc(c.open, func(r Reservation) bool { return r.Hold == request.Hold }) {
 		c.open = append(c.open, Reservation{request.Hold, request.Limit})
 	}
@@ -433,7 +456,7 @@
 		}
 		for _, w := range a.lanes {
 			w.lock.Lock()
-			w.fences = nil
+			w.fences, w.learned = nil, nil
 			for program, c := range w.claims {
 				if c.held && len(c.open) == 0 {
 					delete(w.claims, program)
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -30,6 +30,8 @@
 	Limit, Budget sd.Tokens
 	// Fresh tells that the program may be new.
 	Fresh bool
+	// Final orders are not passed on to a third host.
+	Final bool
 }
 
 // Placed is the answer to a Placement: the key of the reservation, or why there is
@@ -37,6 +39,19 @@
 type Placed struct {
 	Hold               Key
 	Exhausted, Refused string
+	Snapshot
+}
+
+// Snapshot is an account as the answering host knows it. The host that serves a
+// program keeps it, so that the program can go on when its sequencer is gone and
+// the store is away.
+type Snapshot struct {
+	Known bool
+	// Stored tells that the account is the store's row at Version; otherwise it
+	// includes what has yet to be written.
+	Stored  bool
+	Account Account
+	Version uint64
 }
 
 // suspects are hosts that did not answer lately.
@@ -119,16 +134,18 @@
 	w := a.worker(order.Program)
 	w.lock.Lock()
 	w.placed[placed.Hold] = at
+	w.learn(a.clock.Now(), order.Program, placed.Snapshot)
 	w.lock.Unlock()
 	return placed.Hold, true, nil
 }
 
 // answerReserve reserves a turn for another host.
 func (a *Archive) answerReserve(ctx context.Context, order Placement) (Placed, error) {
+	order.Final = true
 	hold, err := a.reserve(ctx, order)
 	switch {
 	case err == nil:
-		return Placed{Hold: hold}, nil
+		return Placed{Hold: hold, Snapshot: a.snapshot(order.Program)}, nil
 	case errorx.IsOfType(err, Exhausted):
 		return Placed{Exhausted: err.Error()}, nil
 	}
@@ -136,9 +153,49 @@
 }
 
 // answerSettle settles a turn for another host.
-func (a *Archive) answerSettle(ctx context.Context, o Operation) (Done, error) {
+func (a *Archive) answerSettle(ctx context.Context, o Operation) (Snapshot, error) {
 	if o.Kept != nil {
 		a.remember(o.Kept)
 	}
-	return Done{}, a.settle(ctx, o)
+	err := a.settle(ctx, o)
+	return a.snapshot(o.Program), err
+}
+
+// snapshot returns what this host knows of an account.
+func (a *Archive) snapshot(program Key) Snapshot {
+	w := a.worker(program)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if c := w.claims[program]; c != nil {
+		account, known := w.project(program, c)
+		version := c.version
+		if row := w.lane.rows[program]; row != nil {
+			version = max(version, row.version)
+		}
+		return Snapshot{Known: known, Account: account, Version: version}
+	}
+	if row := w.lane.rows[program]; row != nil {
+		return Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
+	}
+	return Snapshot{}
+}
+
+// learn takes what another host knows of an account.
+func (w *worker) learn(now sd.Instant, program Key, s Snapshot) {
+	switch {
+	case !s.Known:
+	case s.Stored:
+		w.lane.See(now, program, s.Account, s.Version)
+	default:
+		if w.learned == nil {
+			w.learned = map[Key]Snapshot{}
+		}
+		w.learned[program] = s
+	}
+}
+
+// newer reports whether an account is later than another: at a newer version of
+// the row, or at the same one with more spent.
+func newer(version uint64, account Account, thanVersion uint64, than Account) bool {
+	return version > thanVersion || (version == thanVersion && account.Spent > than.Spent)
 }
