--- a/balancer/state.go
+++ b/balancer/state.go
@@ -51,6 +51,11 @@
 	// coldMargin is kept free of the shared part of the bound, for what other hosts
 	// have sent but not yet told.
 	coldMargin = 0.35
+	// beginWait is the longest wait for which a request that begins a program is
+	// queued: more of it and the program ends late, so its caller had better come
+	// back. goOnWait is that of a request of a program under way.
+	beginWait = 120 * sd.Millisecond
+	goOnWait  = 700 * sd.Millisecond
 	// guess is the expected time of a request at a target until one was measured.
 	guess = 100 * sd.Millisecond
 	// smoothing is the weight of a new measurement in an average.
@@ -111,6 +116,8 @@
 	// Avoid are targets that have refused the request.
 	Avoid []sd.TargetID
 	Tier  sd.Tier
+	// Begins tells that the request begins a program.
+	Begins bool
 	// Due is when the request's program should be finished; zero comes last.
 	Due sd.Instant
 	// Latest is when the request must start to be of use.
@@ -119,8 +126,9 @@
 	// Target and Address are set once the request may be sent.
 	Target  sd.TargetID
 	Address sd.Address
-	// Refused tells why the request was given up.
+	// Refused tells why the request was given up, Wait how long it would have waited.
 	Refused Refusal
+	Wait    sd.Millis
 
 	number uint64
 	queued bool
@@ -231,10 +239,16 @@
 	if k.Refused != "" {
 		return true
 	}
-	if now.Add(s.wait(k)) > k.Latest {
+	k.Wait = s.wait(now, k)
+	patience := goOnWait
+	if k.Begins {
+		patience = beginWait
+	}
+	if k.Wait > patience || now.Add(k.Wait) > k.Latest {
 		k.Refused = TooLate
 		return true
 	}
+	k.Latest = min(k.Latest, now.Add(2*patience))
 	k.number = s.next
 	s.next++
 	k.queued = true
@@ -248,10 +262,7 @@
 	if len(s.queue) == 0 {
 		return nil
 	}
-	slices.SortFunc(s.queue, func(a, b *Ticket) int {
-		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(late(now, a), late(now, b)),
-			cmp.Compare(a.Due, b.Due), cmp.Compare(a.number, b.number))
-	})
+	slices.SortFunc(s.queue, func(a, b *Ticket) int { return order(now, a, b) })
 	var settled []*Ticket
 	full := map[sd.GroupName]bool{}
 	s.queue = slices.DeleteFunc(s.queue, func(k *Ticket) bool {
@@ -269,6 +280,21 @@
 	return settled
 }
 
+// order compares waiting requests: by tier; programs that can be on time before
+// those that cannot; programs under way before new ones, as what was spent on a
+// program counts only if it ends; then the one that is due first.
+func order(now sd.Instant, a, b *Ticket) int {
+	return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(late(now, a), late(now, b)),
+		cmp.Compare(begins(a), begins(b)), cmp.Compare(a.Due, b.Due), cmp.Compare(a.number, b.number))
+}
+
+func begins(k *Ticket) int {
+	if k.Begins {
+		return 1
+	}
+	return 0
+}
+
 // late sorts programs that can no longer be on time behind those that can.
 func late(now sd.Instant, k *Ticket) int {
 	if k.Due == 0 || now > k.Due {
@@ -286,11 +312,11 @@
 func (s *State) Queued() int { return len(s.queue) }
 
 // wait estimates how long a ticket would wait behind those before it.
-func (s *State) wait(k *Ticket) sd.Millis {
+func (s *State) wait(now sd.Instant, k *Ticket) sd.Millis {
 	p := s.pool(k.Pool)
 	ahead, slots := 1, 0
 	for _, q := range s.queue {
-		if q.Pool == k.Pool && q.Tier <= k.Tier {
+		if q.Pool == k.Pool && order(now, q, k) < 0 {
 			ahead++
 		}
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -66,6 +66,9 @@
 	// comeBack is when a caller should come back to a fleet that lacks something:
 	// a target, the store, a plan.
 	comeBack = 300 * sd.Millisecond
+	// longestComeBack bounds what a caller is told in a crowd: a third of the time
+	// that callers usually have.
+	longestComeBack = sd.Second
 	// turnBytes bounds a turn that is kept.
 	turnBytes = 512 << 10
 )
@@ -119,7 +122,7 @@
 	if !q.read() {
 		return
 	}
-	if v := r.Meter.Admit(q.workspace, q.rule.Retained && q.ask.Previous == ""); !v.Admitted {
+	if v := r.Meter.Admit(q.workspace, q.begins()); !v.Admitted {
 		q.Log.Info("rate used up", zap.Int("event", eventRate), q.id(), zap.String("workspace", string(q.workspace)),
 			zap.Float64("tokens", v.Tokens), zap.Float64("need", v.Need), zap.Float64("rate", float64(v.Rate)),
 			zap.Float64("part", float64(v.Part)), zap.Int64("wait_ms", int64(v.Wait)))
@@ -188,6 +191,9 @@
 	return true
 }
 
+// begins reports whether the request begins a program.
+func (q *request) begins() bool { return q.rule.Retained && q.ask.Previous == "" }
+
 // left returns the time until the request's deadline.
 func (q *request) left() sd.Millis { return q.deadline.Since(q.Clock.Now()) }
 
@@ -247,6 +253,7 @@
 		}
 		ticket := &balancer.Ticket{
 			Pool: q.pool, Prefer: q.prefer, Prompt: q.ask.Prompt, Avoid: avoid, Tier: q.tier, Latest: q.deadline.Add(-startReserve),
+			Begins: q.begins(),
 		}
 		if q.ask.ProgramLeft > 0 {
 			ticket.Due = q.arrived.Add(q.ask.ProgramLeft)
@@ -257,7 +264,7 @@
 			if err != nil {
 				reason = "no target in time"
 			}
-			q.fail(ctx, reason, comeBack)
+			q.fail(ctx, reason, min(max(ticket.Wait, comeBack), longestComeBack))
 			return
 		}
 		q.tried++
