--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -134,23 +134,26 @@
 // and Unavailable; after the latter a reservation that may have been made is
 // given back.
 //
-// The host that sequences the program's part does it, or this one if that does
+// The host that sequences the program's part does it, or the next one if that does
 // not answer. While the store is away, a host that a majority agrees to reserves
 // by what is known of the account.
 func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens, fresh bool) (Key, error) {
-	hold := holdKey(turn, "first")
-	order := Placement{Program: program, Hold: hold, Limit: limit, Budget: budget, Fresh: fresh}
-	if at := a.sequencer(program); at != "" {
+	order := Placement{Program: program, Limit: limit, Budget: budget, Fresh: fresh}
+	for _, try := range []string{"first", "second", "third"} {
+		order.Hold = holdKey(turn, try)
+		at := a.sequencer(program)
+		if at == "" {
+			return a.reserve(ctx, order)
+		}
 		placed, decided, err := a.place(ctx, at, order)
 		if err == nil || decided {
 			return placed, err
 		}
 		if ctx.Err() != nil {
-			return hold, sd.Unavailable.Wrap(err, "account not reached in time")
+			return order.Hold, sd.Unavailable.Wrap(err, "account not reached in time")
 		}
-		order.Hold = holdKey(turn, "second")
 	}
-	return a.reserve(ctx, order)
+	return order.Hold, sd.Unavailable.New("no sequencer answers")
 }
 
 // reserve takes a turn's most by this host's own lane or claim. It returns the
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -32,6 +32,8 @@
 	Fresh bool
 	// Final orders are not passed on to a third host.
 	Final bool
+	// Seen is the stored account as the sender last saw it.
+	Seen Snapshot
 }
 
 // Placed is the answer to a Placement: the key of the reservation, or why there is
@@ -121,6 +123,12 @@
 func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (Key, bool, error) {
 	asked, cancel := context.WithTimeout(ctx, placeTimeout.Duration())
 	defer cancel()
+	w := a.worker(order.Program)
+	w.lock.Lock()
+	if row := w.lane.rows[order.Program]; row != nil {
+		order.Seen = Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
+	}
+	w.lock.Unlock()
 	placed, err := messenger.Ask[Placement, Placed](asked, a.peers.Client, at, messageReserve, order)
 	switch {
 	case err != nil:
@@ -131,7 +139,6 @@
 	case placed.Refused != "":
 		return order.Hold, true, sd.Unavailable.New("%s", placed.Refused)
 	}
-	w := a.worker(order.Program)
 	w.lock.Lock()
 	w.placed[placed.Hold] = at
 	w.learn(a.clock.Now(), order.Program, placed.Snapshot)
@@ -142,6 +149,10 @@
 // answerReserve reserves a turn for another host.
 func (a *Archive) answerReserve(ctx context.Context, order Placement) (Placed, error) {
 	order.Final = true
+	w := a.worker(order.Program)
+	w.lock.Lock()
+	w.learn(a.clock.Now(), order.Program, order.Seen)
+	w.lock.Unlock()
 	hold, err := a.reserve(ctx, order)
 	switch {
 	case err == nil:
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -24,6 +24,8 @@
 	// hedgeAfter is how long a call waits before a peer is asked as well: several
 	// times the store's usual answer.
 	hedgeAfter = 120 * sd.Millisecond
+	// hedgeAgain is how often it is looked again whether a peer should be asked.
+	hedgeAgain = 60 * sd.Millisecond
 	// callTimeout bounds a call: a slow store takes some 600 ms.
 	callTimeout = 1500 * sd.Millisecond
 	// lostAfter is the number of failures in a row after which the store counts as
@@ -61,6 +63,7 @@
 	lostAt    sd.Instant
 	backAt    sd.Instant
 	probed    sd.Instant
+	probing   bool
 }
 
 // New returns a Relay of direct; peers returns the hosts that are alive.
@@ -206,10 +209,13 @@
 			}
 			return sd.Page{}, sd.Unavailable.Wrap(end.err, "store not reached")
 		case <-timer.C:
-			if !relayed {
-				r.note(sd.Uncertain.New("no answer in %d ms", hedge), hedge)
+			// One part of the store may be slow for its load; a probe tells whether all
+			// of it is, and only then a peer is asked too.
+			r.doubt()
+			if !relayed && !r.Reaches() {
 				ask(false)
 			}
+			timer.Reset(hedgeAgain.Duration())
 		case <-ctx.Done():
 			return sd.Page{}, sd.Uncertain.Wrap(ctx.Err(), "store did not answer in time")
 		}
@@ -229,7 +235,9 @@
 		// A watch is meant to take long, its time tells nothing.
 		return page, err
 	}
-	r.note(err, took)
+	if !definite(err) || took < hedgeAfter {
+		r.note(err, took, 1)
+	}
 	return page, err
 }
 
@@ -243,20 +251,35 @@
 	if !r.lost {
 		return true
 	}
-	if now.Since(r.probed) >= probeEvery {
-		r.probed = now
-		go r.probe()
-	}
+	r.look(now)
 	return !reached
 }
 
-// probe reads no row from the store itself.
+// doubt has a probe look whether the store answers in good time.
+func (r *Relay) doubt() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.look(r.clock.Now())
+}
+
+func (r *Relay) look(now sd.Instant) {
+	if r.probing || now.Since(r.probed) < probeEvery {
+		return
+	}
+	r.probing, r.probed = true, now
+	go r.probe()
+}
+
+// probe reads no row from the store itself. Its word alone decides.
 func (r *Relay) probe() {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter.Duration())
 	defer cancel()
 	start := r.clock.Now()
 	_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
-	r.note(err, r.clock.Now().Since(start))
+	r.note(err, r.clock.Now().Since(start), lostAfter)
+	r.lock.Lock()
+	r.probing = false
+	r.lock.Unlock()
 }
 
 // Away reports whether neither this host nor a peer that it hears reaches the
@@ -265,13 +288,12 @@
 	return !r.Reaches() && len(r.peers(true)) == 0
 }
 
-// note takes the outcome of a direct call. A store that answers late is not
-// reached in good time, and does not count as back either.
-func (r *Relay) note(err error, took sd.Millis) {
+// note takes the outcome of a direct call, and as how many failures one counts.
+func (r *Relay) note(err error, took sd.Millis, weight int) {
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if definite(err) && took < hedgeAfter {
+	if definite(err) {
 		r.failures, r.refused = 0, 0
 		if r.lost {
 			r.lost, r.backAt = false, now
@@ -290,7 +312,7 @@
 			return
 		}
 	}
-	r.failures++
+	r.failures += weight
 	if !r.lost && r.failures >= lostAfter {
 		r.lost, r.lostAt, r.probed = true, now, now
 		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures),
