archiver: claims are made for a part, by majority

Cause: at 79 hosts each program's claim asked 78 hosts, some 23,000 messages at the start of an outage; programs were late for two seconds. A part is claimed once; the answers bring all accounts. A host agrees with one claim at a time, so the majority alone decides, and promises to a claim that was not had are released.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -61,8 +61,8 @@
 	waiters map[*Operation]chan error
 	wake    chan struct{}
 
-	claims map[Key]*claim
-	fences map[Key]fence
+	claim *claim
+	fence *fence
 	// learned are accounts as the holders of claims know them.
 	learned map[Key]Snapshot
 	// placed are reservations that another host has made for this one.
@@ -129,6 +129,16 @@
 
 func (a *Archive) worker(program Key) *worker { return a.lanes[program[0]%Parts] }
 
+// lane returns the worker of a part, or nil.
+func (a *Archive) lane(part string) *worker {
+	for _, w := range a.lanes {
+		if w.lane.Part == part {
+			return w
+		}
+	}
+	return nil
+}
+
 // Reserve takes a turn's most from its program's budget and returns the key of
 // the reservation; fresh tells that the program may be new. Errors are Exhausted
 // and Unavailable; after the latter a reservation that may have been made is
@@ -205,17 +215,13 @@
 	}
 }
 
-// claimed reports whether a claim on the program, of this host or another, is
-// still in force.
+// claimed reports whether a claim on the program's part, of this host or another,
+// is still in force.
 func (a *Archive) claimed(program Key) bool {
 	w := a.worker(program)
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if w.claims[program] != nil {
-		return true
-	}
-	f, fenced := w.fences[program]
-	return fenced && a.lives(f.holder)
+	return w.claim != nil || (w.fence != nil && a.lives(w.fence.holder))
 }
 
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -309,20 +309,17 @@
 	return ended
 }
 
-// Operations returns the operations of a program that have not ended, in order.
-func (l *Lane) Operations(program Key) []Operation {
+// Operations returns the operations that have not ended, in order.
+func (l *Lane) Operations() []Operation {
 	var list []Operation
-	add := func(operations []*Operation) {
-		for _, o := range operations {
-			if o.Program == program {
-				list = append(list, *o)
-			}
+	if l.batch != nil {
+		for _, o := range l.batch.operations {
+			list = append(list, *o)
 		}
 	}
-	if l.batch != nil {
-		add(l.batch.operations)
+	for _, o := range l.pending {
+		list = append(list, *o)
 	}
-	add(l.pending)
 	return list
 }
 
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -29,8 +30,9 @@
 const (
 	// askTimeout bounds a message to a peer: a hundred round trips.
 	askTimeout = 250 * sd.Millisecond
-	// claimsSettle is how long the store must have been reached before claims on
-	// programs end: by then what ran without it has been written.
+	// claimTimeout bounds the question for a claim, whose answers hold accounts.
+	claimTimeout = 300 * sd.Millisecond
+	// claimsSettle is how long the store must have been reached before claims end: by then what ran without it has been written.
 	claimsSettle = 1500 * sd.Millisecond
 	// copiesSettle is how long a peer's copies are left to that peer to write.
 	copiesSettle = 3 * sd.Second
@@ -41,26 +43,32 @@
 	claimsEvery = 500 * sd.Millisecond
 )
 
-// claim is the right of this host to decide about a program while the store is
-// away. A majority of all hosts has agreed to leave the program to this host.
+// claim is the right of this host to decide about the programs of a part while the
+// store is away. A majority of all hosts has agreed to leave them to this host.
 type claim struct {
-	// ready is closed once the peers were asked; held tells what they said.
+	// ready is closed once the hosts were asked; held tells what they said.
 	ready chan struct{}
 	held  bool
 	// holder is the host that has the claim instead, if one has.
 	holder sd.Address
-	// known tells whether any host has seen the account.
-	known bool
-	// base is the account at the newest version that a peer had seen.
-	base    Account
-	version uint64
-	// foreign are operations that peers have yet to write.
-	foreign []Operation
+	// known are the accounts at the newest version that any host has seen, and those
+	// of programs that began since.
+	known map[Key]Snapshot
+	// foreign are operations that other hosts have yet to write.
+	foreign map[Key][]Operation
 	// open are turns that run without a reservation in the store.
-	open []Reservation
+	open map[Key][]Reservation
 }
 
-// fence is a promise to leave a program to another host.
+// holderAt returns the address of the claim's holder, this host's if that holds it.
+func (c *claim) holderAt(self sd.Address) sd.Address {
+	if c.held {
+		return self
+	}
+	return ""
+}
+
+// fence is a promise to leave a part to another host.
 type fence struct {
 	holder gossiper.Peer
 }
@@ -74,25 +82,27 @@
 // Messages between hosts.
 const (
 	messageClaim   = "claim"
+	messageRelease = "release"
 	messageReserve = "reserve"
 	messageSettle  = "settle"
 	messageCopy    = "copy"
 	messageRecall  = "recall"
 )
 
-// Claim asks a host to leave a program to the sender.
+// Claim asks a host to leave a part to the sender.
 type Claim struct {
-	From    gossiper.Peer
-	Program Key
+	From gossiper.Peer
+	Part string
 }
 
 // Claimed is the answer to a Claim.
 type Claimed struct {
-	// Holder is the host that has the claim already.
-	Holder  sd.Address
-	Known   bool
-	Account Account
-	Version uint64
+	// Denied tells that the answering host does not agree, as it has agreed with
+	// Holder or holds the claim itself.
+	Denied bool
+	Holder sd.Address
+	// Accounts are those that the answering host knows.
+	Accounts map[Key]Snapshot
 	// Operations are those that the answering host has yet to write.
 	Operations []Operation
 }
@@ -115,6 +125,7 @@
 // Answer registers what this host answers to others.
 func (a *Archive) Answer(router messenger.Router) {
 	messenger.Handle(router, messageClaim, a.answerClaim)
+	messenger.Handle(router, messageRelease, a.answerRelease)
 	messenger.Handle(router, messageReserve, a.answerReserve)
 	messenger.Handle(router, messageSettle, a.answerSettle)
 	messenger.Handle(router, messageCopy, a.answerCopy)
@@ -138,56 +149,61 @@
 	return slices.ContainsFunc(a.alive(), func(other gossiper.Peer) bool { return same(p, other) })
 }
 
-// answerClaim leaves a program to another host, unless this host or a third one
-// has claimed it.
+// answerClaim leaves a part to another host, unless this host or a third one has
+// claimed it.
 func (a *Archive) answerClaim(_ context.Context, request Claim) (Claimed, error) {
-	w := a.worker(request.Program)
+	w := a.lane(request.Part)
+	if w == nil {
+		return Claimed{}, Malformed.New("there is no part %q", request.Part)
+	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if c := w.claims[request.Program]; c != nil {
-		return Claimed{Holder: a.peers.Self.Address}, nil
-	}
-	if f, fenced := w.fences[request.Program]; fenced && !same(f.holder, request.From) && a.lives(f.holder) {
-		return Claimed{Holder: f.holder.Address}, nil
-	}
-	if w.fences == nil {
-		w.fences = map[Key]fence{}
-	}
-	w.fences[request.Program] = fence{holder: request.From}
-	answer := Claimed{Operations: append(w.lane.Operations(request.Program), a.copiesOf(request.Program)...)}
-	if row := w.lane.rows[request.Program]; row != nil {
-		answer.Known, answer.Account, answer.Version = true, row.account, row.version
+	if c := w.claim; c != nil {
+		// Where two hosts ask at the same time, the one that more hosts agree with goes
+		// on.
+		return Claimed{Denied: true, Holder: c.holderAt(a.peers.Self.Address)}, nil
+	}
+	if w.fence != nil && !same(w.fence.holder, request.From) && a.lives(w.fence.holder) {
+		return Claimed{Denied: true, Holder: w.fence.holder.Address}, nil
+	}
+	w.fence = &fence{holder: request.From}
+	answer := Claimed{Operations: append(w.lane.Operations(), a.copiesOf(request.Part)...), Accounts: map[Key]Snapshot{}}
+	for program, row := range w.lane.rows {
+		if row.version > 0 {
+			answer.Accounts[program] = Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
+		}
 	}
-	if s, learned := w.learned[request.Program]; learned && newer(s.Version, s.Account, answer.Version, answer.Account) {
-		answer.Known, answer.Account, answer.Version = true, s.Account, s.Version
+	for program, learned := range w.learned {
+		if learned.newer(answer.Accounts[program]) {
+			answer.Accounts[program] = learned
+		}
 	}
-	answer.Known = answer.Known || len(answer.Operations) > 0
 	return answer, nil
 }
 
-// copiesOf returns the operations of a program that this host holds for others.
-func (a *Archive) copiesOf(program Key) []Operation {
+// copiesOf returns the operations of a part that this host holds for others.
+func (a *Archive) copiesOf(part string) []Operation {
 	a.copyLock.Lock()
 	defer a.copyLock.Unlock()
 	var list []Operation
 	for _, c := range a.copies {
-		if c.operation.Program == program {
+		if Part(c.operation.Program) == part {
 			list = append(list, c.operation)
 		}
 	}
 	return list
 }
 
-// claim makes sure that this host has the claim on a program. It returns the
-// address of the host that has it instead, if one has. Errors are Unavailable.
-func (a *Archive) claim(ctx context.Context, program Key) (*claim, sd.Address, error) {
-	w := a.worker(program)
+// claim makes sure that this host has the claim on a part. It returns the address
+// of the host that has it instead, if one has. Errors are Unavailable.
+func (a *Archive) claim(ctx context.Context, w *worker) (*claim, sd.Address, error) {
 	w.lock.Lock()
-	if f, fenced := w.fences[program]; fenced && a.lives(f.holder) {
+	if w.fence != nil && a.lives(w.fence.holder) {
+		holder := w.fence.holder.Address
 		w.lock.Unlock()
-		return nil, f.holder.Address, nil
+		return nil, holder, nil
 	}
-	if c := w.claims[program]; c != nil {
+	if c := w.claim; c != nil {
 		w.lock.Unlock()
 		select {
 		case <-c.ready:
@@ -198,37 +214,70 @@
 			return nil, c.holder, nil
 		}
 		if !c.held {
-			return nil, "", sd.Unavailable.New("claim on program %s was not agreed to", program)
+			return nil, "", sd.Unavailable.New("claim on part %s was not agreed to", w.lane.Part)
 		}
 		return c, "", nil
 	}
-	c := &claim{ready: make(chan struct{})}
-	if w.claims == nil {
-		w.claims = map[Key]*claim{}
-	}
-	w.claims[program] = c
+	c := &claim{ready: make(chan struct{}), known: map[Key]Snapshot{}, foreign: map[Key][]Operation{}, open: map[Key][]Reservation{}}
+	w.claim = c
 	w.lock.Unlock()
 
-	agreed := a.collect(ctx, program, c)
+	// Others wait for the outcome too, so it does not end with this request.
+	agreed, holder := a.collect(context.WithoutCancel(ctx), w.lane.Part, c)
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	defer close(c.ready)
-	c.held = c.holder == "" && 2*(agreed+1) > a.peers.Hosts()
-	a.log.Info("program claimed", zap.Int("event", eventClaim), zap.Stringer("program", program), zap.Bool("held", c.held),
-		zap.Int("agreed", agreed), zap.Int("hosts", a.peers.Hosts()), zap.String("holder", string(c.holder)), zap.Uint64("version", c.version))
+	// Each host agrees with one claim at a time, so that two never have a majority.
+	c.held = 2*(agreed+1) > a.peers.Hosts()
+	if !c.held {
+		c.holder = holder
+	}
+	a.log.Info("part claimed", zap.Int("event", eventClaim), zap.String("part", w.lane.Part), zap.Bool("held", c.held),
+		zap.Int("agreed", agreed), zap.Int("hosts", a.peers.Hosts()), zap.String("holder", string(c.holder)), zap.Int("accounts", len(c.known)))
 	if c.held {
 		return c, "", nil
 	}
-	delete(w.claims, program)
+	w.claim = nil
+	a.release(w.lane.Part)
 	if c.holder != "" {
 		return nil, c.holder, nil
 	}
 	return nil, "", sd.Unavailable.New("%d of %d hosts agreed to the claim", agreed+1, a.peers.Hosts())
 }
 
-// collect asks all hosts in reach and returns how many agreed.
-func (a *Archive) collect(ctx context.Context, program Key, c *claim) int {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+// release tells all hosts in reach that a claim was not had, so that none keeps
+// the part for this host.
+func (a *Archive) release(part string) {
+	for _, p := range a.alive() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+			defer cancel()
+			if _, err := messenger.Ask[Claim, Done](ctx, a.peers.Client, p.Address, messageRelease, Claim{a.peers.Self, part}); err != nil {
+				a.log.Info("release of a part was not heard", zap.Int("event", eventClaim), zap.String("part", part),
+					zap.String("peer", string(p.Host)), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// answerRelease ends the promise to leave a part to another host.
+func (a *Archive) answerRelease(_ context.Context, request Claim) (Done, error) {
+	w := a.lane(request.Part)
+	if w == nil {
+		return Done{}, Malformed.New("there is no part %q", request.Part)
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.fence != nil && same(w.fence.holder, request.From) {
+		w.fence = nil
+	}
+	return Done{}, nil
+}
+
+// collect asks all hosts in reach. It returns how many agreed, and a host that
+// others have agreed with instead.
+func (a *Archive) collect(ctx context.Context, part string, c *claim) (agreed int, holder sd.Address) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Duration())
 	defer cancel()
 	type reply struct {
 		Claimed
@@ -238,88 +287,104 @@
 	replies := make(chan reply, len(peers))
 	for _, p := range peers {
 		go func() {
-			answer, err := messenger.Ask[Claim, Claimed](ctx, a.peers.Client, p.Address, messageClaim, Claim{a.peers.Self, program})
+			answer, err := messenger.Ask[Claim, Claimed](ctx, a.peers.Client, p.Address, messageClaim, Claim{a.peers.Self, part})
 			replies <- reply{answer, err}
 		}()
 	}
-	agreed := 0
 	for range peers {
 		r := <-replies
 		switch {
 		case r.err != nil:
 			continue
-		case r.Holder != "":
-			c.holder = r.Holder
+		case r.Denied:
+			if r.Holder != "" {
+				holder = r.Holder
+			}
 			continue
 		}
 		agreed++
-		c.known = c.known || r.Known
-		if newer(r.Version, r.Account, c.version, c.base) {
-			c.base, c.version = r.Account, r.Version
+		for program, s := range r.Accounts {
+			if s.newer(c.known[program]) {
+				c.known[program] = s
+			}
+		}
+		for _, o := range r.Operations {
+			c.foreign[o.Program] = append(c.foreign[o.Program], o)
 		}
-		c.foreign = append(c.foreign, r.Operations...)
 	}
-	return agreed
+	return agreed, holder
 }
 
-// project returns the account of a claimed program with all that is known.
-func (w *worker) project(program Key, c *claim) (Account, bool) {
-	account, version, known := Account{}, uint64(0), c.known
-	if row := w.lane.rows[program]; row != nil {
-		account, version, known = row.account, row.version, true
+// project returns an account with all that is known of it, and whether anything
+// is.
+func (w *worker) project(program Key, c *claim) (Snapshot, bool) {
+	var s Snapshot
+	if row := w.lane.rows[program]; row != nil && row.version > 0 {
+		s = Snapshot{Known: true, Account: row.account, Version: row.version}
 	}
-	if s, learned := w.learned[program]; learned && newer(s.Version, s.Account, version, account) {
-		account, version, known = s.Account, s.Version, true
-	}
-	if newer(c.version, c.base, version, account) {
-		account = c.base
+	for _, other := range []Snapshot{w.learned[program], c.known[program]} {
+		if other.newer(s) {
+			s = other
+		}
 	}
-	for _, o := range append(w.lane.Operations(program), c.foreign...) {
+	for _, o := range append(w.lane.Operations(), c.foreign[program]...) {
 		// An account that another host projected may hold the operation already.
-		if !account.ended(o.Hold) {
-			_, _ = apply(&account, &o)
+		if o.Program == program && !s.Account.ended(o.Hold) {
+			_, _ = apply(&s.Account, &o)
+			s.Known = true
 		}
 	}
-	account.Open = append(slices.Clone(account.Open), c.open...)
-	return account, known
+	s.Account.Open = append(slices.Clone(s.Account.Open), c.open[program]...)
+	s.Stored = false
+	return s, s.Known
 }
 
 // reserveAway reserves a turn while the store is away. Errors are Exhausted and
 // Unavailable. Where another host has the claim, that one is asked.
 func (a *Archive) reserveAway(ctx context.Context, request Placement) error {
-	c, holder, err := a.claim(ctx, request.Program)
+	w := a.worker(request.Program)
+	c, holder, err := a.claim(ctx, w)
 	if err != nil {
 		return err
 	}
 	if c == nil {
 		if request.Final {
-			return sd.Unavailable.New("program %s is with another host", request.Program)
+			return elsewhere.New("part of program %s is with another host", request.Program)
 		}
 		_, _, err := a.place(ctx, holder, request)
+		if errorx.IsOfType(err, elsewhere) {
+			w.lock.Lock()
+			if w.fence != nil && w.fence.holder.Address == holder {
+				w.fence = nil
+			}
+			w.lock.Unlock()
+		}
 		return err
 	}
-	w := a.worker(request.Program)
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	account, known := w.project(request.Program, c)
+	s, known := w.project(request.Program, c)
 	if !known && !request.Fresh {
 		return sd.Unavailable.New("account of program %s is not known", request.Program)
 	}
-	if !account.Reserve(request.Hold, request.Limit, request.Budget) {
-		return Exhausted.New("spent %d, open %d, most %d, budget %d", account.Spent, account.Reserved(), request.Limit, request.Budget)
+	if s.Account.Holds(request.Hold) {
+		return nil
+	}
+	if !s.Account.Reserve(request.Hold, request.Limit, request.Budget) {
+		return Exhausted.New("spent %d, open %d, most %d, budget %d", s.Account.Spent, s.Account.Reserved(), request.Limit, request.Budget)
 	}
-	// A program that begins here is known from now on.
-	c.known = true
-	if !slices.ContainsFunc(c.open, func(r Reservation) bool { return r.Hold == request.Hold }) {
-		c.open = append(c.open, Reservation{request.Hold, request.Limit})
+	c.open[request.Program] = append(c.open[request.Program], Reservation{request.Hold, request.Limit})
+	if !known {
+		// A program that begins here is known from now on.
+		c.known[request.Program] = Snapshot{Known: true}
 	}
 	return nil
 }
 
 // close ends a turn that ran without a reservation in the store.
 func (w *worker) close(program, hold Key) {
-	if c := w.claims[program]; c != nil {
-		c.open = slices.DeleteFunc(c.open, func(r Reservation) bool { return r.Hold == hold })
+	if c := w.claim; c != nil {
+		c.open[program] = slices.DeleteFunc(c.open[program], func(r Reservation) bool { return r.Hold == hold })
 	}
 }
 
@@ -456,11 +521,9 @@
 		}
 		for _, w := range a.lanes {
 			w.lock.Lock()
-			w.fences, w.learned = nil, nil
-			for program, c := range w.claims {
-				if c.held && len(c.open) == 0 {
-					delete(w.claims, program)
-				}
+			w.fence, w.learned = nil, nil
+			if w.claim != nil && w.claim.held {
+				w.claim = nil
 			}
 			w.lock.Unlock()
 		}
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// placeTimeout bounds a reservation at the sequencer: some twenty transactions.
-	placeTimeout = 400 * sd.Millisecond
+	// placeTimeout bounds a reservation at the sequencer, which may have to claim the
+	// part first.
+	placeTimeout = 600 * sd.Millisecond
 	// settleTimeout bounds a settlement there, which also waits for copies while the
 	// store is away.
 	settleTimeout = 900 * sd.Millisecond
@@ -41,6 +42,8 @@
 type Placed struct {
 	Hold               Key
 	Exhausted, Refused string
+	// Elsewhere tells that the answering host does not have the claim.
+	Elsewhere bool
 	Snapshot
 }
 
@@ -99,11 +102,22 @@
 }
 
 // sequencer returns the address of the host to which a program's operations go,
-// or nothing if that is this one.
+// or nothing if that is this one: the holder of a claim on the part, or the host
+// that sequences it.
 func (a *Archive) sequencer(program Key) sd.Address {
 	if a.peers.Alive == nil {
 		return ""
 	}
+	w := a.worker(program)
+	w.lock.Lock()
+	f, held := w.fence, w.claim != nil && w.claim.held
+	w.lock.Unlock()
+	if held {
+		return ""
+	}
+	if f != nil && a.lives(f.holder) {
+		return f.holder.Address
+	}
 	now := a.clock.Now()
 	hosts := []gossiper.Peer{a.peers.Self}
 	for _, p := range a.peers.Alive() {
@@ -136,6 +150,8 @@
 		return order.Hold, false, sd.Unavailable.Wrap(err, "sequencer %s did not answer", at)
 	case placed.Exhausted != "":
 		return order.Hold, true, Exhausted.New("%s", placed.Exhausted)
+	case placed.Elsewhere:
+		return order.Hold, true, elsewhere.New("%s", placed.Refused)
 	case placed.Refused != "":
 		return order.Hold, true, sd.Unavailable.New("%s", placed.Refused)
 	}
@@ -160,7 +176,7 @@
 	case errorx.IsOfType(err, Exhausted):
 		return Placed{Exhausted: err.Error()}, nil
 	}
-	return Placed{Refused: err.Error()}, nil
+	return Placed{Refused: err.Error(), Elsewhere: errorx.IsOfType(err, elsewhere)}, nil
 }
 
 // answerSettle settles a turn for another host.
@@ -177,13 +193,9 @@
 	w := a.worker(program)
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if c := w.claims[program]; c != nil {
-		account, known := w.project(program, c)
-		version := c.version
-		if row := w.lane.rows[program]; row != nil {
-			version = max(version, row.version)
-		}
-		return Snapshot{Known: known, Account: account, Version: version}
+	if c := w.claim; c != nil && c.held {
+		s, _ := w.project(program, c)
+		return s
 	}
 	if row := w.lane.rows[program]; row != nil {
 		return Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
@@ -205,8 +217,14 @@
 	}
 }
 
-// newer reports whether an account is later than another: at a newer version of
-// the row, or at the same one with more spent.
-func newer(version uint64, account Account, thanVersion uint64, than Account) bool {
-	return version > thanVersion || (version == thanVersion && account.Spent > than.Spent)
+// newer reports whether a snapshot is later than another: at a newer version of the
+// row, or at the same one with more spent.
+func (s Snapshot) newer(than Snapshot) bool {
+	switch {
+	case !s.Known || !than.Known:
+		return s.Known && !than.Known
+	case s.Version != than.Version:
+		return s.Version > than.Version
+	}
+	return s.Account.Spent > than.Account.Spent
 }
--- a/archiver/turn.go
+++ b/archiver/turn.go
@@ -36,6 +36,19 @@
 // String returns the key's hexadecimal digits.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. Errors are Malformed.
+func (k *Key) UnmarshalText(text []byte) error {
+	parsed, ok := ParseKey(string(text))
+	if !ok {
+		return Malformed.New("%q is not a key", text)
+	}
+	*k = parsed
+	return nil
+}
+
 // ParseKey reads what String returned.
 func ParseKey(text string) (Key, bool) {
 	var k Key
