--- /dev/null
+++ b/archiver/fleet_test.go
@@ -0,0 +1,317 @@
+package archiver_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/archiver"
+	"sapphiredrum.example/sapphiredrum/faker"
+	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/messenger"
+)
+
+// fleet is a few hosts' archives over one store, joined by loopback messages.
+type fleet struct {
+	t     *testing.T
+	rows  *faker.Rows
+	hosts []*member
+	lock  sync.Mutex
+	away  bool
+	back  sd.Instant
+	clock sd.Clock
+}
+
+type member struct {
+	*archiver.Archive
+	peer   gossiper.Peer
+	server *http.Server
+	stop   context.CancelFunc
+	ended  chan struct{}
+	gone   bool
+	// cut hosts neither hear nor are heard.
+	cut bool
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, rows: faker.NewRows(1), clock: sd.NewClock()}
+	client := messenger.NewClient(nil)
+	for i := range n {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &member{ended: make(chan struct{})}
+		m.peer = gossiper.Peer{
+			Host: sd.HostID(string(rune('a' + i))), Zone: sd.ZoneName([]string{"z1", "z2"}[i%2]),
+			Address: sd.Address(listener.Addr().String()), Incarnation: sd.Incarnation(i + 1), Power: 1,
+		}
+		m.Archive = archiver.New(archiver.Settings{Memory: 1 << 20, Retention: sd.Minute}, f.rows, archiver.Peers{
+			Self: m.peer, Alive: func() []gossiper.Peer { return f.alive(m) }, Hosts: func() int { return n },
+			Away: f.isAway, Settled: f.settled, Client: client,
+		}, f.clock, zap.NewNop())
+		e := echo.New()
+		m.Answer(e)
+		m.server = &http.Server{Handler: e}
+		go func() { _ = m.server.Serve(listener) }()
+		ctx, stop := context.WithCancel(t.Context())
+		m.stop = stop
+		go func() {
+			_ = m.Run(ctx)
+			close(m.ended)
+		}()
+		f.hosts = append(f.hosts, m)
+	}
+	t.Cleanup(func() {
+		for i := range f.hosts {
+			f.kill(i)
+		}
+		client.Close()
+	})
+	return f
+}
+
+func (f *fleet) alive(of *member) []gossiper.Peer {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	var list []gossiper.Peer
+	for _, m := range f.hosts {
+		if m != of && !m.gone && m.cut == of.cut {
+			list = append(list, m.peer)
+		}
+	}
+	return list
+}
+
+func (f *fleet) isAway() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.away
+}
+
+func (f *fleet) settled() sd.Millis {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.away {
+		return 0
+	}
+	return f.clock.Now().Since(f.back)
+}
+
+func (f *fleet) store(there bool) {
+	f.rows.Trouble(faker.RowsTrouble{Down: !there})
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.away, f.back = !there, f.clock.Now()
+}
+
+func (f *fleet) kill(i int) {
+	m := f.hosts[i]
+	f.lock.Lock()
+	was := m.gone
+	m.gone = true
+	f.lock.Unlock()
+	if was {
+		return
+	}
+	_ = m.server.Close()
+	m.stop()
+	<-m.ended
+}
+
+// turn runs one turn of a program at a host; previous may be empty.
+func (f *fleet) turn(at int, program, id, previous string) error {
+	m := f.hosts[at]
+	ctx, cancel := context.WithTimeout(f.t.Context(), 3*time.Second)
+	defer cancel()
+	p := archiver.ProgramKey("w", sd.ProgramID(program))
+	t := &archiver.Turn{Program: p, Key: archiver.TurnKey("w", sd.CallID(id)), Input: []byte("in " + id), Output: []byte("out " + id + "\n")}
+	if previous != "" {
+		chain, err := m.Chain(ctx, p, archiver.TurnKey("w", sd.CallID(previous)))
+		if err != nil {
+			return err
+		}
+		last := chain[len(chain)-1]
+		t.Previous, t.Origin = last.Key, last.Program
+	}
+	hold, err := m.Reserve(ctx, p, t.Key, 100, 350, previous == "")
+	if err != nil {
+		return err
+	}
+	return m.Settle(ctx, p, hold, 50, t)
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// spent reads a program's account from the store once nothing is waiting.
+func (f *fleet) spent(program string) sd.Tokens {
+	f.t.Helper()
+	p := archiver.ProgramKey("w", sd.ProgramID(program))
+	row := f.rows.Row(sd.Cell{Table: archiver.TablePrograms, Part: archiver.Part(p), Key: p.String() + "/"})
+	account, err := archiver.DecodeAccount(row.Value)
+	f.must(err)
+	return account.Spent
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for range 200 {
+		if holds() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatal("not in time: " + what)
+}
+
+// Any host goes on from a turn that another one served, also after that one died.
+func TestTurnsAreFoundByAnyHost(t *testing.T) {
+	f := newFleet(t, 3)
+	f.must(f.turn(0, "p", "t1", ""))
+	f.must(f.turn(1, "p", "t2", "t1"))
+	f.kill(1)
+	f.must(f.turn(2, "p", "t3", "t2"))
+	// A new program may go on from another one's turn.
+	f.must(f.turn(0, "q", "u1", "t3"))
+	if got := f.spent("p"); got != 150 {
+		t.Fatalf("spent %d, want 150", got)
+	}
+}
+
+// A budget is refused once it does not hold one more turn, whichever host is asked.
+func TestBudgetHoldsOverHosts(t *testing.T) {
+	f := newFleet(t, 3)
+	previous := ""
+	for i, at := range []int{0, 1, 2, 0, 1, 2} {
+		id := string(rune('a' + i))
+		f.must(f.turn(at, "p", id, previous))
+		previous = id
+	}
+	// 300 of 350 are spent; a turn may take 100.
+	if err := f.turn(2, "p", "z", previous); !errorx.IsOfType(err, archiver.Exhausted) {
+		t.Fatalf("got %v, want Exhausted", err)
+	}
+}
+
+// Outage: a program goes on at any host while no host reaches the store, within
+// its budget, and the store has all of it afterwards, once.
+func TestProgramsGoOnWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t, 5)
+	f.must(f.turn(0, "p", "t1", ""))
+	f.store(false)
+	f.must(f.turn(0, "p", "t2", "t1"))
+	f.must(f.turn(3, "p", "t3", "t2"))
+	f.must(f.turn(1, "new", "n1", ""))
+	f.must(f.turn(2, "new", "n2", "n1"))
+	for i, id := range []string{"t4", "t5", "t6"} {
+		f.must(f.turn(i, "p", id, "t3"))
+	}
+	if err := f.turn(4, "p", "t7", "t6"); !errorx.IsOfType(err, archiver.Exhausted) {
+		t.Fatalf("seventh turn: got %v, want Exhausted", err)
+	}
+	f.store(true)
+	f.eventually("the store has what was spent", func() bool {
+		return f.rows.Row(cellOf("p")).Version > 0 && f.spent("p") == 300 && f.rows.Row(cellOf("new")).Version > 0 && f.spent("new") == 100
+	})
+	// Copies at peers are written too; they must not charge a second time.
+	time.Sleep(4 * time.Second)
+	if got := f.spent("p"); got != 300 {
+		t.Fatalf("spent %d after the copies were written, want 300", got)
+	}
+	f.must(f.turn(4, "new", "n3", "n2"))
+}
+
+func cellOf(program string) sd.Cell {
+	p := archiver.ProgramKey("w", sd.ProgramID(program))
+	return sd.Cell{Table: archiver.TablePrograms, Part: archiver.Part(p), Key: p.String() + "/"}
+}
+
+// Outage and death: what one host kept while the store was away is written by the
+// peer that holds a copy, and the account is known where the program was served.
+func TestATurnKeptByPeersOutlivesItsHost(t *testing.T) {
+	f := newFleet(t, 5)
+	var alive []gossiper.Peer
+	for _, m := range f.hosts {
+		alive = append(alive, m.peer)
+	}
+	sequencer := archiver.Sequencer(archiver.Part(archiver.ProgramKey("w", "p")), alive)
+	dies, serves := 0, 0
+	for i, m := range f.hosts {
+		if m.peer.Host == sequencer.Host {
+			dies, serves = i, (i+1)%len(f.hosts)
+		}
+	}
+	f.must(f.turn(serves, "p", "t1", ""))
+	f.store(false)
+	f.must(f.turn(serves, "p", "t2", "t1"))
+	f.kill(dies)
+	f.must(f.turn(serves, "p", "t3", "t2"))
+	f.store(true)
+	f.eventually("both turns are charged", func() bool { return f.spent("p") == 150 })
+}
+
+// Cut: a minority that does not reach the store decides nothing, and a turn that
+// it may hold is not said to be unknown.
+func TestAMinorityDecidesNothing(t *testing.T) {
+	f := newFleet(t, 5)
+	f.must(f.turn(0, "p", "t1", ""))
+	f.store(false)
+	f.lock.Lock()
+	f.hosts[0].cut, f.hosts[2].cut = true, true
+	f.lock.Unlock()
+	if err := f.turn(0, "p", "t2", "t1"); !errorx.IsOfType(err, sd.Unavailable) {
+		t.Fatalf("minority: got %v, want Unavailable", err)
+	}
+	f.store(true)
+	if err := f.turn(1, "p", "t3", "never"); !errorx.IsOfType(err, sd.Unavailable) {
+		t.Fatalf("unknown turn while hosts are not in reach: got %v, want Unavailable", err)
+	}
+	f.lock.Lock()
+	f.hosts[0].cut, f.hosts[2].cut = false, false
+	f.lock.Unlock()
+	if err := f.turn(1, "p", "t3", "never"); !errorx.IsOfType(err, sd.Absent) {
+		t.Fatalf("unknown turn with all hosts in reach: got %v, want Absent", err)
+	}
+}
+
+// Several hosts that claim at once agree on one holder.
+func TestClaimsAtOnceAgreeOnOneHolder(t *testing.T) {
+	f := newFleet(t, 5)
+	f.store(false)
+	errs := make(chan error, 20)
+	for i := range 20 {
+		go func() { errs <- f.turn(i%5, "p"+string(rune('a'+i)), "t"+string(rune('a'+i)), "") }()
+	}
+	failed := 0
+	for range 20 {
+		if <-errs != nil {
+			failed++
+		}
+	}
+	if failed > 2 {
+		t.Fatalf("%d of 20 new programs were refused", failed)
+	}
+	f.store(true)
+	f.eventually("all are written", func() bool {
+		written := 0
+		for i := range 20 {
+			if f.rows.Row(cellOf("p"+string(rune('a'+i)))).Version > 0 {
+				written++
+			}
+		}
+		return written >= 18
+	})
+}
--- /dev/null
+++ b/archiver/lane_test.go
@@ -0,0 +1,238 @@
+package archiver
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	sd "sapphiredrum.example/sapphiredrum"
+)
+
+// oracle is a store that shares no code with the lanes: rows, versions, and
+// transactions that may be lost, or applied long after their answer was given up.
+type oracle struct {
+	rows    map[sd.Cell]sd.Record
+	version uint64
+	late    []sd.Update
+}
+
+func (o *oracle) apply(u sd.Update) (sd.Page, error) {
+	page := sd.Page{Version: o.version}
+	holds := true
+	for _, e := range u.Expect {
+		row := o.rows[e.Cell]
+		holds = holds && row.Version == e.Version
+		if row.Version > 0 {
+			page.Records = append(page.Records, row)
+		}
+	}
+	if !holds {
+		return page, sd.Conflict.New("condition did not hold")
+	}
+	o.version++
+	for _, p := range u.Put {
+		p.Version = o.version
+		o.rows[p.Cell] = p
+	}
+	return sd.Page{Version: o.version}, nil
+}
+
+// Two hosts' lanes work on the same programs while answers are lost and
+// transactions come late. However that falls: a program's spent tokens are those
+// of its settled turns, no reservation is granted beyond the budget, and a turn
+// that was acknowledged is stored.
+func TestLanesUnderLostAndLateTransactions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const budget, most = sd.Tokens(1000), sd.Tokens(200)
+		store := &oracle{rows: map[sd.Cell]sd.Record{}}
+		lanes := []*Lane{{Part: "p0"}, {Part: "p0"}}
+		type turn struct {
+			lane          int
+			program, hold Key
+			used          sd.Tokens
+			granted, done bool
+			settling      bool
+		}
+		turns := map[*Operation]*turn{}
+		var open []*turn
+		used := map[Key]sd.Tokens{}
+		granted := map[Key]sd.Tokens{}
+		now := sd.Instant(1)
+		finish := func(lane int, ended []Ended) {
+			for _, e := range ended {
+				tr := turns[e.Operation]
+				switch {
+				case tr == nil:
+				case e.Operation.Kind == Reserve && e.Err == nil:
+					tr.granted = true
+					granted[tr.program] += most
+					open = append(open, tr)
+					if sum := used[tr.program] + granted[tr.program]; sum > budget {
+						t.Fatalf("granted %d with %d used: over the budget of %d", granted[tr.program], used[tr.program], budget)
+					}
+				case e.Operation.Kind == Settle:
+					if e.Err != nil {
+						t.Fatalf("settle ended with %v", e.Err)
+					}
+					tr.done = true
+					if store.rows[turnRows("p0", e.Operation.Kept)[0].Cell].Version == 0 {
+						t.Fatal("a turn was acknowledged and is not stored")
+					}
+				}
+			}
+			_ = lane
+		}
+		step := func(i int, calm bool) bool {
+			update, due := lanes[i].Next(now)
+			if !due {
+				return false
+			}
+			fate := "done"
+			if !calm {
+				fate = rapid.SampledFrom([]string{"done", "done", "lost", "refused", "late"}).Draw(t, "fate")
+			}
+			switch fate {
+			case "done":
+				page, err := store.apply(update)
+				finish(i, lanes[i].Done(now, page, err))
+			case "lost":
+				_, _ = store.apply(update)
+				finish(i, lanes[i].Done(now, sd.Page{}, sd.Uncertain.New("lost")))
+			case "refused":
+				finish(i, lanes[i].Done(now, sd.Page{}, sd.Unavailable.New("refused")))
+			case "late":
+				store.late = append(store.late, update)
+				finish(i, lanes[i].Done(now, sd.Page{}, sd.Uncertain.New("late")))
+			}
+			return true
+		}
+		n := 0
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			now++
+			i := rapid.IntRange(0, 1).Draw(t, "lane")
+			switch rapid.SampledFrom([]string{"reserve", "settle", "step", "step", "late"}).Draw(t, "action") {
+			case "reserve":
+				n++
+				tr := &turn{lane: i, program: Key{byte(rapid.IntRange(0, 2).Draw(t, "program")) * Parts}, hold: digest("hold", "", string(rune(n)))}
+				tr.program[1] = 1
+				o := &Operation{Kind: Reserve, Program: tr.program, Hold: tr.hold, Tokens: most, Budget: budget}
+				turns[o] = tr
+				lanes[i].Add(o)
+			case "settle":
+				if len(open) == 0 {
+					continue
+				}
+				tr := open[0]
+				open = open[1:]
+				tr.used = sd.Tokens(rapid.IntRange(0, int(most)).Draw(t, "used"))
+				used[tr.program] += tr.used
+				granted[tr.program] -= most
+				o := &Operation{Kind: Settle, Program: tr.program, Hold: tr.hold, Tokens: tr.used, Kept: &Turn{Program: tr.program, Key: tr.hold, Input: []byte("x")}}
+				turns[o] = tr
+				lanes[i].Add(o)
+			case "step":
+				step(i, false)
+			case "late":
+				if len(store.late) > 0 {
+					_, _ = store.apply(store.late[0])
+					store.late = store.late[1:]
+				}
+			}
+		}
+		for calm := 0; calm < 400 && (step(0, true) || step(1, true)); calm++ {
+			now++
+		}
+		for _, u := range store.late {
+			_, _ = store.apply(u)
+		}
+		for o, tr := range turns {
+			if o.Kind == Settle && !tr.done {
+				t.Fatal("a turn did not settle on a calm store")
+			}
+		}
+		for program, want := range used {
+			row := store.rows[accountCell("p0", program)]
+			if row.Version == 0 {
+				continue
+			}
+			account, err := DecodeAccount(row.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if account.Spent != want {
+				t.Fatalf("program spent %d, its turns used %d", account.Spent, want)
+			}
+		}
+	})
+}
+
+// A reservation that is given up while its transaction's fate is open is given
+// back, also if the transaction takes effect only then.
+func TestLaneGivesBackAnAbandonedReservation(t *testing.T) {
+	store := &oracle{rows: map[sd.Cell]sd.Record{}}
+	lane := &Lane{Part: "p0"}
+	o := &Operation{Kind: Reserve, Program: key(0), Hold: key(1), Tokens: 100, Budget: 100}
+	lane.Add(o)
+	first, _ := lane.Next(1)
+	lane.Done(1, sd.Page{}, sd.Uncertain.New("lost"))
+	o.Until = 2
+	if ended := lane.Expire(3); len(ended) != 1 || ended[0].Err == nil {
+		t.Fatalf("expired: %v", ended)
+	}
+	_, _ = store.apply(first)
+	for i := 0; i < 5; i++ {
+		update, due := lane.Next(4)
+		if !due {
+			break
+		}
+		page, err := store.apply(update)
+		lane.Done(4, page, err)
+	}
+	account, err := DecodeAccount(store.rows[accountCell("p0", key(0))].Value)
+	if err != nil || account.Reserved() != 0 {
+		t.Fatalf("reserved %d, %v", account.Reserved(), err)
+	}
+}
+
+// Many operations of many programs share a transaction, within the store's limits.
+func TestLaneGathersOperations(t *testing.T) {
+	lane := &Lane{Part: "p0"}
+	for i := range 200 {
+		program := digest("p", "w", string(rune(i)))
+		lane.Add(&Operation{Kind: Settle, Program: program, Hold: key(1), Kept: &Turn{Program: program, Key: program, Input: make([]byte, 3000)}})
+	}
+	transactions := 0
+	for {
+		update, due := lane.Next(1)
+		if !due {
+			break
+		}
+		transactions++
+		if entries := len(update.Expect) + len(update.Put); entries > 100 {
+			t.Fatalf("%d entries in a transaction", entries)
+		}
+		lane.Done(1, sd.Page{Version: uint64(transactions)}, nil)
+	}
+	if transactions > 15 {
+		t.Fatalf("%d transactions for 200 operations", transactions)
+	}
+}
+
+// A turn longer than a row takes several, and is read back whole.
+func TestLongTurnTakesSeveralRows(t *testing.T) {
+	long := &Turn{Program: key(0), Key: key(1), Input: make([]byte, 3*rowBytes+17)}
+	rows := turnRows("p0", long)
+	if len(rows) != 4 {
+		t.Fatalf("%d rows", len(rows))
+	}
+	var value []byte
+	for i, r := range rows {
+		if i > 0 && r.Key <= rows[i-1].Key {
+			t.Fatal("rows are not in the order of their keys")
+		}
+		value = append(value, r.Value...)
+	}
+	if back, err := DecodeTurn(long.Program, long.Key, value); err != nil || len(back.Input) != len(long.Input) {
+		t.Fatalf("read back: %v", err)
+	}
+}
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -22,6 +22,6 @@
 // # Cold targets
 //
 // A target may be cold at any moment, and bears a bounded number of requests a
-// second from all hosts together. Each host may always send its even part of the
-// bound; beyond that it counts what the other hosts say they have sent.
+// second from all hosts together. Each host may always send its even part of half
+// the bound; beyond that it counts what the other hosts say they have sent.
 package balancer
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -48,9 +48,12 @@
 	restMost  = 3 * sd.Second
 	// coldWindow is the span over which the bound of cold targets holds.
 	coldWindow = sd.Second
-	// coldMargin is kept free of the shared part of the bound, for what other hosts
-	// have sent but not yet told.
-	coldMargin = 0.35
+	// coldEven is the part of the bound that the hosts may use without hearing of one
+	// another.
+	coldEven = 0.5
+	// coldMargin is kept free of the rest, for what other hosts have sent but not yet
+	// told.
+	coldMargin = 0.25
 	// beginWait is the longest wait for which a request that begins a program is
 	// queued: more of it and the program ends late, so its caller had better come
 	// back. goOnWait is that of a request of a program under way.
@@ -438,20 +441,23 @@
 	return s.load(now, t) < int(t.Slots) && s.bears(now, p, t)
 }
 
-// bears reports whether one more request keeps the bound of cold targets.
+// bears reports whether one more request keeps the bound of cold targets. Half of
+// the bound is dealt out evenly; of the rest, the unused parts of others and a
+// margin stay free.
 func (s *State) bears(now sd.Instant, p *pool, t *target) bool {
 	if p.settings.ColdRate == 0 {
 		return true
 	}
 	bound := float64(p.settings.ColdRate)*s.settings.ColdOver + s.settings.ColdSlack
+	part := math.Floor(bound * coldEven / float64(s.hosts))
 	own := float64(t.lately(now))
-	if own+1 <= math.Floor(bound/float64(s.hosts)) {
+	if own+1 <= part {
 		return true
 	}
 	others, silent := 0.0, s.hosts-1
 	for _, r := range s.peers {
 		if now.Since(r.at) < heardFor {
-			others += float64(r.sent[t.code])
+			others += max(float64(r.sent[t.code]), part)
 			silent--
 		}
 	}
--- /dev/null
+++ b/balancer/state_test.go
@@ -0,0 +1,236 @@
+package balancer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/balancer"
+	"sapphiredrum.example/sapphiredrum/gossiper"
+)
+
+func newState(settings balancer.Settings, slots sd.Slots, zones ...sd.ZoneName) *balancer.State {
+	settings.Host, settings.Zone = "h1", "z1"
+	random := rand.New(rand.NewPCG(1, 1))
+	settings.Random = random.IntN
+	s := balancer.New(settings)
+	for i, z := range zones {
+		s.Register(sd.Registration{
+			ID: sd.TargetID("t" + string(rune('a'+i))), Pool: "pool", Address: sd.Address("10.0.0." + string(rune('a'+i)) + ":1"), Zone: z, Slots: slots,
+		})
+	}
+	return s
+}
+
+func ticket() *balancer.Ticket { return &balancer.Ticket{Pool: "pool", Latest: 100000, Due: 50000} }
+
+// Flash crowd: when slots run out, programs under way finish before new ones
+// begin, and a new one that would wait long is refused at once.
+func TestFlashCrowdFinishesWhatHasBegun(t *testing.T) {
+	s := newState(balancer.Settings{}, 2, "z1")
+	var running []*balancer.Ticket
+	for range 2 {
+		k := ticket()
+		if !s.Ask(1, k) || k.Target == "" {
+			t.Fatal("free slot not given")
+		}
+		running = append(running, k)
+	}
+	begin, goOn := ticket(), ticket()
+	begin.Begins = true
+	if s.Ask(2, begin) || s.Ask(3, goOn) {
+		t.Fatal("a full target was given out")
+	}
+	s.Done(10, running[0], balancer.Served, 9)
+	if settled := s.Advance(10); len(settled) != 1 || settled[0] != goOn {
+		t.Fatal("the freed slot did not go to the program under way")
+	}
+	for range 10 {
+		s.Ask(11, ticket())
+	}
+	late := ticket()
+	late.Begins = true
+	if !s.Ask(12, late) || late.Refused != balancer.TooLate || late.Wait == 0 {
+		t.Fatalf("a new program behind ten others: refused %q, wait %d", late.Refused, late.Wait)
+	}
+}
+
+// Urgent kind in a crowd: tiers go first, and programs that can still be on time
+// before those that cannot.
+func TestQueueOrder(t *testing.T) {
+	s := newState(balancer.Settings{}, 1, "z1")
+	first := ticket()
+	s.Ask(1, first)
+	late, onTime, urgent := ticket(), ticket(), ticket()
+	late.Due, onTime.Due, urgent.Due = 0, 900, 950
+	late.Tier, onTime.Tier, urgent.Tier = 1, 1, 0
+	for _, k := range []*balancer.Ticket{late, onTime, urgent} {
+		if s.Ask(2, k) {
+			t.Fatal("a full target was given out")
+		}
+	}
+	now := sd.Instant(10)
+	for i, want := range []*balancer.Ticket{urgent, onTime, late} {
+		s.Done(now, first, balancer.Served, 5)
+		settled := s.Advance(now)
+		if len(settled) != 1 || settled[0] != want {
+			t.Fatalf("step %d: wrong request", i)
+		}
+		first = want
+	}
+}
+
+// Lost zone: targets of a zone whose hosts have fallen silent get nothing while
+// others are in sight, and something when nothing else is.
+func TestLostZoneIsAvoided(t *testing.T) {
+	s := newState(balancer.Settings{}, 4, "z1", "z2", "z2")
+	s.Silent([]sd.ZoneName{"z2"})
+	for range 4 {
+		k := ticket()
+		if !s.Ask(1, k) || k.Target != "ta" {
+			t.Fatalf("sent to %q", k.Target)
+		}
+	}
+	if k := ticket(); s.Ask(1, k) {
+		t.Fatalf("the fifth went to %q, refused %q", k.Target, k.Refused)
+	}
+	s.Remove("ta")
+	if k := ticket(); !s.Ask(2, k) || k.Target == "" {
+		t.Fatal("nothing was tried although only the silent zone is left")
+	}
+}
+
+func TestEvacuatedAndLeavingTargetsGetNothing(t *testing.T) {
+	s := newState(balancer.Settings{}, 4, "z1", "z2")
+	s.Evacuate("z1", true)
+	s.Register(sd.Registration{ID: "tb", Pool: "pool", Address: "10.0.0.b:1", Zone: "z2", Slots: 4, Leaving: true})
+	if k := ticket(); !s.Ask(1, k) || k.Refused != balancer.NoTarget {
+		t.Fatalf("sent to %q, refused %q", k.Target, k.Refused)
+	}
+	s.Evacuate("z1", false)
+	if k := ticket(); !s.Ask(1, k) || k.Target != "ta" {
+		t.Fatal("zone taken back is not used")
+	}
+}
+
+// Slow or dead target: one that cannot be connected to rests, longer each time.
+func TestUnreachedTargetRests(t *testing.T) {
+	s := newState(balancer.Settings{}, 4, "z1", "z1")
+	k := ticket()
+	s.Ask(1, k)
+	dead := k.Target
+	s.Done(2, k, balancer.Unreached, 1)
+	for range 4 {
+		k := ticket()
+		s.Ask(3, k)
+		if k.Target == dead {
+			t.Fatal("an unreached target was given out at once")
+		}
+	}
+}
+
+// Few connections: a target with a connection at hand goes before an idle one
+// without, until it is nearly full.
+func TestConnectedTargetsGoFirst(t *testing.T) {
+	s := newState(balancer.Settings{Connected: func(a sd.Address) bool { return a == "10.0.0.b:1" }}, 10, "z1", "z1", "z1")
+	for i := range 7 {
+		k := ticket()
+		s.Ask(1, k)
+		if k.Target != "tb" {
+			t.Fatalf("request %d went to %q", i, k.Target)
+		}
+	}
+	k := ticket()
+	s.Ask(1, k)
+	if k.Target == "tb" {
+		t.Fatal("a nearly full target was preferred for its connection")
+	}
+}
+
+// Cold fleet: however requests fall on the hosts, and however late they hear of
+// one another, no target gets more than its bound in any second. The target has 12
+// slots, and a request takes 100 ms.
+func TestColdBoundHoldsOverAllHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts, rate = 9, 45
+		bound := rate*1.5 + 5
+		lag := sd.Millis(rapid.IntRange(50, 200).Draw(t, "lag"))
+		states := make([]*balancer.State, hosts)
+		for i := range states {
+			states[i] = balancer.New(balancer.Settings{
+				Host: sd.HostID(string(rune('a' + i))), Zone: "z1", ColdOver: 1.5, ColdSlack: 5, Random: func(int) int { return 0 },
+			})
+			states[i].Configure([]sd.Pool{{Name: "pool", ColdRate: rate}})
+			states[i].Register(sd.Registration{ID: "t", Pool: "pool", Address: "10.0.0.1:1", Zone: "z1", Slots: 12})
+			states[i].Hosts(hosts)
+		}
+		cut := rapid.IntRange(0, hosts-1).Draw(t, "cut")
+		pressure := rapid.IntRange(1, 6).Draw(t, "pressure")
+		var sent []sd.Instant
+		running := map[sd.Instant][]func(sd.Instant){}
+		for now := sd.Instant(1000); now < 4000; now += 10 {
+			for _, done := range running[now] {
+				done(now)
+			}
+			delete(running, now)
+			for i, s := range states {
+				for range pressure {
+					if rapid.IntRange(0, 3).Draw(t, "ask") > 0 {
+						continue
+					}
+					k := &balancer.Ticket{Pool: "pool", Latest: now}
+					if s.Ask(now, k) && k.Target != "" {
+						sent = append(sent, now)
+						end := now + 100
+						running[end] = append(running[end], func(at sd.Instant) { s.Done(at, k, balancer.Served, 100) })
+					}
+				}
+				if (now+sd.Instant(i)*17)%sd.Instant(lag) < 10 && i != cut {
+					inflight, lately := s.Beat(now)
+					for j, other := range states {
+						if j != i && j != cut {
+							other.Heard(now, sd.HostID(string(rune('a'+i))), inflight, lately)
+						}
+					}
+				}
+			}
+		}
+		first := 0
+		for i, at := range sent {
+			for at-sent[first] >= 1000 {
+				first++
+			}
+			if n := i - first + 1; float64(n) > bound {
+				t.Fatalf("%d requests in a second, bound %.0f", n, bound)
+			}
+		}
+	})
+}
+
+// A target that was born anew under its id begins with nothing under way.
+func TestBornAnewBeginsEmpty(t *testing.T) {
+	s := newState(balancer.Settings{}, 1, "z1")
+	old := ticket()
+	s.Ask(1, old)
+	again := sd.Registration{ID: "ta", Pool: "pool", Address: "10.0.0.a:1", Zone: "z1", Slots: 1, Born: 7}
+	if !s.Register(again) || s.Register(again) {
+		t.Fatal("another start was not told from the same one")
+	}
+	if k := ticket(); !s.Ask(2, k) || k.Target != "ta" {
+		t.Fatal("the new start's slot is not free")
+	}
+}
+
+// The load that other hosts tell counts.
+func TestOthersLoadCounts(t *testing.T) {
+	s := newState(balancer.Settings{}, 2, "z1", "z1")
+	s.Heard(1, "h2", map[gossiper.Code]int{gossiper.CodeOf(sd.TargetID("ta")): 2}, nil)
+	for range 2 {
+		k := ticket()
+		if s.Ask(2, k); k.Target != "tb" {
+			t.Fatalf("sent to %q", k.Target)
+		}
+	}
+}
--- /dev/null
+++ b/meterer/state_test.go
@@ -0,0 +1,203 @@
+package meterer_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/meterer"
+)
+
+// world is a few hosts that hear of one another after a lag.
+type world struct {
+	hosts   []*meterer.State
+	numbers []uint64
+	// group says which hosts hear one another.
+	group []int
+}
+
+const (
+	rate   = 172
+	burst  = 172
+	window = 5 * sd.Second
+)
+
+func newWorld(n int) *world {
+	w := &world{numbers: make([]uint64, n), group: make([]int, n)}
+	for range n {
+		w.hosts = append(w.hosts, w.start())
+	}
+	return w
+}
+
+func (w *world) start() *meterer.State {
+	s := meterer.New()
+	s.Configure(0, []sd.Workspace{{ID: "w", Rate: rate, Burst: burst}})
+	return s
+}
+
+// beat lets host i tell the others.
+func (w *world) beat(now sd.Instant, i int, incarnation sd.Incarnation) {
+	w.numbers[i]++
+	counts := w.hosts[i].Beat(now, 500)
+	reach := 0
+	for j, other := range w.hosts {
+		if w.group[j] != w.group[i] {
+			continue
+		}
+		reach++
+		if j != i {
+			other.Heard(now, sd.HostID(rune('a'+i)), incarnation, w.numbers[i], counts)
+		}
+	}
+	w.hosts[i].Hosts(now, len(w.hosts), reach)
+}
+
+// One workspace's flood, under any spread of the load, lost beats and cuts: no
+// window admits more than the bound, which leaves a tenth and 20 for the lag.
+func TestFloodStaysWithinTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "hosts")
+		w := newWorld(n)
+		cutAt := sd.Instant(rapid.IntRange(4000, 9000).Draw(t, "cut at"))
+		cut := rapid.IntRange(0, n-1).Draw(t, "cut")
+		demand := rapid.IntRange(1, 4).Draw(t, "demand") * rate
+		hot := rapid.IntRange(0, n-1).Draw(t, "hot")
+		var admitted []sd.Instant
+		for now := sd.Instant(0); now < 16000; now += 20 {
+			if now >= cutAt && now < cutAt+5000 {
+				for i := range w.group {
+					w.group[i] = 0
+					if i <= cut {
+						w.group[i] = 1
+					}
+				}
+			} else {
+				clear(w.group)
+			}
+			for i := range w.hosts {
+				if (now+sd.Instant(20*i))%100 == 0 && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
+					w.beat(now, i, 1)
+				}
+			}
+			if now < 3000 {
+				continue
+			}
+			for range demand * 20 / 1000 {
+				i := hot
+				if rapid.Bool().Draw(t, "elsewhere") {
+					i = rapid.IntRange(0, n-1).Draw(t, "host")
+				}
+				if w.hosts[i].Admit(now, "w", false).Admitted {
+					admitted = append(admitted, now)
+				}
+			}
+		}
+		most := (rate*float64(window)/1000+burst)*1.1 + 20
+		first := 0
+		for i, at := range admitted {
+			for at-admitted[first] >= sd.Instant(window) {
+				first++
+			}
+			if got := i - first + 1; float64(got) > most {
+				t.Fatalf("%d admitted in a window, bound %.0f", got, most)
+			}
+		}
+	})
+}
+
+// Calm: a workspace below its rate is refused nothing, however its requests are
+// spread.
+func TestNothingWithinTheRateIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "hosts")
+		w := newWorld(n)
+		hot := rapid.IntRange(0, n-1).Draw(t, "hot")
+		for now := sd.Instant(0); now < 10000; now += 20 {
+			for i := range w.hosts {
+				if (now+sd.Instant(20*i))%100 == 0 {
+					w.beat(now, i, 1)
+				}
+			}
+			if now < 3000 {
+				continue
+			}
+			for range rate * 20 / 1000 * 6 / 10 {
+				i := hot
+				if rapid.Bool().Draw(t, "elsewhere") {
+					i = rapid.IntRange(0, n-1).Draw(t, "host")
+				}
+				if v := w.hosts[i].Admit(now, "w", true); !v.Admitted {
+					t.Fatalf("refused at %d with %.1f tokens", now, v.Tokens)
+				}
+			}
+		}
+	})
+}
+
+// Restart: a host that begins to listen does not take the others' whole history
+// for admissions of this moment.
+func TestRestartedHostDoesNotRefuseForThePast(t *testing.T) {
+	w := newWorld(3)
+	for now := sd.Instant(0); now < 8000; now += 100 {
+		for i := range w.hosts {
+			w.beat(now, i, 1)
+			for range 5 {
+				w.hosts[i].Admit(now, "w", false)
+			}
+		}
+	}
+	w.hosts[0], w.numbers[0] = w.start(), 0
+	for now := sd.Instant(8000); now < 10000; now += 100 {
+		w.beat(now, 0, 2)
+		w.beat(now, 1, 1)
+		w.beat(now, 2, 1)
+		for i := 1; i < 3; i++ {
+			for range 5 {
+				w.hosts[i].Admit(now, "w", false)
+			}
+		}
+	}
+	if v := w.hosts[0].Admit(10000, "w", false); !v.Admitted {
+		t.Fatalf("refused with %.1f tokens", v.Tokens)
+	}
+}
+
+// One workspace's flood: once requests of programs under way are refused, new
+// programs leave the rest of the bucket to them.
+func TestNewProgramsYieldInAFlood(t *testing.T) {
+	s := meterer.New()
+	s.Configure(0, []sd.Workspace{{ID: "w", Rate: 100, Burst: 100}})
+	now := sd.Instant(1000)
+	for s.Admit(now, "w", false).Admitted {
+	}
+	now += 200
+	if v := s.Admit(now, "w", true); v.Admitted || v.Wait == 0 {
+		t.Fatalf("a new program was admitted with %.0f tokens", v.Tokens)
+	}
+	if v := s.Admit(now, "w", false); !v.Admitted {
+		t.Fatalf("a program under way was refused with %.0f tokens", v.Tokens)
+	}
+}
+
+// A workspace without a rate is not bounded, one of a smaller plan is at once.
+func TestPlansChangeBounds(t *testing.T) {
+	s := meterer.New()
+	s.Configure(0, []sd.Workspace{{ID: "w"}})
+	for range 1000 {
+		if !s.Admit(1, "w", false).Admitted {
+			t.Fatal("refused without a rate")
+		}
+	}
+	s.Configure(2, []sd.Workspace{{ID: "w", Rate: 1, Burst: 2}})
+	admitted := 0
+	for range 100 {
+		if s.Admit(10000, "w", false).Admitted {
+			admitted++
+		}
+	}
+	if admitted != 2 {
+		t.Fatalf("%d admitted, want the burst of 2", admitted)
+	}
+}
