--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -189,7 +189,7 @@
 			update.Expect = append(update.Expect, sd.Record{Cell: puts[0].Cell})
 			entries++
 		}
-		outcome, changed := apply(&row.account, o)
+		changed, outcome := apply(&row.account, o)
 		b.written[o.Program] = b.written[o.Program] || changed
 		b.operations = append(b.operations, o)
 		b.outcomes = append(b.outcomes, outcome)
@@ -211,30 +211,30 @@
 	return update, true
 }
 
-// apply changes the account. It returns the outcome and whether the row is to be
-// written. A Settle that stores a turn is always due: the turn's row, which must
+// apply changes the account. It returns whether the row is to be written, and the
+// operation's outcome. A Settle that stores a turn is always due: the turn's row, which must
 // be absent unless its reservation is open, tells whether it was settled before.
-func apply(a *Account, o *Operation) (error, bool) {
+func apply(a *Account, o *Operation) (changed bool, outcome error) {
 	switch o.Kind {
 	case Reserve:
 		if a.Holds(o.Hold) {
-			return nil, false
+			return false, nil
 		}
 		if !a.Reserve(o.Hold, o.Tokens, o.Budget) {
-			return Exhausted.New("spent %d, open %d, most %d, budget %d", a.Spent, a.Reserved(), o.Tokens, o.Budget), false
+			return false, Exhausted.New("spent %d, open %d, most %d, budget %d", a.Spent, a.Reserved(), o.Tokens, o.Budget)
 		}
-		return nil, true
+		return true, nil
 	case Settle:
 		if o.Kept == nil && a.ended(o.Hold) {
-			return nil, false
+			return false, nil
 		}
 		a.Settle(o.Hold, o.Tokens)
-		return nil, true
+		return true, nil
 	default:
 		// The row is written even if it holds no such reservation: a transaction that
 		// would still make one then finds another version.
 		a.Settle(o.Hold, 0)
-		return nil, true
+		return true, nil
 	}
 }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -127,7 +127,7 @@
 		if err != nil {
 			return nil, sd.Unavailable.Wrap(err, "target not reached")
 		}
-		answer, err, stale := x.send(ctx, conn, call)
+		answer, stale, err := x.send(ctx, conn, call)
 		if stale && ctx.Err() == nil {
 			continue
 		}
@@ -137,13 +137,13 @@
 
 // send writes the call and reads the head. It reports stale if a reused
 // connection turned out to be closed before any byte was sent.
-func (x *Exchanger) send(ctx context.Context, conn *connection, call Call) (answer *Answer, err error, stale bool) {
+func (x *Exchanger) send(ctx context.Context, conn *connection, call Call) (answer *Answer, stale bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sent := x.settings.Clock.Now()
-	fail := func(err error) (*Answer, error, bool) {
+	fail := func(err error) (*Answer, bool, error) {
 		stop()
 		_ = conn.Close()
-		return nil, sd.Uncertain.Wrap(err, "exchange failed"), false
+		return nil, false, sd.Uncertain.Wrap(err, "exchange failed")
 	}
 	size := 0
 	for _, part := range call.Body {
@@ -161,9 +161,9 @@
 				stop()
 				_ = conn.Close()
 				if conn.used {
-					return nil, nil, true
+					return nil, true, nil
 				}
-				return nil, sd.Unavailable.Wrap(err, "nothing was sent"), false
+				return nil, false, sd.Unavailable.Wrap(err, "nothing was sent")
 			}
 			return fail(err)
 		}
@@ -200,7 +200,7 @@
 			Status: response.StatusCode, Header: response.Header, Body: response.Body,
 			Framed:    response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 			exchanger: x, conn: conn, response: response, stop: stop, written: written, skipped: skipped,
-		}, nil, false
+		}, false, nil
 	}
 	return fail(sd.BrokenAnswer.New("no answer belongs to the request"))
 }
--- /dev/null
+++ b/gossiper/beat_test.go
@@ -0,0 +1,86 @@
+package gossiper
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	sd "sapphiredrum.example/sapphiredrum"
+)
+
+func TestBeatsAreReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counts := rapid.MapOf(rapid.Uint32(), rapid.IntRange(0, 1<<20))
+		convert := func(m map[uint32]int) map[Code]int {
+			out := map[Code]int{}
+			for k, v := range m {
+				out[Code(k)] = v
+			}
+			return out
+		}
+		b := Beat{
+			Host: sd.HostID(rapid.StringN(0, 40, 200).Draw(t, "host")), Incarnation: sd.Incarnation(rapid.Uint64().Draw(t, "i")),
+			Number: rapid.Uint64().Draw(t, "n"), Reaches: rapid.Bool().Draw(t, "reaches"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			Inflight: convert(counts.Draw(t, "inflight")), Sent: convert(counts.Draw(t, "sent")), Admitted: map[Code]uint64{7: 9},
+		}
+		got, ok := DecodeBeat(b.Encode())
+		if !ok {
+			t.Fatal("not read back")
+		}
+		if diff := cmp.Diff(b, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+		garbage := rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
+		_, _ = DecodeBeat(garbage)
+		if whole := b.Encode(); len(whole) > 0 {
+			if _, ok := DecodeBeat(whole[:len(whole)-1]); ok {
+				t.Fatal("a cut beat was taken")
+			}
+		}
+	})
+}
+
+// A zone of many hosts counts as cut off once none of them is heard for a part of
+// the time in which a single host may be silent; the work of a round is bounded.
+func TestSilentZonesShowSoon(t *testing.T) {
+	now := sd.Instant(100000)
+	g := &Gossiper{Self: Peer{Host: "self", Zone: "z0"}, Clock: sd.Clock{Source: func() sd.Instant { return now }}, Log: zap.NewNop()}
+	for i := range 78 {
+		g.Set(Peer{Host: sd.HostID("h" + string(rune('0'+i))), Zone: sd.ZoneName([]string{"z0", "z1", "z2"}[i%3]), Incarnation: 1})
+	}
+	for i := range 78 {
+		g.take(Beat{Host: sd.HostID("h" + string(rune('0'+i))), Incarnation: 1, Number: 1})
+	}
+	if len(g.Alive(false)) != 78 || len(g.Silent()) != 0 {
+		t.Fatalf("alive %d, silent %v", len(g.Alive(false)), g.Silent())
+	}
+	if perSecond := float64(g.Hosts()-1) * 1000 / float64(g.Interval()); perSecond > sendRate {
+		t.Fatalf("%.0f datagrams a second", perSecond)
+	}
+	now += 600
+	for i := range 78 {
+		if i%3 != 1 {
+			g.take(Beat{Host: sd.HostID("h" + string(rune('0'+i))), Incarnation: 1, Number: 2})
+		}
+	}
+	if got := g.Silent(); len(got) != 1 || got[0] != "z1" {
+		t.Fatalf("silent after 600 ms: %v", got)
+	}
+	if len(g.Alive(false)) != 78 || g.Reach(g.Silent()) != 53 {
+		t.Fatalf("alive %d, in reach %d", len(g.Alive(false)), g.Reach(g.Silent()))
+	}
+}
+
+func TestBeatsOfAnotherStartAreNotTaken(t *testing.T) {
+	g := &Gossiper{Clock: sd.Clock{Source: func() sd.Instant { return 1 }}, Log: zap.NewNop()}
+	g.Set(Peer{Host: "h", Incarnation: 2})
+	if g.take(Beat{Host: "h", Incarnation: 1, Number: 9}) || g.take(Beat{Host: "x", Incarnation: 1, Number: 1}) {
+		t.Fatal("a stranger's beat was taken")
+	}
+	if !g.take(Beat{Host: "h", Incarnation: 2, Number: 1}) || g.take(Beat{Host: "h", Incarnation: 2, Number: 1}) {
+		t.Fatal("each beat counts once")
+	}
+}
--- a/meterer/state_test.go
+++ b/meterer/state_test.go
@@ -170,7 +170,8 @@
 	s := meterer.New()
 	s.Configure(0, []sd.Workspace{{ID: "w", Rate: 100, Burst: 100}})
 	now := sd.Instant(1000)
-	for s.Admit(now, "w", false).Admitted {
+	for v := s.Admit(now, "w", false); v.Admitted; {
+		v = s.Admit(now, "w", false)
 	}
 	now += 200
 	if v := s.Admit(now, "w", true); v.Admitted || v.Wait == 0 {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -102,6 +102,11 @@
 	q := &request{
 		Receiver: r, w: w, http: req, ask: platform.DecodeAsk(req.Header), table: r.table.Load(), arrived: r.Clock.Now(),
 	}
+	if len(req.TransferEncoding) > 0 {
+		// A length beside the chunks would have been dropped unseen; whatever follows
+		// may be a request that was hidden in this one.
+		w.Header().Set("Connection", "close")
+	}
 	if q.table == nil {
 		q.refuse(http.StatusServiceUnavailable, "no plan yet", comeBack)
 		return
@@ -218,8 +223,8 @@
 	case q.http.Context().Err() != nil:
 		q.note(0, "caller left")
 		panic(http.ErrAbortHandler)
-	case q.sent == 0 && ctx.Err() == nil:
-		q.refuse(http.StatusServiceUnavailable, reason, wait)
+	case q.sent == 0:
+		q.refuse(http.StatusServiceUnavailable, reason, max(wait, comeBack))
 	case ctx.Err() != nil:
 		q.refuse(http.StatusGatewayTimeout, reason, 0)
 	default:
--- a/starter/host.go
+++ b/starter/host.go
@@ -330,7 +330,9 @@
 // heard takes another host's beat.
 func (h *Host) heard(beat gossiper.Beat) {
 	h.gate.Update(func(s *balancer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Inflight, beat.Sent) })
-	h.meter.update(func(s *meterer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Incarnation, beat.Number, beat.Admitted) })
+	h.meter.update(func(s *meterer.State, now sd.Instant) {
+		s.Heard(now, beat.Host, beat.Incarnation, beat.Number, beat.Admitted)
+	})
 }
 
 // isolated reports whether the host is cut off from most others and from the
--- /dev/null
+++ b/starter/host_test.go
@@ -0,0 +1,265 @@
+package starter_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/faker"
+	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/platform/emulator"
+	"sapphiredrum.example/sapphiredrum/starter"
+)
+
+// ports returns free ports of the loopback address.
+func ports(t *testing.T, n int) []int {
+	t.Helper()
+	var list []int
+	for range n {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		list = append(list, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return list
+}
+
+// site is a store with a plan and targets, and hosts over it.
+type site struct {
+	t     *testing.T
+	rows  *faker.Rows
+	store string
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, rows: faker.NewRows(1)}
+	server := httptest.NewServer(emulator.Store(s.rows))
+	t.Cleanup(server.Close)
+	s.store = strings.TrimPrefix(server.URL, "http://")
+	s.rows.Write(sd.Cell{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(1, 0, "k1"))
+	for i, pool := range []string{"engines", "engines", "desk", "desk"} {
+		target := &emulator.Target{ID: sd.TargetID(fmt.Sprintf("i-%d", i)), Pause: 10}
+		if pool == "engines" {
+			target.Events = 4
+		}
+		at := httptest.NewServer(target)
+		t.Cleanup(at.Close)
+		s.rows.Write(sd.Cell{Table: platform.TargetTable, Key: string(target.ID)},
+			target.Registration(pool, "z", sd.Address(strings.TrimPrefix(at.URL, "http://")), 8, "ready"))
+	}
+	return s
+}
+
+// host runs a host and returns its callers' and ready addresses, and what stops it.
+func (s *site) host(name string) (callers, ready string, stop func()) {
+	s.t.Helper()
+	p := ports(s.t, 4)
+	text := fmt.Sprintf(`[host]
+name = %s
+zone = z
+ip = 127.0.0.1
+memory = 200
+files = 8200
+cores = 1
+[listen]
+callers = 127.0.0.1:%d
+ready = 127.0.0.1:%d
+ports = %d
+metrics = %d
+[store]
+address = %s
+writes = 800
+reads = 2000
+row = 65536
+[times]
+beat = 1200
+drain = 2000
+grace = 8
+[rates]
+window = 5
+over = 0.1
+slack = 20
+[cold]
+over = 1.5
+slack = 5
+`, name, p[0], p[1], p[2], p[3], s.store)
+	path := filepath.Join(s.t.TempDir(), "host.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- starter.New(settings, path, zap.NewNop()).Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-ended; err != nil {
+			s.t.Errorf("host ended with %v", err)
+		}
+	}
+	s.t.Cleanup(stop)
+	ready = fmt.Sprintf("http://127.0.0.1:%d/v1/readyz", p[1])
+	s.eventually("host is ready", func() bool { return status(ready) == 200 })
+	return fmt.Sprintf("http://127.0.0.1:%d", p[0]), ready, stop
+}
+
+func status(url string) int {
+	answer, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+func (s *site) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	for range 250 {
+		if holds() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.t.Fatal("not in time: " + what)
+}
+
+func turn(client *http.Client, callers, id, previous string) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, callers+"/talk/x", bytes.NewReader([]byte("in")))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "h.example"
+	for name, value := range map[string]string{
+		"Request-Id": id, "Key": "k1", "Deadline-Ms": "3000", "Program-Id": "p", "Token-Budget": "100000", "Token-Usage": "10,56", "Previous-Turn": previous,
+	} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	answer, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return answer.StatusCode, err
+}
+
+// A program goes on at another host; a plan, an evacuation and a target that leaves
+// are followed; a host that ends finishes what runs.
+func TestTwoHostsOnThePlatform(t *testing.T) {
+	s := newSite(t)
+	first, ready, stop := s.host("h1")
+	second, _, _ := s.host("h2")
+	client := &http.Client{}
+	if got, err := turn(client, first, "t1", ""); got != 200 || err != nil {
+		t.Fatal(got, err)
+	}
+	if got, err := turn(client, second, "t2", "t1"); got != 200 || err != nil {
+		t.Fatal(got, err)
+	}
+	s.rows.Write(sd.Cell{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(2, 0, "k2"))
+	s.eventually("withdrawn key is refused", func() bool {
+		got, err := turn(client, first, "t3", "t2")
+		return err == nil && got == 401
+	})
+	s.rows.Write(sd.Cell{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(1, 0, "k1"))
+	time.Sleep(100 * time.Millisecond)
+	if got, err := turn(client, first, "t4", "t2"); got != 401 || err != nil {
+		t.Fatalf("an older plan came back into force: %d, %v", got, err)
+	}
+	s.rows.Write(sd.Cell{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(3, 0, "k1"))
+	s.eventually("key is back", func() bool {
+		got, err := turn(client, first, "t5", "t2")
+		return err == nil && got == 200
+	})
+
+	ends := make(chan error, 1)
+	failures := make(chan string, 1000)
+	go func() {
+		// Callers go on using their connections until they are told to stop.
+		kept := &http.Client{}
+		for i := 0; ; i++ {
+			got, err := turn(kept, first, fmt.Sprintf("d%d", i), "")
+			if err != nil && strings.Contains(err.Error(), "connection refused") {
+				ends <- nil
+				return
+			}
+			if err != nil || (got != 200 && got != 503) {
+				failures <- fmt.Sprint(got, err)
+			}
+		}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	stop()
+	<-ends
+	close(failures)
+	// A request that crosses the close of an idle connection may see it end.
+	if n := len(failures); n > 1 {
+		t.Errorf("%d requests were cut while the host drained, first: %s", n, <-failures)
+	}
+	if got := status(ready); got != 0 {
+		t.Errorf("ready port answers %d after the end", got)
+	}
+	if row := s.rows.Row(sd.Cell{Table: platform.PeerTable, Key: "h1"}); row.Version != 0 {
+		t.Error("the row of a host that left is still there")
+	}
+}
+
+// A store that is away: a host serves what it can, and is itself again after.
+func TestHostThroughAnOutage(t *testing.T) {
+	s := newSite(t)
+	first, _, _ := s.host("h1")
+	second, _, _ := s.host("h2")
+	client := &http.Client{}
+	if got, err := turn(client, first, "t1", ""); got != 200 || err != nil {
+		t.Fatal(got, err)
+	}
+	// The hosts must have heard of one another.
+	time.Sleep(500 * time.Millisecond)
+	s.rows.Trouble(faker.RowsTrouble{Down: true})
+	previous := "t1"
+	served := 0
+	for i := range 20 {
+		at := first
+		if i%3 == 2 {
+			at = second
+		}
+		id := fmt.Sprintf("o%d", i)
+		if got, err := turn(client, at, id, previous); got == 200 && err == nil {
+			previous = id
+			served++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if served < 12 {
+		t.Errorf("%d of 20 turns were served while the store was away", served)
+	}
+	s.rows.Trouble(faker.RowsTrouble{})
+	s.eventually("turns go on after the outage", func() bool {
+		got, err := turn(client, second, "after", previous)
+		return got == 200 && err == nil
+	})
+}
