balancer: the cold bound is shared by what is left of it; explain: a request's story from logs

Cause: the property of the cold bound failed at every margin (73 of 72 when nine hosts begin at once). A host now takes its even part of what is left until others have heard of it; margin 0.2.

--- a/balancer/state.go
+++ b/balancer/state.go
@@ -51,9 +51,11 @@
 	// coldEven is the part of the bound that the hosts may use without hearing of one
 	// another.
 	coldEven = 0.5
-	// coldMargin is kept free of the rest, for what other hosts have sent but not yet
-	// told.
-	coldMargin = 0.35
+	// coldUntold is how long others may not have heard of a request: the longest round
+	// of beats in a fleet of ten.
+	coldUntold = 150 * sd.Millisecond
+	// coldMargin is kept free of the rest, for a beat that is lost.
+	coldMargin = 0.2
 	// beginWait is the longest wait for which a request that begins a program is
 	// queued: more of it and the program ends late, so its caller had better come
 	// back. goOnWait is that of a request of a program under way.
@@ -462,12 +464,20 @@
 		}
 	}
 	others += float64(max(silent, 0)) * bound / float64(s.hosts)
-	return own+others+1 <= bound*(1-coldMargin)
+	if own+others+1 > bound*(1-coldMargin) {
+		return false
+	}
+	// Until the others hear of it, a host takes its even part of what is left.
+	fresh := float64(t.within(now, coldUntold))
+	return fresh+1 <= max(1, (bound-own-others+fresh)/float64(s.hosts))
 }
 
-func (t *target) lately(now sd.Instant) int {
+func (t *target) lately(now sd.Instant) int { return t.within(now, coldWindow) }
+
+// within returns the number of requests sent in the last span.
+func (t *target) within(now sd.Instant, span sd.Millis) int {
 	n := 0
-	for n < len(t.sent) && now.Since(t.sent[len(t.sent)-1-n]) <= coldWindow {
+	for n < len(t.sent) && now.Since(t.sent[len(t.sent)-1-n]) <= span {
 		n++
 	}
 	return n
--- a/cmd/sapphiredrum/commands.go
+++ b/cmd/sapphiredrum/commands.go
@@ -25,7 +25,7 @@
 type commands struct {
 	parser *flaggy.Parser
 
-	host, entry, check, diff, apply, show, zone, key, status, report *flaggy.Subcommand
+	host, entry, explain, check, diff, apply, show, zone, key, status, report *flaggy.Subcommand
 	zoneOut, zoneIn, keyIssue, keyWithdraw                           *flaggy.Subcommand
 	try, measure, slopes                                             *flaggy.Subcommand
 
@@ -39,6 +39,7 @@
 	name     string
 	second   string
 	format   string
+	files    []string
 	stay     bool
 	seeds    int
 }
@@ -69,6 +70,9 @@
 	c.host.String(&c.config, "c", "config", "the host's settings, an INI file")
 	c.entry = c.add("entry", "Runs an entry host on the users' platform until SIGTERM, which drains it.")
 	c.entry.String(&c.config, "c", "config", "the host's settings, as deploy/entry.ini lays them out")
+	c.explain = c.add("explain", "Tells the story of one request or program from the logs of several hosts.")
+	c.explain.AddPositionalValue(&c.name, "ID", 1, true, "the request's or the program's id")
+	c.explain.StringSlice(&c.files, "f", "file", "a host's log; repeat for each host")
 	c.status = c.add("status", "Asks every registered host how it is.")
 	c.withPlatform(c.status)
 	c.report = c.add("report", "Prints the service-level burn of all hosts that answer.")
@@ -142,6 +146,8 @@
 		return runHost(ctx, c.config)
 	case c.entry.Used:
 		return runEntry(ctx, c.config)
+	case c.explain.Used:
+		return runExplain(c.name, c.files)
 	case c.try.Used:
 		return runTry(ctx, c.stay, os.Stdout)
 	case c.measure.Used:
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -12,9 +12,10 @@
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
-// eventDropped is the number of the log event of this package; docs/EVENTS.md
-// lists it.
-const eventDropped = 690
+// Events of this package; docs/EVENTS.md lists them.
+const (
+	eventDropped = 690
+)
 
 const (
 	// routineRate and warningRate bound the lines of a second: a few times what a
