--- a/cmd/sapphiredrum/commands.go
+++ b/cmd/sapphiredrum/commands.go
@@ -26,8 +26,8 @@
 	parser *flaggy.Parser
 
 	host, entry, explain, check, diff, apply, show, zone, key, status, report *flaggy.Subcommand
-	zoneOut, zoneIn, keyIssue, keyWithdraw                           *flaggy.Subcommand
-	try, measure, slopes                                             *flaggy.Subcommand
+	zoneOut, zoneIn, keyIssue, keyWithdraw                                    *flaggy.Subcommand
+	try, measure, slopes                                                      *flaggy.Subcommand
 
 	config   string
 	platform string
