archiver, balancer, receiver, starter, platform: long files are split, unused settings leave

Moves only; declarations before and after are the same in number. Settings that nothing read (files, store rates, windows) and a header of cold targets are no longer decoded.

--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -73,12 +73,6 @@
 	holder gossiper.Peer
 }
 
-// copied is another host's operation that this host writes too.
-type copied struct {
-	from      gossiper.Peer
-	operation Operation
-}
-
 // Messages between hosts.
 const (
 	messageClaim   = "claim"
@@ -107,18 +101,6 @@
 	Operations []Operation
 }
 
-// Copied gives a host operations to write if the sender cannot.
-type Copied struct {
-	From       gossiper.Peer
-	Operations []Operation
-}
-
-// Recall asks a host for a turn and those before it, as far as it has them.
-type Recall struct{ Turn Key }
-
-// Recalled is the answer to Recall, the turn first.
-type Recalled struct{ Turns []*Turn }
-
 // Done is the answer to messages that need none.
 type Done struct{}
 
@@ -181,19 +163,6 @@
 	return answer, nil
 }
 
-// copiesOf returns the operations of a part that this host holds for others.
-func (a *Archive) copiesOf(part string) []Operation {
-	a.copyLock.Lock()
-	defer a.copyLock.Unlock()
-	var list []Operation
-	for _, c := range a.copies {
-		if Part(c.operation.Program) == part {
-			list = append(list, c.operation)
-		}
-	}
-	return list
-}
-
 // claim makes sure that this host has the claim on a part. It returns the address
 // of the host that has it instead, if one has. Errors are Unavailable.
 func (a *Archive) claim(ctx context.Context, w *worker) (*claim, sd.Address, error) {
@@ -388,130 +357,6 @@
 	}
 }
 
-// answerCopy keeps operations of a peer in case that it cannot write them.
-func (a *Archive) answerCopy(_ context.Context, request Copied) (Done, error) {
-	a.copyLock.Lock()
-	defer a.copyLock.Unlock()
-	for _, o := range request.Operations {
-		if o.Kept != nil {
-			a.remember(o.Kept)
-		}
-		a.copies = append(a.copies, copied{request.From, o})
-	}
-	return Done{}, nil
-}
-
-// answerRecall returns a turn and those before it, as far as this host has them.
-func (a *Archive) answerRecall(_ context.Context, request Recall) (Recalled, error) {
-	var answer Recalled
-	for key := request.Turn; key != (Key{}) && len(answer.Turns) < chainLimit; {
-		t := a.cached(key)
-		if t == nil {
-			break
-		}
-		answer.Turns = append(answer.Turns, t)
-		key = t.Previous
-	}
-	return answer, nil
-}
-
-// recall asks all hosts in reach for a turn and adds what they have to read. It
-// returns how many answered.
-func (a *Archive) recall(ctx context.Context, turn Key, read map[Key]*Turn) int {
-	peers := a.alive()
-	type reply struct {
-		turns []*Turn
-		err   error
-	}
-	replies := make(chan reply, len(peers))
-	for _, p := range peers {
-		go func() {
-			turns, err := a.askTurns(ctx, p.Address, turn)
-			replies <- reply{turns, err}
-		}()
-	}
-	answered := 0
-	for range peers {
-		r := <-replies
-		if r.err == nil {
-			answered++
-		}
-		a.take(r.turns, read)
-		if read[turn] != nil {
-			break
-		}
-	}
-	return answered
-}
-
-// recallFrom asks one host for a turn and adds what it has to read.
-func (a *Archive) recallFrom(ctx context.Context, at sd.Address, turn Key, read map[Key]*Turn) {
-	turns, err := a.askTurns(ctx, at, turn)
-	if err != nil {
-		a.suspects.add(a.clock.Now(), at)
-		return
-	}
-	a.take(turns, read)
-}
-
-func (a *Archive) askTurns(ctx context.Context, at sd.Address, turn Key) ([]*Turn, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-	defer cancel()
-	answer, err := messenger.Ask[Recall, Recalled](ctx, a.peers.Client, at, messageRecall, Recall{turn})
-	return answer.Turns, err
-}
-
-func (a *Archive) take(turns []*Turn, read map[Key]*Turn) {
-	for _, t := range turns {
-		read[t.Key] = t
-		a.remember(t)
-	}
-}
-
-// majority reports whether this host hears most of the fleet. A smaller part may
-// be cut off from hosts that reach the store, and must decide nothing.
-func (a *Archive) majority() bool { return 2*(len(a.alive())+1) > a.peers.Hosts() }
-
-// copyOut has a peer keep an operation; peers of other zones are asked first.
-func (a *Archive) copyOut(ctx context.Context, o Operation) error {
-	peers := a.alive()
-	slices.SortStableFunc(peers, func(x, y gossiper.Peer) int {
-		near := func(p gossiper.Peer) int {
-			if p.Zone == a.peers.Self.Zone {
-				return 1
-			}
-			return 0
-		}
-		return near(x) - near(y)
-	})
-	if len(peers) > 1 {
-		// Hosts spread their copies; the first peer of a list would get all of them.
-		far := 0
-		for far < len(peers) && peers[far].Zone != a.peers.Self.Zone {
-			far++
-		}
-		if far > 1 {
-			at := int(o.Hold[0]) % far
-			peers[0], peers[at] = peers[at], peers[0]
-		}
-	}
-	kept := 0
-	for _, p := range peers {
-		asked, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-		_, err := messenger.Ask[Copied, Done](asked, a.peers.Client, p.Address, messageCopy, Copied{a.peers.Self, []Operation{o}})
-		cancel()
-		if err == nil && (p.Zone != a.peers.Self.Zone || a.majority()) {
-			if kept++; kept >= copiesKept {
-				return nil
-			}
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return sd.Unavailable.New("no peer took a copy of the turn")
-}
-
 // oversee ends claims and fences once the store is back for a while, and writes
 // the copies of peers that have not done so.
 func (a *Archive) oversee(ctx context.Context) {
--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -73,7 +73,6 @@
 zone = z
 ip = 127.0.0.1
 memory = 200
-files = 8200
 cores = 1
 [listen]
 callers = 127.0.0.1:%d
@@ -82,17 +81,10 @@
 metrics = %d
 [store]
 address = %s
-writes = 800
-reads = 2000
-row = 65536
 [times]
 beat = 1200
 drain = 2000
 grace = 8
-[rates]
-window = 5
-over = 0.1
-slack = 20
 [cold]
 over = 1.5
 slack = 5
--- /dev/null
+++ b/starter/tables.go
@@ -0,0 +1,220 @@
+package starter
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/balancer"
+	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/meterer"
+	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/receiver"
+)
+
+// operatorChanged takes a new plan and evacuations.
+func (h *Host) operatorChanged(records []sd.Record) {
+	for _, record := range records {
+		if zone, ok := platform.Evacuated(record); ok {
+			h.log.Info("evacuation", zap.Int("event", eventEvacuation), zap.String("zone", string(zone)),
+				zap.Bool("out", !record.Removed), zap.Uint64("version", record.Version))
+			h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Evacuate(zone, !record.Removed) })
+			continue
+		}
+		if !platform.IsPlan(record) || record.Removed {
+			continue
+		}
+		plan, err := platform.DecodePlan(record.Value)
+		if err != nil {
+			h.log.Error("plan cannot be used", zap.Int("event", eventPlanBad), zap.Uint64("version", record.Version), zap.Error(err))
+			continue
+		}
+		if now := h.receiver.Table(); now != nil && now.Plan.Revision >= plan.Revision {
+			continue
+		}
+		h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Configure(plan.Pools) })
+		h.meter.update(func(s *meterer.State, now sd.Instant) { s.Configure(now, plan.Workspaces) })
+		h.idle.limit.Store(int64(plan.Bounds.IdleTimeout))
+		h.receiver.SetPlan(receiver.NewTable(plan))
+		h.log.Info("plan in force", zap.Int("event", eventPlan), zap.Uint64("revision", uint64(plan.Revision)),
+			zap.Uint64("version", record.Version), zap.Int("rules", len(plan.Rules)), zap.Int("keys", len(plan.Keys)))
+	}
+}
+
+// targetsChanged takes registrations. One that lapsed while the store was away
+// counts until its target has had time to return.
+func (h *Host) targetsChanged(records []sd.Record) {
+	until, hold := h.outage.grace(h.clock.Now(), 2*h.settings.Beat)
+	h.gate.Update(func(s *balancer.State, _ sd.Instant) {
+		for _, record := range records {
+			id := sd.TargetID(record.Key)
+			if record.Removed {
+				if hold {
+					h.lapsed.add(id, until)
+					continue
+				}
+				s.Remove(id)
+				h.log.Info("target gone", zap.Int("event", eventTargetGone), zap.String("target", record.Key), zap.Uint64("version", record.Version))
+				continue
+			}
+			h.lapsed.drop(id)
+			registration, err := platform.DecodeTarget(record)
+			if err != nil {
+				s.Remove(id)
+				h.log.Warn("registration cannot be used", zap.Int("event", eventTargetBad), zap.String("target", record.Key), zap.Error(err))
+				continue
+			}
+			if s.Register(registration) {
+				h.log.Info("target found", zap.Int("event", eventTarget), zap.String("target", record.Key),
+					zap.String("pool", string(registration.Pool)), zap.String("address", string(registration.Address)),
+					zap.String("zone", string(registration.Zone)), zap.Bool("leaving", registration.Leaving), zap.Uint64("version", record.Version))
+			}
+		}
+	})
+	h.targets.Store(true)
+}
+
+// peersChanged takes the rows of other hosts.
+func (h *Host) peersChanged(records []sd.Record) {
+	for _, record := range records {
+		h.rowLock.Lock()
+		h.rows[sd.HostID(record.Key)] = sd.Record{Cell: record.Cell, Version: record.Version}
+		h.rowLock.Unlock()
+		if record.Removed {
+			h.gossiper.Remove(sd.HostID(record.Key))
+			h.meter.update(func(s *meterer.State, _ sd.Instant) { s.Forget(sd.HostID(record.Key)) })
+			continue
+		}
+		var row platform.PeerRow
+		if err := json.Unmarshal(record.Value, &row); err != nil || row.Host == "" {
+			h.log.Warn("row of a host cannot be used", zap.Int("event", eventPublish), zap.String("host", record.Key), zap.Error(err))
+			continue
+		}
+		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation, Power: row.Power})
+	}
+	hosts := h.gossiper.Hosts()
+	h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Hosts(hosts) })
+}
+
+// publish writes this host's row and removes it at the end.
+func (h *Host) publish(ctx context.Context) error {
+	cell := sd.Cell{Table: platform.PeerTable, Key: string(h.settings.Host)}
+	value, err := json.Marshal(platform.PeerRow{
+		Host: h.settings.Host, Zone: h.settings.Zone, Address: h.settings.Peers, Incarnation: h.incarnation, Power: h.settings.Power,
+	})
+	if err != nil {
+		return sd.Unavailable.Wrap(err, "row of this host")
+	}
+	for ctx.Err() == nil {
+		if _, err = h.relay.Commit(ctx, sd.Update{Put: []sd.Record{{Cell: cell, Value: value}}}); err == nil {
+			break
+		}
+		h.log.Warn("row of this host is not written", zap.Int("event", eventPublish), zap.Error(err))
+		pause(ctx, storePause)
+	}
+	for pause(ctx, sweepEvery) {
+		h.sweepPeers(ctx)
+	}
+	return ctx.Err()
+}
+
+// sweepPeers removes the rows of hosts that are gone for good; the first of the
+// hosts alive does it.
+func (h *Host) sweepPeers(ctx context.Context) {
+	for _, p := range h.gossiper.Alive(false) {
+		if p.Host < h.settings.Host {
+			return
+		}
+	}
+	for _, host := range h.gossiper.Lost(goneAfter) {
+		h.rowLock.Lock()
+		row := h.rows[host]
+		h.rowLock.Unlock()
+		ctx, cancel := context.WithTimeout(ctx, sweepEvery.Duration())
+		_, err := h.relay.Commit(ctx, sd.Update{Expect: []sd.Record{row}, Remove: []sd.Cell{row.Cell}})
+		cancel()
+		h.log.Info("row of a lost host removed", zap.Int("event", eventPublish), zap.String("host", string(host)), zap.Error(err))
+	}
+}
+
+// outage tells when no host in reach last reached the store, and for how long.
+type outage struct {
+	lock         sync.Mutex
+	away         bool
+	began, ended sd.Instant
+}
+
+func (o *outage) observe(now sd.Instant, away bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if away && !o.away {
+		o.began = now
+	}
+	if away {
+		o.ended = now
+	}
+	o.away = away
+}
+
+// grace returns until when lapsed registrations count, if the last outage was
+// long enough for registrations to lapse in it.
+func (o *outage) grace(now sd.Instant, least sd.Millis) (sd.Instant, bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	until := o.ended.Add(returnGrace)
+	return until, o.ended > 0 && o.ended.Since(o.began) >= least && now < until
+}
+
+// lapsed holds targets whose registrations lapsed while the store was away.
+type lapsed struct {
+	lock  sync.Mutex
+	until map[sd.TargetID]sd.Instant
+}
+
+func (l *lapsed) add(id sd.TargetID, until sd.Instant) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.until == nil {
+		l.until = map[sd.TargetID]sd.Instant{}
+	}
+	l.until[id] = until
+}
+
+func (l *lapsed) drop(id sd.TargetID) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	delete(l.until, id)
+}
+
+func (l *lapsed) due(now sd.Instant) []sd.TargetID {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	var list []sd.TargetID
+	for id, until := range l.until {
+		if now >= until {
+			list = append(list, id)
+			delete(l.until, id)
+		}
+	}
+	return list
+}
+
+// lapse removes the targets that have not returned in time.
+func (h *Host) lapse(ctx context.Context) error {
+	for pause(ctx, storePause) {
+		due := h.lapsed.due(h.clock.Now())
+		if len(due) == 0 {
+			continue
+		}
+		h.gate.Update(func(s *balancer.State, _ sd.Instant) {
+			for _, id := range due {
+				s.Remove(id)
+				h.log.Info("target has not returned", zap.Int("event", eventTargetGone), zap.String("target", string(id)))
+			}
+		})
+	}
+	return ctx.Err()
+}
