receiver, archiver: turns too long for a transaction are refused, a minority does not ask

Found while reading: a turn of a megabyte would have made its part's lane send a transaction that the store refuses for ever (TestTurnTooLongToKeepIsRefused failed with 200 and a lane that stood still).

--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -187,6 +187,10 @@
 		}
 		return c, "", nil
 	}
+	if !a.majority() {
+		w.lock.Unlock()
+		return nil, "", sd.Unavailable.New("fewer than half of %d hosts are in reach", a.peers.Hosts())
+	}
 	c := &claim{ready: make(chan struct{}), known: map[Key]Snapshot{}, foreign: map[Key][]Operation{}, open: map[Key][]Reservation{}}
 	w.claim = c
 	w.lock.Unlock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -68,7 +68,8 @@
 	// longestComeBack bounds what a caller is told in a crowd: a third of the time
 	// that callers usually have.
 	longestComeBack = sd.Second
-	// turnBytes bounds a turn that is kept.
+	// turnBytes bounds a turn that is kept: it must fit one transaction of a megabyte
+	// in base64.
 	turnBytes = 512 << 10
 )
 
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -197,6 +197,20 @@
 	}
 }
 
+// A turn that no transaction holds is refused at once, and holds up no other.
+func TestTurnTooLongToKeepIsRefused(t *testing.T) {
+	b := newBench(t)
+	if status, _, _ := b.turn("long", "", strings.Repeat("x", 1<<20)); status != 413 {
+		t.Fatal(status)
+	}
+	if n, _ := b.ran("long"); n != 0 {
+		t.Fatal("it ran")
+	}
+	if status, _, _ := b.turn("t1", "", strings.Repeat("x", 400<<10)); status != 200 {
+		t.Fatal(status)
+	}
+}
+
 // A turn that cannot be written is not ended, and one whose budget cannot be
 // reserved is refused with a promise that holds.
 func TestStoreOutageIsTold(t *testing.T) {
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -18,6 +18,11 @@
 // turn's most from the program's budget, and keeps the turn before its end is
 // passed on.
 func (q *request) turn(ctx context.Context) {
+	if len(q.body) > turnBytes {
+		q.Meter.Return(q.workspace)
+		q.refuse(http.StatusRequestEntityTooLarge, "turn too long to keep", 0)
+		return
+	}
 	program := archiver.ProgramKey(q.workspace, q.ask.Program)
 	if q.ask.Program == "" {
 		program = archiver.ProgramKey(q.workspace, sd.ProgramID("request:"+string(q.ask.Request)))
