--- a/archiver/doc.go
+++ b/archiver/doc.go
@@ -21,5 +21,21 @@
 // was lost is simply sent again.
 //
 // A Lane gathers the operations of one part while a transaction is under way, so
-// that the number of transactions does not grow with the load.
+// that the number of transactions does not grow with the load. To that end all
+// hosts send a part's operations to one of them, its Sequencer; being chosen gives
+// no right, and another host's lane only costs a conflict.
+//
+// # Without the store
+//
+// While no host in reach gets through to the store, the sequencer claims its part:
+// most of the known hosts agree to leave it alone and tell what they know. The
+// holder then reserves by that, and a turn is kept once a peer has a copy. Both
+// write what ran when the store is back; a turn's own row tells the second that it
+// has been charged.
+//
+// # Reading order
+//
+// account.go and turn.go hold what is stored, lane.go the transactions, archive.go
+// what a host asks for, read.go the way to a turn, sequence.go, peers.go and copy.go
+// what hosts do for one another.
 package archiver
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -16,12 +16,14 @@
 // # Waiting
 //
 // Targets run what reaches them in order of arrival, so requests wait here: by
-// tier, then by the time that their program has left. A request that cannot start
-// in time is refused at once.
+// tier; programs that can still be on time first; programs under way before new
+// ones; then by the time that their program has left. A request that would wait
+// too long is refused at once.
 //
 // # Cold targets
 //
 // A target may be cold at any moment, and bears a bounded number of requests a
 // second from all hosts together. Each host may always send its even part of half
-// the bound; beyond that it counts what the other hosts say they have sent.
+// the bound; beyond that it counts what the other hosts say they have sent,
+// and takes its even part of what is left until they can have heard of it.
 package balancer
