--- a/starter/ports.go
+++ b/starter/ports.go
@@ -37,6 +37,8 @@
 	filePoll = sd.Second
 	// idlePoll is how often idle connections of callers are looked at.
 	idlePoll = 500 * sd.Millisecond
+	// metricsPath is where deploy/system.toml says that the metrics are.
+	metricsPath = "/metrics"
 	// defaultIdle is how long idle connections are kept before there is a plan.
 	defaultIdle = 60 * sd.Second
 )
@@ -118,11 +120,11 @@
 // platformHandler serves the readiness check and the metrics.
 func (h *Host) platformHandler() http.Handler {
 	e := echo.New()
-	e.GET("/v1/readyz", func(c echo.Context) error {
+	e.GET(platform.ReadyPath, func(c echo.Context) error {
 		h.readyHandler(c.Response())
 		return nil
 	})
-	e.GET("/metrics", func(c echo.Context) error {
+	e.GET(metricsPath, func(c echo.Context) error {
 		h.measures.Set.WritePrometheus(c.Response())
 		return nil
 	})
