--- a/balancer/state_test.go
+++ b/balancer/state_test.go
@@ -152,19 +152,24 @@
 
 // Cold fleet: however requests fall on the hosts, and however late they hear of
 // one another, no target gets more than its bound in any second. The target has 12
-// slots, a request takes 100 ms, and hosts tell of themselves every 60 to 140 ms.
+// slots and takes 100 ms for a request, or any number of slots and 10 ms; hosts tell
+// of themselves every 50 to 200 ms.
 func TestColdBoundHoldsOverAllHosts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts, rate = 9, 45
 		bound := rate*1.5 + 5
-		lag := sd.Millis(rapid.IntRange(60, 140).Draw(t, "lag"))
+		lag := sd.Millis(rapid.IntRange(50, 200).Draw(t, "lag"))
+		slots, takes := sd.Slots(12), sd.Instant(100)
+		if rapid.Bool().Draw(t, "fast target") {
+			slots, takes = 1000, 10
+		}
 		states := make([]*balancer.State, hosts)
 		for i := range states {
 			states[i] = balancer.New(balancer.Settings{
 				Host: sd.HostID(string(rune('a' + i))), Zone: "z1", ColdOver: 1.5, ColdSlack: 5, Random: func(int) int { return 0 },
 			})
 			states[i].Configure([]sd.Pool{{Name: "pool", ColdRate: rate}})
-			states[i].Register(sd.Registration{ID: "t", Pool: "pool", Address: "10.0.0.1:1", Zone: "z1", Slots: 12})
+			states[i].Register(sd.Registration{ID: "t", Pool: "pool", Address: "10.0.0.1:1", Zone: "z1", Slots: slots})
 			states[i].Hosts(hosts)
 		}
 		cut := rapid.IntRange(0, hosts-1).Draw(t, "cut")
@@ -185,7 +190,7 @@
 					k := &balancer.Ticket{Pool: "pool", Latest: now}
 					if s.Ask(now, k) && k.Target != "" {
 						sent = append(sent, now)
-						end := now + 100
+						end := now + takes
 						running[end] = append(running[end], func(at sd.Instant) { s.Done(at, k, balancer.Served, 100) })
 					}
 				}
