balancer: what is left of the cold bound goes to hosts by rank

Now a host sends what its last beat told, and raises that by its share of what is left, the remainder by rank. Conclusion: the bound no longer hangs on how soon hosts hear of one another.

--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -24,6 +24,7 @@
 //
 // A target may be cold at any moment, and bears a bounded number of requests a
 // second from all hosts together. Each host may always send its even part of half
-// the bound; beyond that it counts what the other hosts say they have sent,
-// and takes its even part of what is left until they can have heard of it.
+// the bound. Beyond that it counts what the other hosts say they have sent, sends
+// as many as it has told them itself, and raises that by its share of what is left:
+// an even part, and by rank one of the remainder.
 package balancer
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"github.com/cespare/xxhash/v2"
+
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
@@ -38,9 +40,9 @@
 	return s.load(now, t) < int(t.Slots) && s.bears(now, p, t)
 }
 
-// bears reports whether one more request keeps the bound of cold targets. Half of
-// the bound is dealt out evenly; of the rest, the unused parts of others and a
-// margin stay free.
+// bears reports whether one more request keeps the bound of cold targets. A host may
+// send as many as the others know of; beyond that, its share of what the others leave
+// unused, less a margin. A small part of the bound is each host's without a word.
 func (s *State) bears(now sd.Instant, p *pool, t *target) bool {
 	if p.settings.ColdRate == 0 {
 		return true
@@ -59,12 +61,23 @@
 		}
 	}
 	others += float64(max(silent, 0)) * bound / float64(s.hosts)
+	known := max(float64(t.announced), part)
 	if own+others+1 > bound*(1-coldMargin) {
 		return false
 	}
-	// Until the others hear of it, a host takes its even part of what is left.
-	fresh := float64(t.within(now, coldUntold))
-	return fresh+1 <= max(1, (bound-own-others+fresh)/float64(s.hosts))
+	return own+1 <= known || own+1-known <= s.share(t, bound*(1-coldMargin)-others-known)
+}
+
+// share returns how much of a target's unused requests a host may take before the
+// others hear of it: the even part, and one of the remainder if its rank among the
+// hosts is low enough.
+func (s *State) share(t *target, unused float64) float64 {
+	n := math.Floor(max(unused, 0))
+	even := math.Floor(n / float64(s.hosts))
+	if float64(t.before) < n-even*float64(s.hosts) {
+		even++
+	}
+	return even
 }
 
 func (t *target) lately(now sd.Instant) int { return t.within(now, coldWindow) }
@@ -90,16 +103,34 @@
 func (s *State) Beat(now sd.Instant) (inflight, sent map[gossiper.Code]int) {
 	inflight, sent = map[gossiper.Code]int{}, map[gossiper.Code]int{}
 	for _, t := range s.targets {
+		t.announced, t.before = t.lately(now), s.before(now.Add(-heardFor), t)
 		if t.inflight > 0 {
 			inflight[t.code] = t.inflight
 		}
-		if n := t.lately(now); n > 0 {
-			sent[t.code] = n
+		if t.announced > 0 {
+			sent[t.code] = t.announced
 		}
 	}
 	return inflight, sent
 }
 
+// before counts the hosts heard of since an instant that come before this one in a
+// target's order of hosts.
+func (s *State) before(since sd.Instant, t *target) int {
+	n := 0
+	for host, r := range s.peers {
+		if r.at > since && rank(host, t.ID) < t.rank {
+			n++
+		}
+	}
+	return n
+}
+
+// rank orders the hosts of a target, and the targets of a host.
+func rank(host sd.HostID, id sd.TargetID) uint64 {
+	return xxhash.Sum64String(string(host) + "|" + string(id))
+}
+
 // Heard takes what another host told.
 func (s *State) Heard(now sd.Instant, host sd.HostID, inflight, sent map[gossiper.Code]int) {
 	s.peers[host] = report{at: now, inflight: inflight, sent: sent}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
@@ -50,9 +48,6 @@
 	// coldEven is the part of the bound that the hosts may use without hearing of one
 	// another.
 	coldEven = 0.5
-	// coldUntold is how long others may not have heard of a request: the longest round
-	// of beats in a fleet of ten.
-	coldUntold = 150 * sd.Millisecond
 	// coldMargin is kept free of the rest, for a beat that is lost.
 	coldMargin = 0.2
 	// beginWait is the longest wait for which a request that begins a program is
@@ -99,8 +94,12 @@
 	rest     sd.Instant
 	// sent holds when the last requests were sent, for the cold bound.
 	sent []sd.Instant
-	rank uint64
-	code gossiper.Code
+	// announced is the number sent in a second by the last word to the others.
+	announced int
+	// before is the number of hosts that take what is left of the bound before this one.
+	before int
+	rank   uint64
+	code   gossiper.Code
 }
 
 // Ticket is a request that waits for a target.
@@ -197,7 +196,9 @@
 		if t != nil {
 			s.Remove(r.ID)
 		}
-		t = &target{rank: xxhash.Sum64String(string(s.settings.Host) + "|" + string(r.ID)), code: gossiper.CodeOf(r.ID)}
+		t = &target{rank: rank(s.settings.Host, r.ID), code: gossiper.CodeOf(r.ID)}
+		t.ID = r.ID
+		t.before = s.before(0, t)
 		s.targets[r.ID] = t
 		p := s.pool(r.Pool)
 		p.members = append(p.members, t)
--- a/balancer/state_test.go
+++ b/balancer/state_test.go
@@ -301,3 +301,70 @@
 		t.Fatalf("%d requests in a second, bound %.0f", most, bound)
 	}
 }
+
+// Crowd in a large fleet: from the third second, callers ask for six tenths of what
+// 44 targets bear, through 79 hosts. Nine of ten requests get a target at once.
+func TestColdBoundLeavesRoomForACrowd(t *testing.T) {
+	const hosts, targets, rate = 79, 44, 28
+	zone := func(i int) sd.ZoneName { return sd.ZoneName(fmt.Sprint("z", i%4)) }
+	bound := rate*1.5 + 5
+	random := rand.New(rand.NewPCG(7, 1))
+	states := make([]*balancer.State, hosts)
+	next := make([]sd.Instant, hosts)
+	for i := range states {
+		states[i] = balancer.New(balancer.Settings{
+			Host: sd.HostID(fmt.Sprint("h", i)), Zone: zone(i), ColdOver: 1.5, ColdSlack: 5, Random: random.IntN,
+		})
+		states[i].Configure([]sd.Pool{{Name: "pool", ColdRate: rate}})
+		for j := range targets {
+			states[i].Register(sd.Registration{ID: sd.TargetID(fmt.Sprint("t", j)), Pool: "pool", Address: sd.Address(fmt.Sprint("10.0.0.", j, ":1")), Zone: zone(j), Slots: 6})
+		}
+		states[i].Hosts(hosts)
+		next[i] = sd.Instant(1000 + random.IntN(900))
+	}
+	asked, granted := 0, 0
+	running := map[sd.Instant][]func(sd.Instant){}
+	for now := sd.Instant(1000); now < 6000; now += 10 {
+		demand := 0.2
+		if now >= 3000 {
+			demand = 0.6
+		}
+		for _, done := range running[now] {
+			done(now)
+		}
+		delete(running, now)
+		for i, s := range states {
+			for each := demand * bound * targets / hosts / 100; each > 0; each-- {
+				if random.Float64() >= each {
+					continue
+				}
+				k := &balancer.Ticket{Pool: "pool", Latest: now}
+				ok := s.Ask(now, k) && k.Target != ""
+				if now >= 3000 {
+					asked++
+				}
+				if ok {
+					if now >= 3000 {
+						granted++
+					}
+					running[now+60] = append(running[now+60], func(at sd.Instant) { s.Done(at, k, balancer.Served, 60) })
+				} else {
+					s.Leave(k)
+				}
+			}
+			if now >= next[i] {
+				next[i] = now + sd.Instant(530+random.IntN(700))
+				inflight, lately := s.Beat(now)
+				for j, other := range states {
+					if j != i {
+						other.Heard(now, sd.HostID(fmt.Sprint("h", i)), inflight, lately)
+					}
+				}
+			}
+		}
+	}
+	if granted*10 < asked*9 {
+		t.Fatalf("%d of %d requests got a target at once", granted, asked)
+	}
+	t.Logf("%d of %d requests got a target at once", granted, asked)
+}
