balancer: programs begin only while slots are left

What targets and hosts told of the load was taken by its larger, so noise left slots free as well. Now a program begins only while the pool's load is under a bound, which falls with the age of what hosts know and rises with urgency; what a target tells of its load weighs less as it ages. Conclusion: admission of programs needs the fleet's load, not a queue.

--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -18,7 +18,8 @@
 // Targets run what reaches them in order of arrival, so requests wait here: by
 // tier; programs that can still be on time first; programs under way before new
 // ones; then by the time that their program has left. A request that would wait
-// too long is refused at once.
+// too long is refused at once, and so is one that begins a program while the slots
+// are all but taken: the programs under way would end late for it.
 //
 // # Cold targets
 //
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,16 +24,54 @@
 // load estimates what runs and waits at a target: this host's own requests and
 // the larger of what the other hosts and the target tell of others'.
 func (s *State) load(now sd.Instant, t *target) int {
-	others := 0
+	others := 0.0
 	for _, r := range s.peers {
 		if now.Since(r.at) < heardFor {
-			others += r.inflight[t.code]
+			others += float64(r.inflight[t.code])
 		}
 	}
-	if now.Since(t.toldAt) < toldFor && t.toldAt != 0 {
-		others = max(others, t.told-t.ownThen)
+	if age := now.Since(t.toldAt); age < toldFor && t.toldAt != 0 {
+		part := 1 - float64(age)/float64(toldFor)
+		others += part * (float64(t.told-t.ownThen) - others)
 	}
-	return t.inflight + others
+	return t.inflight + int(others+0.5)
+}
+
+// crowded reports whether a program had better not begin: the pool's slots are so
+// full that the turns of the programs under way would wait. The less urgent the
+// program, and the older what the others told, the sooner.
+func (s *State) crowded(now sd.Instant, k *Ticket) bool {
+	p := s.pool(k.Pool)
+	i, seen := slices.BinarySearch(p.tiers, k.Tier)
+	if !seen {
+		p.tiers = slices.Insert(p.tiers, i, k.Tier)
+	}
+	running, slots := 0, 0
+	for _, t := range p.members {
+		if !t.Leaving && !s.evacuated[t.Zone] {
+			running += t.inflight
+			slots += int(t.Slots)
+		}
+	}
+	var heard, age float64
+	for _, r := range s.peers {
+		if now.Since(r.at) < heardFor {
+			heard++
+			age += float64(now.Since(r.at))
+			for _, t := range p.members {
+				running += r.inflight[t.code]
+			}
+		}
+	}
+	full := crowdFull
+	if heard > 0 {
+		full = max(full-crowdAge*age/heard/p.service, crowdLeast)
+	}
+	if n := len(p.tiers); n > 1 {
+		full += crowdTiers * float64(n-1-i) / float64(n-1)
+	}
+	k.Running, k.Bound = running, full*float64(slots)
+	return float64(running) > k.Bound
 }
 
 // room reports whether a target may get a request now.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -55,6 +55,15 @@
 	// back. goOnWait is that of a request of a program under way.
 	beginWait = 120 * sd.Millisecond
 	goOnWait  = 700 * sd.Millisecond
+	// crowdFull is the part of a pool's slots from which programs no longer begin if
+	// hosts know one another's load at once; it falls by crowdAge for each time that a
+	// request takes by which the knowledge is older, to crowdLeast. TestCrowds compares.
+	crowdFull  = 1.1
+	crowdAge   = 0.15
+	crowdLeast = 0.85
+	// crowdTiers is how much later the most urgent programs of a pool wait than the
+	// least urgent.
+	crowdTiers = 0.1
 	// guess is the expected time of a request at a target until one was measured.
 	guess = 100 * sd.Millisecond
 	// smoothing is the weight of a new measurement in an average.
@@ -80,6 +89,8 @@
 	settings sd.Pool
 	// service is the average time of a request at a target.
 	service float64
+	// tiers are those of the programs that begin here, the most urgent first.
+	tiers   []sd.Tier
 	members []*target
 }
 
@@ -125,6 +136,10 @@
 	// Refused tells why the request was given up, Wait how long it would have waited.
 	Refused Refusal
 	Wait    sd.Millis
+	// Running is what ran in the pool when a program asked to begin, Bound from how
+	// much on none does.
+	Running int
+	Bound   float64
 
 	number uint64
 	queued bool
@@ -139,6 +154,8 @@
 	NoTarget Refusal = "no target"
 	// TooLate: the wait would be longer than the request can bear.
 	TooLate Refusal = "wait too long"
+	// Crowded: the pool's slots are left to the programs under way.
+	Crowded Refusal = "left to programs under way"
 )
 
 // New returns a State without targets.
@@ -231,6 +248,10 @@
 // Ask gives the ticket a target, refuses it, or queues it. It reports whether the
 // ticket is settled; a queued one is settled by Advance.
 func (s *State) Ask(now sd.Instant, k *Ticket) bool {
+	if k.Begins && s.crowded(now, k) {
+		k.Refused = Crowded
+		return true
+	}
 	if s.grant(now, k) {
 		return true
 	}
--- a/receiver/measures.go
+++ b/receiver/measures.go
@@ -16,6 +16,7 @@
 	eventAttempt = 642
 	eventTurn    = 643
 	eventRate    = 644
+	eventTarget  = 645
 )
 
 // Measures are the counters and histograms of a host.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -269,6 +269,8 @@
 			if err != nil {
 				reason = "no target in time"
 			}
+			q.Log.Info("no target", zap.Int("event", eventTarget), q.id(), zap.String("pool", string(q.pool)), zap.String("reason", reason),
+				zap.Int64("wait_ms", int64(ticket.Wait)), zap.Int("running", ticket.Running), zap.Float64("bound", ticket.Bound))
 			q.fail(ctx, reason, min(max(ticket.Wait, comeBack), longestComeBack))
 			return
 		}
