gossiper: hosts of a silent zone no longer count as heard

Now the hosts of a zone none of which was heard for 0.7 s are not alive; a cut off host says so (event 662), is not ready, and tells callers to come back when connections have been led elsewhere. Ruled out: 0.35 s, as for targets (a zone of 20 is silent that long by chance once in some minutes).

--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -72,6 +72,33 @@
 	if len(g.Alive(false)) != 78 || g.Reach(g.Silent()) != 53 {
 		t.Fatalf("alive %d, in reach %d", len(g.Alive(false)), g.Reach(g.Silent()))
 	}
+	now += 200
+	if len(g.Alive(false)) != 52 {
+		t.Fatalf("alive %d after 800 ms", len(g.Alive(false)))
+	}
+}
+
+// Zone cut in a large fleet: the hosts inside hear nobody of the other zones, and
+// know within a second that they are the smaller part.
+func TestACutZoneKnowsSoonThatItIsAlone(t *testing.T) {
+	now := sd.Instant(100000)
+	g := &Gossiper{Self: Peer{Host: "self", Zone: "z0"}, Clock: sd.Clock{Source: func() sd.Instant { return now }}, Log: zap.NewNop()}
+	name := func(i int) sd.HostID { return sd.HostID("h" + string(rune('0'+i))) }
+	for i := range 78 {
+		g.Set(Peer{Host: name(i), Zone: sd.ZoneName([]string{"z0", "z1", "z2", "z3"}[i%4]), Incarnation: 1})
+		g.take(Beat{Host: name(i), Incarnation: 1, Number: 1, Reaches: true})
+	}
+	for number := uint64(2); number < 12; number++ {
+		now += 90
+		for i := range 78 {
+			if i%4 == 0 {
+				g.take(Beat{Host: name(i), Incarnation: 1, Number: number})
+			}
+		}
+	}
+	if alive, reaching := len(g.Alive(false)), len(g.Alive(true)); alive != 20 || reaching != 0 {
+		t.Fatalf("alive %d, of which %d reach the store", alive, reaching)
+	}
 }
 
 func TestBeatsOfAnotherStartAreNotTaken(t *testing.T) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -34,6 +34,9 @@
 	silentRounds = 3
 	// silentLeast bounds that time from below.
 	silentLeast = 350 * sd.Millisecond
+	// cutLeast is the silence after which a zone's hosts no longer count as heard: twice
+	// as long, as more hangs on it.
+	cutLeast = 2 * silentLeast
 	// datagramBytes bounds a datagram; a beat of a large fleet takes some 1.5 KB.
 	datagramBytes = 32 << 10
 )
@@ -142,43 +145,51 @@
 // Silence returns how long a peer may say nothing before it counts as cut off.
 func (g *Gossiper) Silence() sd.Millis { return max(silentLeast, silentRounds*g.Interval()) }
 
-// Alive returns the peers that were heard lately; reaching selects those that
-// reach the store.
+// Alive returns the peers that were heard lately, but for those of zones that have
+// been silent for a while; reaching selects those that reach the store.
 func (g *Gossiper) Alive(reaching bool) []Peer {
 	limit := g.Silence()
+	interval := g.Interval()
 	now := g.Clock.Now()
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	quiet := g.quiet(now, cutLeast, interval)
 	var list []Peer
 	for _, p := range g.peers {
-		if !p.lost && now.Since(p.heard) <= limit && (p.reaches || !reaching) {
+		if !p.lost && now.Since(p.heard) <= limit && (p.reaches || !reaching) && !slices.Contains(quiet, p.Zone) {
 			list = append(list, p.Peer)
 		}
 	}
 	return list
 }
 
-// Silent returns the availability zones of which no peer was heard lately. Where a
-// zone has many hosts one of them is heard often, so that a cut shows sooner than
-// the silence of a single host.
+// Silent returns the other availability zones of which no peer was heard lately.
+// Where a zone has many hosts one of them is heard often, so that a cut shows sooner
+// than the silence of a single host.
 func (g *Gossiper) Silent() []sd.ZoneName {
-	limit := g.Interval()
+	interval := g.Interval()
 	now := g.Clock.Now()
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	return slices.DeleteFunc(g.quiet(now, silentLeast, interval), func(zone sd.ZoneName) bool { return zone == g.Self.Zone })
+}
+
+// quiet returns the zones of which no peer was heard for the time in which a zone of
+// their size would be, and least at least.
+func (g *Gossiper) quiet(now sd.Instant, least, interval sd.Millis) []sd.ZoneName {
 	last := map[sd.ZoneName]sd.Instant{}
 	hosts := map[sd.ZoneName]sd.Millis{}
 	for _, p := range g.peers {
 		last[p.Zone] = max(last[p.Zone], p.heard)
 		hosts[p.Zone]++
 	}
-	var silent []sd.ZoneName
+	var quiet []sd.ZoneName
 	for zone, heard := range last {
-		if zone != g.Self.Zone && now.Since(heard) > max(silentLeast, 2*silentRounds*limit/hosts[zone]) {
-			silent = append(silent, zone)
+		if now.Since(heard) > max(least, 2*silentRounds*interval/hosts[zone]) {
+			quiet = append(quiet, zone)
 		}
 	}
-	return silent
+	return quiet
 }
 
 // Run sends and receives beats until ctx ends.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -41,7 +41,8 @@
 // Receiver is the handler of callers' requests.
 type Receiver struct {
 	Parts
-	table atomic.Pointer[Table]
+	table    atomic.Pointer[Table]
+	isolated atomic.Bool
 }
 
 // New returns a Receiver that answers 503 until it has a plan.
@@ -50,6 +51,10 @@
 // SetPlan puts a plan in force.
 func (r *Receiver) SetPlan(t *Table) { r.table.Store(t) }
 
+// Isolate tells whether this host is cut off, so that callers had better come back
+// to another one.
+func (r *Receiver) Isolate(isolated bool) { r.isolated.Store(isolated) }
+
 // Table returns the plan in force, or nil.
 func (r *Receiver) Table() *Table { return r.table.Load() }
 
@@ -68,6 +73,10 @@
 	// longestComeBack bounds what a caller is told in a crowd: a third of the time
 	// that callers usually have.
 	longestComeBack = sd.Second
+	// leadElsewhere is when a caller should come back that a host in reach of the
+	// others will then serve: connections are led away from a host after it was found
+	// not ready twice, in one or two seconds.
+	leadElsewhere = sd.Second
 	// turnBytes bounds a turn that is kept: it must fit one transaction of a megabyte
 	// in base64.
 	turnBytes = 512 << 10
@@ -223,6 +232,8 @@
 	case q.http.Context().Err() != nil:
 		q.note(0, "caller left")
 		panic(http.ErrAbortHandler)
+	case q.sent == 0 && q.isolated.Load():
+		q.refuse(http.StatusServiceUnavailable, reason, leadElsewhere)
 	case q.sent == 0:
 		q.refuse(http.StatusServiceUnavailable, reason, max(wait, comeBack))
 	case ctx.Err() != nil:
--- a/starter/host.go
+++ b/starter/host.go
@@ -40,6 +40,7 @@
 	eventStops      = 659
 	eventPublish    = 660
 	eventCounts     = 661
+	eventIsolated   = 662
 )
 
 const (
@@ -105,6 +106,8 @@
 
 	draining atomic.Bool
 	targets  atomic.Bool
+	// alone tells that the host was cut off when it last looked.
+	alone atomic.Bool
 }
 
 // New builds a host that does nothing until Run. Path names its settings file.
@@ -212,7 +215,13 @@
 // isolated reports whether the host is cut off from most others and from the
 // store: callers are served better elsewhere.
 func (h *Host) isolated() bool {
-	return 2*(len(h.gossiper.Alive(false))+1) < h.gossiper.Hosts() && h.relay.Away()
+	alive, hosts := len(h.gossiper.Alive(false))+1, h.gossiper.Hosts()
+	isolated := 2*alive < hosts && h.relay.Away()
+	if h.alone.Swap(isolated) != isolated {
+		h.log.Warn("host is cut off, or no longer", zap.Int("event", eventIsolated), zap.Bool("cut_off", isolated),
+			zap.Int("heard", alive), zap.Int("hosts", hosts))
+	}
+	return isolated
 }
 
 // ready reports whether the host may get new connections.
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -110,9 +110,11 @@
 // to close their connections.
 func (h *Host) callerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if h.draining.Load() || h.isolated() {
+		isolated := h.isolated()
+		if h.draining.Load() || isolated {
 			w.Header().Set("Connection", "close")
 		}
+		h.receiver.Isolate(isolated)
 		h.receiver.ServeHTTP(w, req)
 	})
 }
