meterer: a cut leaves no debt in the rates

Now what a host admitted while out of reach empties a bucket at most. Ruled out: taking nothing of it (the first seconds of a cut, before it shows, would be admitted twice).

--- a/meterer/state.go
+++ b/meterer/state.go
@@ -1,6 +1,8 @@
 package meterer
 
 import (
+	"math"
+
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
@@ -30,12 +32,19 @@
 
 type peer struct {
 	incarnation sd.Incarnation
+	heard       sd.Instant
 	admitted    map[gossiper.Code]uint64
+	// behind holds the counts before the host was out of reach for a while.
+	behind map[gossiper.Code]uint64
 	// whole tells that the host was heard from its start, so that a count not heard
 	// before was zero.
 	whole bool
 }
 
+// outOfReach is the silence after which a host's admissions came from its own part
+// of the rate: two rounds of beats in a large fleet.
+const outOfReach = 2 * sd.Second
+
 // earlyBeats is the number of first beats of which the host's counts are all recent.
 const earlyBeats = 8
 
@@ -168,16 +177,26 @@
 		p = &peer{incarnation: incarnation, admitted: map[gossiper.Code]uint64{}, whole: number <= earlyBeats}
 		s.peers[host] = p
 	}
+	if p.heard > 0 && now.Since(p.heard) > outOfReach {
+		p.admitted, p.behind = map[gossiper.Code]uint64{}, p.admitted
+	}
+	p.heard = now
 	for code, count := range counts {
 		before, known := p.admitted[code]
 		p.admitted[code] = count
+		least := math.Inf(-1)
+		if last, behind := p.behind[code]; behind && !known {
+			// Most of it came from the part of the rate that this host's bucket was not
+			// filled with meanwhile, so it empties the bucket and leaves no debt.
+			before, known, least = last, true, 0
+		}
 		if count == before || (!known && !p.whole) {
 			// What was admitted before this host listened is past.
 			continue
 		}
 		if b := s.buckets[code]; b != nil {
 			b.fill(now, s.part())
-			b.tokens = min(b.tokens-float64(int64(count-before)), b.capacity())
+			b.tokens = max(min(b.tokens-float64(int64(count-before)), b.capacity()), min(b.tokens, least))
 		}
 	}
 }
--- a/meterer/state_test.go
+++ b/meterer/state_test.go
@@ -202,3 +202,41 @@
 		t.Fatalf("%d admitted, want the burst of 2", admitted)
 	}
 }
+
+// Lost zone, back again: what the other zones admitted while three of nine hosts
+// could not hear them came from their part of the rate, not from the three's. After
+// the cut these refuse nothing within the rate.
+func TestNothingWithinTheRateIsRefusedAfterACut(t *testing.T) {
+	w := newWorld(9)
+	refused, asked := 0, 0
+	for now := sd.Instant(0); now < 16000; now += 20 {
+		for i := range w.group {
+			w.group[i] = 0
+			if now >= 5000 && now < 11000 && i < 3 {
+				w.group[i] = 1
+			}
+		}
+		for i := range w.hosts {
+			if (now+sd.Instant(20*i))%100 == 0 {
+				w.beat(now, i, 1)
+			}
+		}
+		// Six tenths of the rate; the cut zone's callers are led elsewhere.
+		for n := range 2 {
+			host := (int(now/20)*5 + n) % len(w.hosts)
+			if w.group[host] == 1 {
+				host = 3 + n%6
+			}
+			v := w.hosts[host].Admit(now, "w", false)
+			if now >= 11500 {
+				asked++
+				if !v.Admitted {
+					refused++
+				}
+			}
+		}
+	}
+	if refused*100 > asked {
+		t.Fatalf("%d of %d requests refused after the cut", refused, asked)
+	}
+}
