gossiper: beats cross between zones twice

Now two heard hosts of each other zone get it and pass it on there; a zone that is not heard gets it directly. Ruled out: beats to other zones half as often (what is known of rates and cold targets would be twice as old).

--- a/gossiper/beat.go
+++ b/gossiper/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,6 +30,9 @@
 	Inflight, Sent map[Code]int
 	// Admitted counts requests since the host started, by workspace.
 	Admitted map[Code]uint64
+
+	// relay asks the receiver to pass the beat on in its zone.
+	relay bool
 }
 
 // The bits of a beat's flags.
@@ -37,8 +41,21 @@
 	flagLeaving
 )
 
-// formatBeat is the first byte of a beat.
-const formatBeat = 'b'
+// The first byte of a beat, and of one that is to be passed on.
+const (
+	formatBeat  = 'b'
+	formatRelay = 'r'
+)
+
+// relayed returns a copy of an encoded beat that is, or is not, to be passed on.
+func relayed(body []byte, on bool) []byte {
+	out := slices.Clone(body)
+	out[0] = formatBeat
+	if on {
+		out[0] = formatRelay
+	}
+	return out
+}
 
 // Encode returns the beat as it goes over the network.
 func (b *Beat) Encode() []byte {
@@ -72,10 +89,10 @@
 
 // DecodeBeat reads what Encode returned. It reports false for anything else.
 func DecodeBeat(body []byte) (Beat, bool) {
-	if len(body) < 2 || body[0] != formatBeat || len(body) < 2+int(body[1]) {
+	if len(body) < 2 || (body[0] != formatBeat && body[0] != formatRelay) || len(body) < 2+int(body[1]) {
 		return Beat{}, false
 	}
-	b := Beat{Host: sd.HostID(body[2 : 2+body[1]])}
+	b := Beat{Host: sd.HostID(body[2 : 2+body[1]]), relay: body[0] == formatRelay}
 	r := reader{rest: body[2+body[1]:]}
 	b.Incarnation = sd.Incarnation(r.number())
 	b.Number, b.Revision = r.number(), sd.Revision(r.number())
--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -1,7 +1,12 @@
 package gossiper
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -30,7 +35,7 @@
 		if !ok {
 			t.Fatal("not read back")
 		}
-		if diff := cmp.Diff(b, got, cmpopts.EquateEmpty()); diff != "" {
+		if diff := cmp.Diff(b, got, cmpopts.EquateEmpty(), cmpopts.IgnoreUnexported(Beat{})); diff != "" {
 			t.Fatal(diff)
 		}
 		garbage := rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
@@ -111,3 +116,70 @@
 		t.Fatal("each beat counts once")
 	}
 }
+
+// A beat crosses to another zone twice, however many hosts that has, and reaches all
+// of them; a zone that is not heard gets it directly.
+func TestBeatsCrossBetweenZonesTwice(t *testing.T) {
+	now := sd.Instant(100000)
+	g := &Gossiper{Self: Peer{Host: "self", Zone: "z0"}, Clock: sd.Clock{Source: func() sd.Instant { return now }}, Log: zap.NewNop()}
+	for i := range 78 {
+		p := Peer{Host: sd.HostID(fmt.Sprint("h", i)), Zone: sd.ZoneName(fmt.Sprint("z", i%4)), Incarnation: 1, Address: sd.Address(fmt.Sprint("127.0.0.1:", 20000+i))}
+		g.Set(p)
+	}
+	if direct, relays := g.recipients(); len(direct) != 78 || len(relays) != 0 {
+		t.Fatalf("%d direct, %d relays before anyone is heard", len(direct), len(relays))
+	}
+	for i := range 78 {
+		g.take(Beat{Host: sd.HostID(fmt.Sprint("h", i)), Incarnation: 1, Number: 1})
+	}
+	if direct, relays := g.recipients(); len(direct) != 20 || len(relays) != 3*zoneRelays {
+		t.Fatalf("%d direct, %d relays", len(direct), len(relays))
+	}
+}
+
+// Seven hosts in two zones hear one another over sockets, through relays too.
+func TestHostsHearOneAnotherThroughRelays(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var peers []Peer
+	for i := range 7 {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, Peer{Host: sd.HostID(fmt.Sprint("h", i)), Zone: sd.ZoneName(fmt.Sprint("z", i%2)), Incarnation: 1, Address: sd.Address(conn.LocalAddr().String())})
+		if err := conn.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var lock sync.Mutex
+	heard := map[[2]sd.HostID]int{}
+	ends := make(chan error, len(peers))
+	for _, self := range peers {
+		g := &Gossiper{
+			Self: self, Clock: sd.NewClock(), Log: zap.NewNop(), Fill: func(*Beat) {},
+			Heard: func(b Beat) {
+				lock.Lock()
+				defer lock.Unlock()
+				heard[[2]sd.HostID{self.Host, b.Host}]++
+			},
+		}
+		for _, p := range peers {
+			g.Set(p)
+		}
+		go func() { ends <- g.Run(ctx) }()
+	}
+	const rounds = 20
+	time.Sleep(rounds * shortest.Duration())
+	cancel()
+	for range peers {
+		<-ends
+	}
+	for _, a := range peers {
+		for _, b := range peers {
+			if n := heard[[2]sd.HostID{a.Host, b.Host}]; a.Host != b.Host && n < rounds/2 {
+				t.Errorf("%s heard %s %d times in %d rounds", a.Host, b.Host, n, rounds)
+			}
+		}
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -37,6 +37,9 @@
 	// cutLeast is the silence after which a zone's hosts no longer count as heard: twice
 	// as long, as more hangs on it.
 	cutLeast = 2 * silentLeast
+	// zoneRelays is the number of hosts of another zone that pass a beat on there, so
+	// that it crosses between zones a few times only; one of them may be lost.
+	zoneRelays = 2
 	// datagramBytes bounds a datagram; a beat of a large fleet takes some 1.5 KB.
 	datagramBytes = 32 << 10
 )
@@ -225,25 +228,65 @@
 	beat := Beat{Host: g.Self.Host, Incarnation: g.Self.Incarnation, Number: number}
 	g.Fill(&beat)
 	body := beat.Encode()
+	direct, relays := g.recipients()
+	g.write(conn, body, direct)
+	g.write(conn, relayed(body, true), relays)
+}
+
+// write sends a datagram to some addresses.
+func (g *Gossiper) write(conn net.PacketConn, body []byte, to []*net.UDPAddr) {
+	for _, address := range to {
+		// A datagram that cannot be sent counts as lost.
+		_, _ = conn.WriteTo(body, address)
+	}
+}
+
+// recipients returns the peers to which a beat is sent, and those that are to pass
+// it on in their zone.
+func (g *Gossiper) recipients() (direct, relays []*net.UDPAddr) {
 	limit := g.Silence()
 	now := g.Clock.Now()
 	g.lock.Lock()
-	addresses := make([]*net.UDPAddr, 0, len(g.peers))
+	defer g.lock.Unlock()
+	all, heard := map[sd.ZoneName][]*net.UDPAddr{}, map[sd.ZoneName][]*net.UDPAddr{}
 	for _, p := range g.peers {
+		silent := now.Since(p.heard) > limit
 		if to := g.resolve(p.Address); to != nil {
-			addresses = append(addresses, to)
+			all[p.Zone] = append(all[p.Zone], to)
+			if !p.lost && !silent && !p.Leaving {
+				heard[p.Zone] = append(heard[p.Zone], to)
+			}
 		}
-		if !p.lost && now.Since(p.heard) > limit {
+		if !p.lost && silent {
 			p.lost = true
 			g.Log.Warn("peer is silent", zap.Int("event", eventPeerLost), zap.String("peer", string(p.Host)),
 				zap.Int64("silent_ms", int64(now.Since(p.heard))))
 		}
 	}
-	g.lock.Unlock()
-	for _, to := range addresses {
-		// A datagram that cannot be sent counts as lost.
-		_, _ = conn.WriteTo(body, to)
+	for zone, addresses := range all {
+		if zone == g.Self.Zone || len(heard[zone]) <= zoneRelays {
+			direct = append(direct, addresses...)
+			continue
+		}
+		rand.Shuffle(len(heard[zone]), func(i, j int) { heard[zone][i], heard[zone][j] = heard[zone][j], heard[zone][i] })
+		relays = append(relays, heard[zone][:zoneRelays]...)
+	}
+	return direct, relays
+}
+
+// pass sends another zone's beat on to the peers of the own zone.
+func (g *Gossiper) pass(conn net.PacketConn, body []byte) {
+	var to []*net.UDPAddr
+	g.lock.Lock()
+	for _, p := range g.peers {
+		if p.Zone == g.Self.Zone {
+			if address := g.resolve(p.Address); address != nil {
+				to = append(to, address)
+			}
+		}
 	}
+	g.lock.Unlock()
+	g.write(conn, relayed(body, false), to)
 }
 
 // resolve returns the socket address of an IP number and port, or nil.
@@ -270,6 +313,9 @@
 			return sd.Unavailable.Wrap(err, "beats cannot be received")
 		}
 		if beat, ok := DecodeBeat(buffer[:n]); ok && g.take(beat) {
+			if beat.relay {
+				g.pass(conn, buffer[:n])
+			}
 			g.Heard(beat)
 		}
 	}
--- a/meterer/state_test.go
+++ b/meterer/state_test.go
@@ -1,6 +1,8 @@
 package meterer_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -240,3 +242,57 @@
 		t.Fatalf("%d of %d requests refused after the cut", refused, asked)
 	}
 }
+
+// One workspace's flood in a large fleet: 79 hosts that tell of themselves every 0.5
+// to 1.2 s, some beats lost. No window admits more than the bound.
+func TestFloodOfALargeFleetStaysWithinTheRate(t *testing.T) {
+	for _, c := range []struct{ rate, burst, demand int }{{9, 9, 4}, {20, 20, 4}, {48, 48, 4}, {48, 48, 2}, {80, 80, 4}, {100, 100, 4}, {120, 120, 4}, {150, 150, 3}, {150, 150, 4}} {
+		random := rand.New(rand.NewPCG(uint64(c.rate), 1))
+		const hosts = 79
+		states := make([]*meterer.State, hosts)
+		numbers := make([]uint64, hosts)
+		next := make([]sd.Instant, hosts)
+		for i := range states {
+			states[i] = meterer.New()
+			states[i].Configure(0, []sd.Workspace{{ID: "w", Rate: sd.Rate(c.rate), Burst: sd.Burst(c.burst)}})
+			states[i].Hosts(0, hosts, hosts)
+			next[i] = sd.Instant(random.IntN(900))
+		}
+		var admitted []sd.Instant
+		for now := sd.Instant(0); now < 30000; now += 10 {
+			for i, s := range states {
+				if now >= next[i] {
+					next[i] = now + sd.Instant(530+random.IntN(700))
+					numbers[i]++
+					counts := s.Beat(now, 3500)
+					for j, other := range states {
+						if j != i && random.IntN(20) > 0 {
+							other.Heard(now, sd.HostID(fmt.Sprint("h", i)), 1, numbers[i], counts)
+						}
+					}
+				}
+			}
+			demand := 0.5
+			if now > 8000 {
+				demand = float64(c.demand)
+			}
+			for each := demand * float64(c.rate) / 100; each > 0; each-- {
+				if random.Float64() < each && states[random.IntN(hosts)].Admit(now, "w", random.IntN(5) == 0).Admitted {
+					admitted = append(admitted, now)
+				}
+			}
+		}
+		bound := (float64(c.rate)*float64(window)/1000+float64(c.burst))*1.1 + 20
+		first, most := 0, 0
+		for i, at := range admitted {
+			for at-admitted[first] >= sd.Instant(window) {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		t.Logf("rate %d: %d in a window, bound %.0f, %d in all", c.rate, most, bound, len(admitted))
+		if float64(most) > bound {
+			t.Errorf("rate %d: %d in a window, bound %.0f", c.rate, most, bound)
+		}
+	}
+}
