archiver: a host of the zone remembers a program's turns

Now the host that a hash of the program picks in the zone is told of each turn and asked first. Texts cross as strings, not base64.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -229,6 +229,10 @@
 func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
 	if kept != nil {
 		a.remember(kept)
+		if a.peers.Client != nil {
+			// Nobody waits for that.
+			go a.keep(context.WithoutCancel(ctx), kept)
+		}
 	}
 	o := Operation{Kind: Settle, Program: program, Hold: hold, Tokens: used, Kept: kept}
 	w := a.worker(program)
--- a/archiver/copy.go
+++ b/archiver/copy.go
@@ -4,6 +4,9 @@
 	"context"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 	"sapphiredrum.example/sapphiredrum/messenger"
@@ -96,6 +99,47 @@
 	return answered
 }
 
+// keeper returns the host of the own zone that remembers a program's turns for the
+// others there, or nothing if that is this one. Callers come to any host of their
+// zone, and bytes between zones are dear.
+func (a *Archive) keeper(program Key) sd.Address {
+	best, most := a.peers.Self, keeperRank(program, a.peers.Self.Host)
+	for _, p := range a.alive() {
+		if rank := keeperRank(program, p.Host); p.Zone == a.peers.Self.Zone && !p.Leaving && rank > most {
+			best, most = p, rank
+		}
+	}
+	if best.Host == a.peers.Self.Host {
+		return ""
+	}
+	return best.Address
+}
+
+func keeperRank(program Key, host sd.HostID) uint64 {
+	return xxhash.Sum64String(string(program[:]) + "|" + string(host))
+}
+
+// keep lets the zone's keeper of a program remember a turn. If it does not, the turn
+// is read from elsewhere.
+func (a *Archive) keep(ctx context.Context, t *Turn) {
+	at := a.keeper(t.Program)
+	if at == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	if _, err := messenger.Ask[*Turn, Done](ctx, a.peers.Client, at, messageKeep, t); err != nil {
+		a.log.Info("keeper did not take a turn", zap.Int("event", eventKeeper), zap.Stringer("program", t.Program),
+			zap.String("keeper", string(at)), zap.Error(err))
+	}
+}
+
+// answerKeep remembers a turn for the hosts of the zone.
+func (a *Archive) answerKeep(_ context.Context, t *Turn) (Done, error) {
+	a.remember(t)
+	return Done{}, nil
+}
+
 // recallFrom asks one host for a turn and adds what it has to read.
 func (a *Archive) recallFrom(ctx context.Context, at sd.Address, turn Key, read map[Key]*Turn) {
 	turns, err := a.askTurns(ctx, at, turn)
--- a/archiver/fleet_test.go
+++ b/archiver/fleet_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +41,8 @@
 	gone   bool
 	// cut hosts neither hear nor are heard.
 	cut bool
+	// recalls counts the questions for turns.
+	recalls atomic.Int64
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -59,6 +63,14 @@
 			Away: f.isAway, Settled: f.settled, Client: client,
 		}, f.clock, zap.NewNop())
 		e := echo.New()
+		e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+			return func(c echo.Context) error {
+				if strings.HasSuffix(c.Path(), "/recall") {
+					m.recalls.Add(1)
+				}
+				return next(c)
+			}
+		})
 		m.Answer(e)
 		m.server = &http.Server{Handler: e}
 		go func() { _ = m.server.Serve(listener) }()
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -81,6 +81,7 @@
 	messageSettle  = "settle"
 	messageCopy    = "copy"
 	messageRecall  = "recall"
+	messageKeep    = "keep"
 )
 
 // Claim asks a host to leave a part to the sender.
@@ -112,6 +113,7 @@
 	messenger.Handle(router, messageSettle, a.answerSettle)
 	messenger.Handle(router, messageCopy, a.answerCopy)
 	messenger.Handle(router, messageRecall, a.answerRecall)
+	messenger.Handle(router, messageKeep, a.answerKeep)
 }
 
 func (a *Archive) away() bool { return a.peers.Away != nil && a.peers.Away() }
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -37,8 +37,8 @@
 	return chain, nil
 }
 
-// load finds a turn: at the host that sequences the program, in the rows of the
-// program, in all parts, at any host. Errors are Absent and Unavailable.
+// load finds a turn: at the zone's keeper of the program, at the host that sequences
+// it, in the rows of the program, in all parts, at any host. Errors are Absent and Unavailable.
 func (a *Archive) load(ctx context.Context, program, turn Key, loaded map[Key]bool, read map[Key]*Turn) error {
 	if a.away() {
 		a.recall(ctx, turn, read)
@@ -49,7 +49,10 @@
 	}
 	if !loaded[program] {
 		loaded[program] = true
-		if at := a.sequencer(program); at != "" {
+		for _, at := range []sd.Address{a.keeper(program), a.sequencer(program)} {
+			if at == "" {
+				continue
+			}
 			a.recallFrom(ctx, at, turn, read)
 			if read[turn] != nil {
 				loaded[program] = false
--- a/archiver/turn.go
+++ b/archiver/turn.go
@@ -2,8 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
+	"encoding/json"
+	"unicode/utf8"
 
 	sd "sapphiredrum.example/sapphiredrum"
 )
@@ -66,7 +69,46 @@
 	// Target is where the turn ran.
 	Target sd.TargetID
 	// Input is what the caller sent, Output the data of each event and a line feed.
-	Input, Output []byte
+	Input, Output Text
+}
+
+// Text is what was said, bytes that are nearly always UTF-8. In messages between
+// hosts it is a string then, which is shorter than base64 and compresses.
+type Text []byte
+
+// The first byte of a Text in a message.
+const (
+	plainText = 't'
+	otherText = 'b'
+)
+
+// MarshalJSON returns the text as a string.
+func (t Text) MarshalJSON() ([]byte, error) {
+	if utf8.Valid(t) {
+		return json.Marshal(string(plainText) + string(t))
+	}
+	return json.Marshal(string(otherText) + base64.StdEncoding.EncodeToString(t))
+}
+
+// UnmarshalJSON reads what MarshalJSON returned.
+func (t *Text) UnmarshalJSON(body []byte) error {
+	var coded string
+	if err := json.Unmarshal(body, &coded); err != nil {
+		return err
+	}
+	switch {
+	case coded == "":
+		*t = nil
+	case coded[0] == plainText:
+		*t = Text(coded[1:])
+	case coded[0] == otherText:
+		text, err := base64.StdEncoding.DecodeString(coded[1:])
+		*t = text
+		return err
+	default:
+		return Malformed.New("text of unknown form %q", coded[0])
+	}
+	return nil
 }
 
 // Size returns the memory that the turn takes, roughly.
