meterer: unseen admissions are estimated; programs under way may borrow

The last second's flow now stands for what is not told. They may borrow 0.3 of the allowed excess; new programs wait until it is paid back.

--- a/meterer/state.go
+++ b/meterer/state.go
@@ -7,14 +7,25 @@
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
 
+// Settings tell how far the fleet may exceed a workspace's rate: in any Window by
+// Over of what the rate admits there, and Slack requests. Zero settings allow nothing.
+type Settings struct {
+	Window sd.Millis
+	Over   float64
+	Slack  float64
+}
+
 // State is one host's view of all workspaces' buckets. It is pure; its owner
 // passes the time in, under one lock.
 type State struct {
-	buckets map[gossiper.Code]*bucket
-	peers   map[sd.HostID]*peer
+	settings Settings
+	buckets  map[gossiper.Code]*bucket
+	peers    map[sd.HostID]*peer
 	// hosts is the number of hosts that may be admitting, reach the number of those
 	// that are in reach, both with this one.
 	hosts, reach int
+	// gap is the average time between two beats of a host.
+	gap float64
 }
 
 type bucket struct {
@@ -26,8 +37,11 @@
 	admitted uint64
 	// changed is when admitted last changed.
 	changed sd.Instant
-	// drained is when a request under way was last refused.
+	// drained is when a request under way was last refused, or admitted on loan.
 	drained sd.Instant
+	// flow is what the other hosts admit, in requests a second, flowAt as of when.
+	flow   float64
+	flowAt sd.Instant
 }
 
 type peer struct {
@@ -50,8 +64,8 @@
 
 // New returns the state of a host. Its buckets start empty, as those of a
 // restarted fleet must.
-func New() *State {
-	return &State{buckets: map[gossiper.Code]*bucket{}, peers: map[sd.HostID]*peer{}, hosts: 1, reach: 1}
+func New(settings Settings) *State {
+	return &State{settings: settings, buckets: map[gossiper.Code]*bucket{}, peers: map[sd.HostID]*peer{}, hosts: 1, reach: 1}
 }
 
 // Hosts sets the number of hosts that may be admitting and of those in reach,
@@ -110,6 +124,41 @@
 // about as long as a program runs.
 const beginPause = 3 * sd.Second
 
+// flowSpan is the span over which the others' admissions are averaged: a round of
+// beats in a large fleet, so that a flood shows in it while the first beats tell.
+const flowSpan = sd.Second
+
+// unseenMost bounds the part of a bucket that is kept for admissions not yet told.
+const unseenMost = 0.5
+
+// gapSmoothing is the weight of a new gap between beats in the average.
+const gapSmoothing = 0.05
+
+// unseen estimates what the others have admitted and not yet told: half a gap's
+// worth of what they admit.
+func (s *State) unseen(now sd.Instant, b *bucket, part float64) float64 {
+	flow := b.flow * math.Exp(-float64(now.Since(b.flowAt))/float64(flowSpan))
+	return min(flow*s.gap/2/float64(sd.Second), b.capacity()*part*unseenMost)
+}
+
+// add notes what another host admitted.
+func (b *bucket) add(now sd.Instant, count float64) {
+	b.flow = b.flow*math.Exp(-float64(now.Since(b.flowAt))/float64(flowSpan)) + count*float64(sd.Second)/float64(flowSpan)
+	b.flowAt = now
+}
+
+// lent is the part of the allowed excess that requests of programs under way may
+// borrow from the workspace's next seconds; the rest is left to what the hosts do not
+// know of one another (TestFloodOfALargeFleetStaysWithinTheRate).
+const lent = 0.3
+
+// loan returns how far a bucket may go below empty for a program under way: it has
+// used its requests for nothing if it stops halfway, and new programs pay them back.
+func (s *State) loan(b *bucket, part float64) float64 {
+	window := float64(s.settings.Window) / float64(sd.Second)
+	return lent * part * (s.settings.Over*(b.rate*window+b.burst) + s.settings.Slack)
+}
+
 // Verdict tells whether a request is admitted, and what decided it.
 type Verdict struct {
 	Admitted bool
@@ -134,11 +183,15 @@
 	if begins && b.drained > 0 && now.Since(b.drained) < beginPause {
 		need = max(need, b.capacity()*part*beginReserve)
 	}
-	v := Verdict{Admitted: b.tokens >= need, Tokens: b.tokens, Need: need, Rate: sd.Rate(b.rate), Part: sd.Share(part)}
-	if !v.Admitted {
-		if !begins {
+	need += s.unseen(now, b, part)
+	if !begins {
+		if b.tokens < need {
 			b.drained = now
 		}
+		need -= s.loan(b, part)
+	}
+	v := Verdict{Admitted: b.tokens >= need, Tokens: b.tokens, Need: need, Rate: sd.Rate(b.rate), Part: sd.Share(part)}
+	if !v.Admitted {
 		v.Wait = sd.Millis((need - b.tokens) / (b.rate * part) * float64(sd.Second))
 		return v
 	}
@@ -180,6 +233,9 @@
 	if p.heard > 0 && now.Since(p.heard) > outOfReach {
 		p.admitted, p.behind = map[gossiper.Code]uint64{}, p.admitted
 	}
+	if p.heard > 0 && now.Since(p.heard) <= outOfReach {
+		s.gap += gapSmoothing * (float64(now.Since(p.heard)) - s.gap)
+	}
 	p.heard = now
 	for code, count := range counts {
 		before, known := p.admitted[code]
@@ -196,6 +252,7 @@
 		}
 		if b := s.buckets[code]; b != nil {
 			b.fill(now, s.part())
+			b.add(now, float64(int64(count-before)))
 			b.tokens = max(min(b.tokens-float64(int64(count-before)), b.capacity()), min(b.tokens, least))
 		}
 	}
--- a/starter/host.go
+++ b/starter/host.go
@@ -129,7 +129,9 @@
 		Host: settings.Host, Zone: settings.Zone, ColdOver: settings.ColdOver, ColdSlack: settings.ColdSlack,
 		Connected: h.exchanger.HasIdle,
 	}, h.clock)
-	h.meter = &meter{clock: h.clock, state: meterer.New()}
+	h.meter = &meter{clock: h.clock, state: meterer.New(meterer.Settings{
+		Window: settings.RateWindow, Over: settings.RateOver, Slack: settings.RateSlack,
+	})}
 	h.archive = archiver.New(archiver.Settings{
 		Memory: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
 	}, h.relay, archiver.Peers{
--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -85,6 +85,10 @@
 beat = 1200
 drain = 2000
 grace = 8
+[rate]
+window = 5
+over = 0.1
+slack = 20
 [cold]
 over = 1.5
 slack = 5
