--- a/meterer/state_test.go
+++ b/meterer/state_test.go
@@ -305,7 +305,12 @@
 func TestProgramsUnderWayBorrow(t *testing.T) {
 	s := meterer.New(allowed)
 	s.Configure(0, []sd.Workspace{{ID: "w", Rate: 10, Burst: 10}})
+	begun := 0
 	for s.Admit(5000, "w", true).Admitted {
+		begun++
+	}
+	if begun != 10 {
+		t.Fatalf("%d programs begun, want the burst of 10", begun)
 	}
 	if !s.Admit(5010, "w", false).Admitted {
 		t.Fatal("a program under way was refused")
