receiver: histograms by stage

Cause: request_seconds alone did not tell where a late turn's time went; the crowd's waits were found by reading logs of single requests. Now history, reserve, wait, first and settle are measured, and stand in the request's last line. Ruled out: one histogram for each stage and kind (five times the series).

--- a/receiver/measures.go
+++ b/receiver/measures.go
@@ -62,6 +62,7 @@
 		zap.Int("status", status), zap.Int64("took_ms", int64(took)), zap.String("target", string(q.target)),
 		zap.Int("tried", q.tried), zap.Int("sent", q.sent),
 	}
+	fields = append(fields, q.stageFields()...)
 	if reason == "" {
 		q.Log.Info("answered", fields...)
 		return
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -104,6 +104,7 @@
 	// tried counts the targets that it was sent to.
 	tried  int
 	target sd.TargetID
+	stages [stageCount]sd.Millis
 }
 
 // ServeHTTP serves one request.
@@ -274,7 +275,9 @@
 		if q.ask.ProgramLeft > 0 {
 			ticket.Due = q.arrived.Add(q.ask.ProgramLeft)
 		}
+		asked := q.Clock.Now()
 		err := q.Gate.Acquire(ctx, ticket)
+		q.measure(stageWait, asked)
 		if err != nil || ticket.Refused != "" {
 			reason := string(ticket.Refused)
 			if err != nil {
@@ -313,6 +316,7 @@
 		},
 	}
 	answer, err := q.Exchanger.Exchange(ctx, ticket.Address, call)
+	q.measure(stageFirst, start)
 	if err != nil {
 		if errorx.IsOfType(err, sd.Unavailable) {
 			q.Log.Warn("target not reached", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(ticket.Target)), zap.Error(err))
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -34,23 +35,25 @@
 
 // bench is one receiver between a caller and two engines and two desks.
 type bench struct {
-	t       *testing.T
-	rows    *faker.Rows
-	meter   *open
-	server  *httptest.Server
-	gate    *receiver.Gate
-	engines []*emulator.Target
-	desks   []*emulator.Target
+	t      *testing.T
+	rows   *faker.Rows
+	meter  *open
+	server *httptest.Server
+	gate   *receiver.Gate
+	// measures are the receiver's.
+	measures *receiver.Measures
+	engines  []*emulator.Target
+	desks    []*emulator.Target
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, rows: faker.NewRows(1), meter: &open{}}
+	b := &bench{t: t, rows: faker.NewRows(1), meter: &open{}, measures: receiver.NewMeasures()}
 	clock := sd.NewClock()
 	x := exchanger.New(exchanger.Settings{Clock: clock})
 	b.gate = receiver.NewGate(balancer.Settings{Host: "h", Zone: "z"}, clock)
 	archive := archiver.New(archiver.Settings{Memory: 1 << 20, Retention: sd.Minute}, b.rows, archiver.Peers{}, clock, zap.NewNop())
 	r := receiver.New(receiver.Parts{
-		Clock: clock, Log: zap.NewNop(), Meter: b.meter, Gate: b.gate, Archive: archive, Exchanger: x, Measures: receiver.NewMeasures(),
+		Clock: clock, Log: zap.NewNop(), Meter: b.meter, Gate: b.gate, Archive: archive, Exchanger: x, Measures: b.measures,
 	})
 	plan, err := platform.DecodePlan(emulator.Plan(1, 0, "k1", "k2"))
 	if err != nil {
@@ -346,3 +349,20 @@
 		t.Fatal("the inner request went on in the outer one's body")
 	}
 }
+
+// The histograms tell where a turn's time went.
+func TestStagesAreMeasured(t *testing.T) {
+	b := newBench(t)
+	for _, turn := range []struct{ id, previous string }{{"s1", ""}, {"s2", "s1"}} {
+		if status, _, whole := b.turn(turn.id, turn.previous, "said"); status != http.StatusOK || !whole {
+			t.Fatalf("turn %s: %d", turn.id, status)
+		}
+	}
+	var page strings.Builder
+	b.measures.Set.WritePrometheus(&page)
+	for stage, count := range map[string]int{"history": 1, "reserve": 2, "wait": 2, "first": 2, "settle": 2} {
+		if line := fmt.Sprintf(`stage_seconds_count{stage="%s"} %d`, stage, count); !strings.Contains(page.String(), line) {
+			t.Errorf("no %s in:\n%s", line, page.String())
+		}
+	}
+}
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -32,7 +32,9 @@
 	fresh := true
 	if q.ask.Previous != "" {
 		previous := archiver.TurnKey(q.workspace, q.ask.Previous)
+		asked := q.Clock.Now()
 		chain, err := q.Archive.Chain(ctx, program, previous)
+		q.measure(stageHistory, asked)
 		if errorx.IsOfType(err, sd.Absent) {
 			q.Log.Info("previous turn is not kept", zap.Int("event", eventTurn), q.id(), zap.String("previous", string(q.ask.Previous)))
 			q.Meter.Return(q.workspace)
@@ -53,7 +55,9 @@
 	if !q.ask.Budgeted {
 		budget = unbounded
 	}
+	asked := q.Clock.Now()
 	hold, err := q.Archive.Reserve(ctx, program, key, q.ask.Limit, budget, fresh)
+	q.measure(stageReserve, asked)
 	if err != nil {
 		if errorx.IsOfType(err, archiver.Exhausted) {
 			q.Log.Info("budget does not hold the turn", zap.Int("event", eventTurn), q.id(), zap.Error(err))
@@ -75,7 +79,10 @@
 			return false
 		}
 		kept.Target, kept.Output = q.target, s.output
-		if err := q.Archive.Settle(ctx, program, hold, used, kept); err != nil {
+		ended := q.Clock.Now()
+		err := q.Archive.Settle(ctx, program, hold, used, kept)
+		q.measure(stageSettle, ended)
+		if err != nil {
 			q.Log.Warn("turn is not kept", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			return false
 		}
