--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,3 +184,46 @@
 		}
 	}
 }
+
+// Outage of the store at a large fleet: what a host has found out is told at once,
+// not with the next beat a second later.
+func TestNewsAreToldAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reaches atomic.Bool
+	reaches.Store(true)
+	g := &Gossiper{
+		Self: Peer{Host: "self", Zone: "z", Incarnation: 1, Address: "127.0.0.1:0"}, Clock: sd.NewClock(), Log: zap.NewNop(),
+		Fill: func(b *Beat) { b.Reaches = reaches.Load() }, Heard: func(Beat) {},
+	}
+	for i := range 300 {
+		// Nobody listens at the others' addresses.
+		g.Set(Peer{Host: sd.HostID(fmt.Sprint("h", i)), Zone: "z", Incarnation: 1, Address: "no address"})
+	}
+	g.Set(Peer{Host: "other", Zone: "z", Incarnation: 1, Address: sd.Address(listener.LocalAddr().String())})
+	ends := make(chan error, 1)
+	go func() { ends <- g.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ends
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	reaches.Store(false)
+	g.Hasten()
+	if err := listener.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, datagramBytes)
+	n, _, err := listener.ReadFrom(buffer)
+	if err != nil {
+		t.Fatalf("nothing heard in a second, beats are sent every %d ms: %v", g.Interval(), err)
+	}
+	if beat, ok := DecodeBeat(buffer[:n]); !ok || beat.Reaches {
+		t.Fatalf("beat %+v", beat)
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -71,6 +71,7 @@
 	peers map[sd.HostID]*state
 	// addresses are those of the peers, resolved.
 	addresses map[sd.Address]*net.UDPAddr
+	hasten    chan struct{}
 }
 
 type state struct {
@@ -195,6 +196,23 @@
 	return quiet
 }
 
+// Hasten has the next beat sent at once, as it tells something new.
+func (g *Gossiper) Hasten() {
+	select {
+	case g.hastened() <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gossiper) hastened() chan struct{} {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.hasten == nil {
+		g.hasten = make(chan struct{}, 1)
+	}
+	return g.hasten
+}
+
 // Run sends and receives beats until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", string(g.Self.Address))
@@ -209,6 +227,16 @@
 		// seem silent between the rounds.
 		timer := time.NewTimer(time.Duration((jitterLeast + rand.Float64()*jitterSpan) * float64(g.Interval().Duration())))
 		select {
+		case <-g.hastened():
+			// All hosts may have the same to tell, which also bounds how often they do.
+			timer.Stop()
+			timer = time.NewTimer(time.Duration(rand.Float64() * float64(shortest.Duration())))
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+				number++
+				g.send(conn, number)
+			}
 		case <-ctx.Done():
 			timer.Stop()
 			_ = conn.Close()
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -53,6 +53,8 @@
 	client *messenger.Client
 	// Relayed is told of each call that a peer made.
 	Relayed func()
+	// Changed is told when this host has lost the store or reaches it again.
+	Changed func()
 
 	lock     sync.Mutex
 	failures int
@@ -288,6 +290,12 @@
 	return !r.Reaches() && len(r.peers(true)) == 0
 }
 
+func (r *Relay) changed() {
+	if r.Changed != nil {
+		r.Changed()
+	}
+}
+
 // note takes the outcome of a direct call, and as how many failures one counts.
 func (r *Relay) note(err error, took sd.Millis, weight int) {
 	now := r.clock.Now()
@@ -297,6 +305,7 @@
 		r.failures, r.refused = 0, 0
 		if r.lost {
 			r.lost, r.backAt = false, now
+			r.changed()
 			r.log.Info("store is reached again", zap.Int("event", eventStoreBack), zap.Int64("lost_ms", int64(now.Since(r.lostAt))))
 		}
 		return
@@ -315,6 +324,7 @@
 	r.failures += weight
 	if !r.lost && r.failures >= lostAfter {
 		r.lost, r.lostAt, r.probed = true, now, now
+		r.changed()
 		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures),
 			zap.Int64("took_ms", int64(took)), zap.Error(err))
 	}
