relayer: one refusal, or a peer's word, is enough to look for oneself

Ruled out: fewer refusals (a crowd would count as an outage: TestCrowdIsNotDoubled). TestARefusingStoreIsKnownSoon fails on the code before.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -64,8 +64,10 @@
 	Fill func(*Beat)
 	// Heard is told of each beat received.
 	Heard func(Beat)
-	Clock sd.Clock
-	Log   *zap.Logger
+	// Troubled, if set, is told when a peer no longer reaches the store.
+	Troubled func()
+	Clock    sd.Clock
+	Log      *zap.Logger
 
 	lock  sync.Mutex
 	peers map[sd.HostID]*state
@@ -358,6 +360,9 @@
 	if p == nil || p.Incarnation != beat.Incarnation || p.number >= beat.Number {
 		return false
 	}
+	if p.reaches && !beat.Reaches && g.Troubled != nil {
+		g.Troubled()
+	}
 	p.number, p.reaches, p.heard, p.Leaving = beat.Number, beat.Reaches, g.Clock.Now(), beat.Leaving
 	if p.lost {
 		p.lost = false
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -35,6 +35,9 @@
 	// that has too much to do: the latter answers some calls in between.
 	refusedCalls = 6
 	refusedFor   = 200 * sd.Millisecond
+	// probeAgain is the pause between the probes of a store that refuses: as many as tell
+	// that it turns this host away fit into refusedFor.
+	probeAgain = 45 * sd.Millisecond
 	// probeEvery is how often a lost store is tried again.
 	probeEvery = 300 * sd.Millisecond
 )
@@ -272,13 +275,30 @@
 	go r.probe()
 }
 
-// probe reads no row from the store itself. Its word alone decides.
+// Suspect looks at once whether this host reaches the store: a peer has just lost
+// it, or the store has refused a call.
+func (r *Relay) Suspect() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if !r.lost {
+		r.look(r.clock.Now())
+	}
+}
+
+// probe reads no row from the store itself until it is told an answer or has lost the
+// store. Its word alone decides.
 func (r *Relay) probe() {
-	ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter.Duration())
-	defer cancel()
-	start := r.clock.Now()
-	_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
-	r.note(err, r.clock.Now().Since(start), lostAfter)
+	for range refusedCalls {
+		ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter.Duration())
+		start := r.clock.Now()
+		_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
+		cancel()
+		r.note(err, r.clock.Now().Since(start), lostAfter)
+		if !errorx.IsOfType(err, sd.Crowded) || !r.Reaches() {
+			break
+		}
+		time.Sleep(probeAgain.Duration())
+	}
 	r.lock.Lock()
 	r.probing = false
 	r.lock.Unlock()
@@ -317,6 +337,9 @@
 			r.refusedAt = now
 		}
 		r.refused++
+		if !r.lost {
+			r.look(now)
+		}
 		if r.refused < refusedCalls || now.Since(r.refusedAt) < refusedFor {
 			return
 		}
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -177,3 +177,25 @@
 		t.Fatal(err)
 	}
 }
+
+// Outage of the store at a large fleet, where a host asks it a few times a second:
+// one refusal, or a peer's word, is enough to look, and 0.5 s to know.
+func TestARefusingStoreIsKnownSoon(t *testing.T) {
+	for name, hint := range map[string]func(r *relayer.Relay){
+		"refusal":       func(r *relayer.Relay) { _, _ = r.Commit(context.Background(), put("a")) },
+		"a peer's word": func(r *relayer.Relay) { r.Suspect() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, mine, _ := pair(t)
+			mine.set(faker.RowsTrouble{Crowded: true})
+			hint(r)
+			for range 25 {
+				if !r.Reaches() {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			t.Fatal("not known after 0.5 s")
+		})
+	}
+}
