archiver: claims decide until the store has settled, for all hosts

A claim that was agreed to by 44 of 79 hosts as the store came back bound only these; the others reserved by the store's row, in which what ran meanwhile was not yet written. Ruled out: two holders of a part (the log shows one each); the shorter liveness of hosts in silent zones (no zone was silent then). Hosts that see the store come back at different times still overlap by that difference; not seen broken.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -167,7 +167,7 @@
 // reserve takes a turn's most by this host's own lane or claim. It returns the
 // key of the reservation.
 func (a *Archive) reserve(ctx context.Context, order Placement) (Key, error) {
-	if a.away() || a.claimed(order.Program) {
+	if a.away() || a.claimed(order.Program) || a.unsettled() {
 		return order.Hold, a.reserveAway(ctx, order)
 	}
 	operation := &Operation{Kind: Reserve, Program: order.Program, Hold: order.Hold, Tokens: order.Limit, Budget: order.Budget}
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 
 	"github.com/joomcode/errorx"
@@ -118,6 +119,13 @@
 
 func (a *Archive) away() bool { return a.peers.Away != nil && a.peers.Away() }
 
+// unsettled reports whether the store has just come back. What ran without it may have
+// yet to be written, so the holders of claims decide for a while, also for hosts that
+// were not asked for the claim.
+func (a *Archive) unsettled() bool {
+	return a.peers.Settled != nil && a.peers.Settled() < claimsSettle
+}
+
 func (a *Archive) alive() []gossiper.Peer {
 	if a.peers.Alive == nil {
 		return nil
@@ -215,6 +223,11 @@
 	w.claim = nil
 	a.release(w.lane.Part)
 	if c.holder != "" {
+		for _, p := range a.alive() {
+			if p.Address == c.holder && w.fence == nil {
+				w.fence = &fence{holder: p}
+			}
+		}
 		return nil, c.holder, nil
 	}
 	return nil, "", sd.Unavailable.New("%d of %d hosts agreed to the claim", agreed+1, a.peers.Hosts())
@@ -336,6 +349,9 @@
 		}
 		return err
 	}
+	if err := a.refresh(ctx, w, request.Program); err != nil {
+		return err
+	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	s, known := w.project(request.Program, c)
@@ -356,6 +372,17 @@
 	return nil
 }
 
+// refresh reads an account that this host has not seen, if the store is back.
+func (a *Archive) refresh(ctx context.Context, w *worker, program Key) error {
+	w.lock.Lock()
+	row := w.lane.rows[program]
+	w.lock.Unlock()
+	if a.away() || (row != nil && row.version > 0) {
+		return nil
+	}
+	return a.read(ctx, program, map[Key]*Turn{})
+}
+
 // close ends a turn that ran without a reservation in the store.
 func (w *worker) close(program, hold Key) {
 	if c := w.claim; c != nil {
@@ -363,6 +390,18 @@
 	}
 }
 
+// book has the turns that still run without a reservation in the store reserved there.
+func (w *worker) book() {
+	for program, open := range w.claim.open {
+		for _, r := range open {
+			o := &Operation{Kind: Reserve, Program: program, Hold: r.Hold, Tokens: r.Limit, Budget: math.MaxInt64}
+			w.lane.Add(o)
+			// A reservation that nobody waits for would be given back.
+			w.waiters[o] = make(chan error, 1)
+		}
+	}
+}
+
 // oversee ends claims and fences once the store is back for a while, and writes
 // the copies of peers that have not done so.
 func (a *Archive) oversee(ctx context.Context) {
@@ -374,9 +413,11 @@
 			w.lock.Lock()
 			w.fence, w.learned = nil, nil
 			if w.claim != nil && w.claim.held {
+				w.book()
 				w.claim = nil
 			}
 			w.lock.Unlock()
+			w.signal()
 		}
 		if a.peers.Settled() < copiesSettle {
 			continue
