archiver: after an outage hosts ask who holds a claim, and claim nothing

Cause: the commit before had any host whose own way to the store was back for less than 1.5 s claim a part, also one that had just started or had been turned away alone; others then left the part to it while some still used the store. Now only a host that saw the store away for all, in the last 1.5 s, asks the others who holds the part, once, and goes to the store if nobody does. Ruled out: claiming as before with a shorter time (the same hole, smaller). Before and after: TestBudgetHoldsAsTheStoreComesBack fails without it and holds with it, as do the archiver's other tests under the race detector.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -50,6 +51,8 @@
 	copies   []copied
 
 	suspects suspects
+	// awayAt is when the store was last seen to be away.
+	awayAt atomic.Int64
 }
 
 // worker runs one Lane.
@@ -61,6 +64,9 @@
 
 	claim *claim
 	fence *fence
+	// lookedAt is when the others were last asked who holds the claim, under look.
+	look     sync.Mutex
+	lookedAt sd.Instant
 	// learned are accounts as the holders of claims know them.
 	learned map[Key]Snapshot
 	// placed are reservations that another host has made for this one.
@@ -84,18 +90,25 @@
 
 // Run sends transactions until ctx ends, and waits for those under way.
 func (a *Archive) Run(ctx context.Context) error {
-	ends := make(chan struct{}, Parts+1)
+	ends := make(chan struct{}, Parts+2)
 	go func() {
 		a.oversee(ctx)
 		ends <- struct{}{}
 	}()
+	go func() {
+		// An idle host takes note of an outage too.
+		for sleep(ctx, lookEvery) {
+			a.away()
+		}
+		ends <- struct{}{}
+	}()
 	for _, w := range a.lanes {
 		go func() {
 			a.work(ctx, w)
 			ends <- struct{}{}
 		}()
 	}
-	for range Parts + 1 {
+	for range Parts + 2 {
 		<-ends
 	}
 	return ctx.Err()
@@ -167,7 +180,7 @@
 // reserve takes a turn's most by this host's own lane or claim. It returns the
 // key of the reservation.
 func (a *Archive) reserve(ctx context.Context, order Placement) (Key, error) {
-	if a.away() || a.claimed(order.Program) || a.unsettled() {
+	if a.away() || a.claimed(order.Program) || a.heldElsewhere(ctx, order.Program) {
 		return order.Hold, a.reserveAway(ctx, order)
 	}
 	operation := &Operation{Kind: Reserve, Program: order.Program, Hold: order.Hold, Tokens: order.Limit, Budget: order.Budget}
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -89,6 +89,8 @@
 type Claim struct {
 	From gossiper.Peer
 	Part string
+	// Look only asks who has the part.
+	Look bool
 }
 
 // Claimed is the answer to a Claim.
@@ -117,13 +119,47 @@
 	messenger.Handle(router, messageKeep, a.answerKeep)
 }
 
-func (a *Archive) away() bool { return a.peers.Away != nil && a.peers.Away() }
+func (a *Archive) away() bool {
+	away := a.peers.Away != nil && a.peers.Away()
+	if away {
+		a.awayAt.Store(int64(a.clock.Now()))
+	}
+	return away
+}
+
+// heldElsewhere reports whether another host holds the claim on a program's part as
+// the store has just come back. What ran without it may have yet to be written, so
+// the holder decides for a while, also for hosts that were not asked for the claim.
+func (a *Archive) heldElsewhere(ctx context.Context, program Key) bool {
+	awayAt, now := sd.Instant(a.awayAt.Load()), a.clock.Now()
+	if awayAt == 0 || now.Since(awayAt) > claimsSettle {
+		return false
+	}
+	w := a.worker(program)
+	w.look.Lock()
+	defer w.look.Unlock()
+	if w.lookedAt > awayAt {
+		return a.claimed(program)
+	}
+	w.lookedAt = now
+	_, holder := a.collect(context.WithoutCancel(ctx), Claim{From: a.peers.Self, Part: w.lane.Part, Look: true}, nil)
+	return a.learnHolder(w, holder)
+}
 
-// unsettled reports whether the store has just come back. What ran without it may have
-// yet to be written, so the holders of claims decide for a while, also for hosts that
-// were not asked for the claim.
-func (a *Archive) unsettled() bool {
-	return a.peers.Settled != nil && a.peers.Settled() < claimsSettle
+// learnHolder leaves a part to the host at an address. It reports whether one was
+// found.
+func (a *Archive) learnHolder(w *worker, holder sd.Address) bool {
+	for _, p := range a.alive() {
+		if p.Address == holder {
+			w.lock.Lock()
+			defer w.lock.Unlock()
+			if w.fence == nil {
+				w.fence = &fence{holder: p}
+			}
+			return true
+		}
+	}
+	return false
 }
 
 func (a *Archive) alive() []gossiper.Peer {
@@ -158,6 +194,9 @@
 	if w.fence != nil && !same(w.fence.holder, request.From) && a.lives(w.fence.holder) {
 		return Claimed{Denied: true, Holder: w.fence.holder.Address}, nil
 	}
+	if request.Look {
+		return Claimed{Denied: true}, nil
+	}
 	w.fence = &fence{holder: request.From}
 	answer := Claimed{Operations: append(w.lane.Operations(), a.copiesOf(request.Part)...), Accounts: map[Key]Snapshot{}}
 	for program, row := range w.lane.rows {
@@ -206,7 +245,7 @@
 	w.lock.Unlock()
 
 	// Others wait for the outcome too, so it does not end with this request.
-	agreed, holder := a.collect(context.WithoutCancel(ctx), w.lane.Part, c)
+	agreed, holder := a.collect(context.WithoutCancel(ctx), Claim{From: a.peers.Self, Part: w.lane.Part}, c)
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	defer close(c.ready)
@@ -223,11 +262,6 @@
 	w.claim = nil
 	a.release(w.lane.Part)
 	if c.holder != "" {
-		for _, p := range a.alive() {
-			if p.Address == c.holder && w.fence == nil {
-				w.fence = &fence{holder: p}
-			}
-		}
 		return nil, c.holder, nil
 	}
 	return nil, "", sd.Unavailable.New("%d of %d hosts agreed to the claim", agreed+1, a.peers.Hosts())
@@ -240,7 +274,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
 			defer cancel()
-			if _, err := messenger.Ask[Claim, Done](ctx, a.peers.Client, p.Address, messageRelease, Claim{a.peers.Self, part}); err != nil {
+			if _, err := messenger.Ask[Claim, Done](ctx, a.peers.Client, p.Address, messageRelease, Claim{From: a.peers.Self, Part: part}); err != nil {
 				a.log.Info("release of a part was not heard", zap.Int("event", eventClaim), zap.String("part", part),
 					zap.String("peer", string(p.Host)), zap.Error(err))
 			}
@@ -262,9 +296,9 @@
 	return Done{}, nil
 }
 
-// collect asks all hosts in reach. It returns how many agreed, and a host that
-// others have agreed with instead.
-func (a *Archive) collect(ctx context.Context, part string, c *claim) (agreed int, holder sd.Address) {
+// collect asks all hosts in reach, and adds what those that agree know to c. It returns
+// how many agreed, and a host that others have agreed with instead.
+func (a *Archive) collect(ctx context.Context, request Claim, c *claim) (agreed int, holder sd.Address) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Duration())
 	defer cancel()
 	type reply struct {
@@ -275,7 +309,7 @@
 	replies := make(chan reply, len(peers))
 	for _, p := range peers {
 		go func() {
-			answer, err := messenger.Ask[Claim, Claimed](ctx, a.peers.Client, p.Address, messageClaim, Claim{a.peers.Self, part})
+			answer, err := messenger.Ask[Claim, Claimed](ctx, a.peers.Client, p.Address, messageClaim, request)
 			replies <- reply{answer, err}
 		}()
 	}
--- a/archiver/settle_test.go
+++ b/archiver/settle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -40,6 +41,8 @@
 		f.must(f.turn(0, p, fmt.Sprint("t", i+1), fmt.Sprint("t", i)))
 	}
 	f.must(f.turn(0, p, "t5", "t4"))
+	// The idle host sees the outage.
+	time.Sleep(150 * time.Millisecond)
 	f.lock.Lock()
 	f.hosts[3].cut, f.hosts[4].cut = false, false
 	f.lock.Unlock()
