--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -244,7 +244,7 @@
 		a.remember(kept)
 		if a.peers.Client != nil {
 			// Nobody waits for that.
-			go a.keep(context.WithoutCancel(ctx), kept)
+			go a.shareTurn(context.WithoutCancel(ctx), kept)
 		}
 	}
 	o := Operation{Kind: Settle, Program: program, Hold: hold, Tokens: used, Kept: kept}
--- a/archiver/keeper_test.go
+++ b/archiver/cacher_test.go
@@ -30,7 +30,7 @@
 		id := fmt.Sprint(program, "-t", i)
 		f.must(f.turn(2*(i%3), program, id, previous))
 		previous = id
-		// The keeper gets a turn while its caller takes a breath.
+		// The cacher gets a turn while its caller takes a breath.
 		time.Sleep(30 * time.Millisecond)
 	}
 	for _, m := range f.hosts {
--- a/archiver/copy.go
+++ b/archiver/copy.go
@@ -99,13 +99,13 @@
 	return answered
 }
 
-// keeper returns the host of the own zone that remembers a program's turns for the
+// cacher returns the host of the own zone that caches a program's turns for the
 // others there, or nothing if that is this one. Callers come to any host of their
 // zone, and bytes between zones are dear.
-func (a *Archive) keeper(program Key) sd.Address {
-	best, most := a.peers.Self, keeperRank(program, a.peers.Self.Host)
+func (a *Archive) cacher(program Key) sd.Address {
+	best, most := a.peers.Self, cacherRank(program, a.peers.Self.Host)
 	for _, p := range a.alive() {
-		if rank := keeperRank(program, p.Host); p.Zone == a.peers.Self.Zone && !p.Leaving && rank > most {
+		if rank := cacherRank(program, p.Host); p.Zone == a.peers.Self.Zone && !p.Leaving && rank > most {
 			best, most = p, rank
 		}
 	}
@@ -115,27 +115,27 @@
 	return best.Address
 }
 
-func keeperRank(program Key, host sd.HostID) uint64 {
+func cacherRank(program Key, host sd.HostID) uint64 {
 	return xxhash.Sum64String(string(program[:]) + "|" + string(host))
 }
 
-// keep lets the zone's keeper of a program remember a turn. If it does not, the turn
+// shareTurn has the zone's cacher of a program take a turn. If it does not, the turn
 // is read from elsewhere.
-func (a *Archive) keep(ctx context.Context, t *Turn) {
-	at := a.keeper(t.Program)
+func (a *Archive) shareTurn(ctx context.Context, t *Turn) {
+	at := a.cacher(t.Program)
 	if at == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
-	if _, err := messenger.Ask[*Turn, Done](ctx, a.peers.Client, at, messageKeep, t); err != nil {
-		a.log.Info("keeper did not take a turn", zap.Int("event", eventKeeper), zap.Stringer("program", t.Program),
-			zap.String("keeper", string(at)), zap.Error(err))
+	if _, err := messenger.Ask[*Turn, Done](ctx, a.peers.Client, at, messageCache, t); err != nil {
+		a.log.Info("turn is not cached for the zone", zap.Int("event", eventCacher), zap.Stringer("program", t.Program),
+			zap.String("cacher", string(at)), zap.Error(err))
 	}
 }
 
-// answerKeep remembers a turn for the hosts of the zone.
-func (a *Archive) answerKeep(_ context.Context, t *Turn) (Done, error) {
+// answerCache takes a turn for the hosts of the zone.
+func (a *Archive) answerCache(_ context.Context, t *Turn) (Done, error) {
 	a.remember(t)
 	return Done{}, nil
 }
--- a/archiver/events.go
+++ b/archiver/events.go
@@ -6,5 +6,5 @@
 	eventClaim     = 602
 	eventCopies    = 603
 	eventSequencer = 604
-	eventKeeper    = 605
+	eventCacher    = 605
 )
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -82,7 +82,7 @@
 	messageSettle  = "settle"
 	messageCopy    = "copy"
 	messageRecall  = "recall"
-	messageKeep    = "keep"
+	messageCache   = "cache"
 )
 
 // Claim asks a host to leave a part to the sender.
@@ -116,7 +116,7 @@
 	messenger.Handle(router, messageSettle, a.answerSettle)
 	messenger.Handle(router, messageCopy, a.answerCopy)
 	messenger.Handle(router, messageRecall, a.answerRecall)
-	messenger.Handle(router, messageKeep, a.answerKeep)
+	messenger.Handle(router, messageCache, a.answerCache)
 }
 
 func (a *Archive) away() bool {
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -37,7 +37,7 @@
 	return chain, nil
 }
 
-// load finds a turn: at the zone's keeper of the program, at the host that sequences
+// load finds a turn: at the zone's cacher of the program, at the host that sequences
 // it, in the rows of the program, in all parts, at any host. Errors are Absent and Unavailable.
 func (a *Archive) load(ctx context.Context, program, turn Key, loaded map[Key]bool, read map[Key]*Turn) error {
 	if a.away() {
@@ -49,7 +49,7 @@
 	}
 	if !loaded[program] {
 		loaded[program] = true
-		for _, at := range []sd.Address{a.keeper(program), a.sequencer(program)} {
+		for _, at := range []sd.Address{a.cacher(program), a.sequencer(program)} {
 			if at == "" {
 				continue
 			}
