archiver, receiver: tell what holds a turn when its end is passed on

The log did not tell whether such a turn lay in the store or in the memory of a peer when its end was passed on, nor what a host had asked before it answered 404. No logic changes.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -40,6 +40,7 @@
 	peers    Peers
 	clock    sd.Clock
 	log      *zap.Logger
+	started  sd.Instant
 	// Committed is told how long each transaction took, and its error.
 	Committed func(took sd.Millis, err error)
 
@@ -76,7 +77,7 @@
 // New returns an Archive; Run must be running for its operations to end.
 func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
-		settings: settings, store: store, peers: peers, clock: clock, log: log,
+		settings: settings, store: store, peers: peers, clock: clock, log: log, started: clock.Now(),
 		cache: Cache{Bytes: int(settings.Memory), Retention: settings.Retention},
 	}
 	for i, part := range AllParts() {
@@ -235,11 +236,22 @@
 	return w.claim != nil || (w.fence != nil && a.lives(w.fence.holder))
 }
 
+// Medium is what holds a turn when its end is passed on.
+type Medium string
+
+// The media, in order of what they outlive.
+const (
+	// InStore turns outlive the loss of all hosts.
+	InStore Medium = "store"
+	// InMemory turns are copied to a peer and outlive the loss of one host.
+	InMemory Medium = "memory"
+)
+
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
-// store or nil. It returns nil once the store has it or, while the store is away,
-// a peer holds a copy. Otherwise the error is Unavailable when ctx ends; the work
-// goes on all the same.
-func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
+// store or nil. It returns what holds the turn once the store has it or, while the
+// store is away, a peer has a copy. Otherwise the error is Unavailable when ctx ends;
+// the work goes on all the same.
+func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) (Medium, error) {
 	if kept != nil {
 		a.remember(kept)
 		if a.peers.Client != nil {
@@ -255,13 +267,13 @@
 	w.lock.Unlock()
 	if placed && !a.suspects.has(a.clock.Now(), at) {
 		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
-		known, err := messenger.Ask[Operation, Snapshot](asked, a.peers.Client, at, messageSettle, o)
+		known, err := messenger.Ask[Operation, Settled](asked, a.peers.Client, at, messageSettle, o)
 		cancel()
 		if err == nil {
 			w.lock.Lock()
-			w.learn(a.clock.Now(), program, known)
+			w.learn(a.clock.Now(), program, known.Snapshot)
 			w.lock.Unlock()
-			return nil
+			return known.Medium, nil
 		}
 		a.suspects.add(a.clock.Now(), at)
 		a.log.Warn("sequencer did not settle a turn", zap.Int("event", eventSequencer), zap.Stringer("program", program),
@@ -271,7 +283,7 @@
 }
 
 // settle ends a turn by this host's own lane.
-func (a *Archive) settle(ctx context.Context, o Operation) error {
+func (a *Archive) settle(ctx context.Context, o Operation) (Medium, error) {
 	w := a.worker(o.Program)
 	w.lock.Lock()
 	w.close(o.Program, o.Hold)
@@ -283,15 +295,15 @@
 	for {
 		if a.away() {
 			if err := a.copyOut(ctx, o); err == nil {
-				return nil
+				return InMemory, nil
 			}
 		}
 		select {
 		case err := <-done:
-			return err
+			return InStore, err
 		case <-look.C:
 		case <-ctx.Done():
-			return sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
+			return "", sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
 		}
 	}
 }
--- a/archiver/fleet_test.go
+++ b/archiver/fleet_test.go
@@ -158,7 +158,8 @@
 	if err != nil {
 		return err
 	}
-	return m.Settle(ctx, p, hold, 50, t)
+	_, err = m.Settle(ctx, p, hold, 50, t)
+	return err
 }
 
 func (f *fleet) must(err error) {
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -59,6 +59,12 @@
 	Version uint64
 }
 
+// Settled is the answer to an Operation that ends a turn.
+type Settled struct {
+	Medium Medium
+	Snapshot
+}
+
 // suspects are hosts that did not answer lately.
 type suspects struct {
 	lock  sync.Mutex
@@ -180,12 +186,12 @@
 }
 
 // answerSettle settles a turn for another host.
-func (a *Archive) answerSettle(ctx context.Context, o Operation) (Snapshot, error) {
+func (a *Archive) answerSettle(ctx context.Context, o Operation) (Settled, error) {
 	if o.Kept != nil {
 		a.remember(o.Kept)
 	}
-	err := a.settle(ctx, o)
-	return a.snapshot(o.Program), err
+	medium, err := a.settle(ctx, o)
+	return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
 }
 
 // snapshot returns what this host knows of an account.
--- a/archiver/settle_test.go
+++ b/archiver/settle_test.go
@@ -70,6 +70,7 @@
 		return got
 	}
 	f.eventually("the open turn is in the store", func() bool { a := account(); return a.Reserved() == 100 })
-	f.must(f.hosts[0].Settle(t.Context(), program, hold, 40, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")}))
+	_, err = f.hosts[0].Settle(t.Context(), program, hold, 40, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
+	f.must(err)
 	f.eventually("it is charged", func() bool { a := account(); return a.Reserved() == 0 && a.Spent == 90 })
 }
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -36,7 +36,7 @@
 		chain, err := q.Archive.Chain(ctx, program, previous)
 		q.measure(stageHistory, asked)
 		if errorx.IsOfType(err, sd.Absent) {
-			q.Log.Info("previous turn is not kept", zap.Int("event", eventTurn), q.id(), zap.String("previous", string(q.ask.Previous)))
+			q.Log.Info("previous turn is not kept", zap.Int("event", eventTurn), q.id(), zap.String("previous", string(q.ask.Previous)), zap.Error(err))
 			q.Meter.Return(q.workspace)
 			q.refuse(http.StatusNotFound, "no such turn", 0)
 			return
@@ -80,12 +80,14 @@
 		}
 		kept.Target, kept.Output = q.target, s.output
 		ended := q.Clock.Now()
-		err := q.Archive.Settle(ctx, program, hold, used, kept)
+		medium, err := q.Archive.Settle(ctx, program, hold, used, kept)
 		q.measure(stageSettle, ended)
 		if err != nil {
 			q.Log.Warn("turn is not kept", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			return false
 		}
+		q.kept = medium
+		q.Measures.kept(medium)
 		return true
 	}
 	defer func() {
@@ -101,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
 	go func() {
 		defer cancel()
-		if err := q.Archive.Settle(ctx, program, hold, used, nil); err != nil {
+		if _, err := q.Archive.Settle(ctx, program, hold, used, nil); err != nil {
 			q.Log.Info("account of a failed turn is not written yet", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 		}
 	}()
