--- a/archiver/fleet_test.go
+++ b/archiver/fleet_test.go
@@ -30,6 +30,9 @@
 	away  bool
 	back  sd.Instant
 	clock sd.Clock
+	// started counts the starts of hosts.
+	started int
+	client  *messenger.Client
 }
 
 type member struct {
@@ -46,21 +49,32 @@
 }
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, rows: faker.NewRows(1), clock: sd.NewClock()}
-	client := messenger.NewClient(nil)
+	f := &fleet{t: t, rows: faker.NewRows(1), clock: sd.NewClock(), client: messenger.NewClient(nil)}
+	f.start(n)
+	t.Cleanup(func() {
+		f.powerOff()
+		f.client.Close()
+	})
+	return f
+}
+
+// start adds n hosts that know nothing.
+func (f *fleet) start(n int) {
+	f.t.Helper()
 	for i := range n {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
+		f.started++
 		m := &member{ended: make(chan struct{})}
 		m.peer = gossiper.Peer{
 			Host: sd.HostID(string(rune('a' + i))), Zone: sd.ZoneName([]string{"z1", "z2"}[i%2]),
-			Address: sd.Address(listener.Addr().String()), Incarnation: sd.Incarnation(i + 1), Power: 1,
+			Address: sd.Address(listener.Addr().String()), Incarnation: sd.Incarnation(f.started), Power: 1,
 		}
 		m.Archive = archiver.New(archiver.Settings{Memory: 1 << 20, Retention: sd.Minute}, f.rows, archiver.Peers{
 			Self: m.peer, Alive: func() []gossiper.Peer { return f.alive(m) }, Hosts: func() int { return n },
-			Away: f.isAway, Settled: f.settled, Client: client,
+			Away: f.isAway, Settled: f.settled, Client: f.client,
 		}, f.clock, zap.NewNop())
 		e := echo.New()
 		e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
@@ -74,21 +88,42 @@
 		m.Answer(e)
 		m.server = &http.Server{Handler: e}
 		go func() { _ = m.server.Serve(listener) }()
-		ctx, stop := context.WithCancel(t.Context())
+		ctx, stop := context.WithCancel(f.t.Context())
 		m.stop = stop
 		go func() {
 			_ = m.Run(ctx)
 			close(m.ended)
 		}()
+		f.lock.Lock()
 		f.hosts = append(f.hosts, m)
+		f.lock.Unlock()
 	}
-	t.Cleanup(func() {
-		for i := range f.hosts {
+}
+
+// powerOff ends all hosts at the same moment.
+func (f *fleet) powerOff() {
+	f.lock.Lock()
+	n := len(f.hosts)
+	f.lock.Unlock()
+	var ends sync.WaitGroup
+	for i := range n {
+		ends.Add(1)
+		go func() {
+			defer ends.Done()
 			f.kill(i)
-		}
-		client.Close()
-	})
-	return f
+		}()
+	}
+	ends.Wait()
+}
+
+// powerOn starts all hosts anew, without what they knew.
+func (f *fleet) powerOn() {
+	f.t.Helper()
+	f.lock.Lock()
+	n := len(f.hosts)
+	f.hosts = nil
+	f.lock.Unlock()
+	f.start(n)
 }
 
 func (f *fleet) alive(of *member) []gossiper.Peer {
