archiver: a turn ends once the store has it

Cause: while no host reached the store, a copy in one peer's memory was enough to pass a turn's end on. Hosts keep nothing on disk, so such a copy does not outlive a power loss of all of them. Class of fault: memory of hosts taken for durable.

TestEndedTurnsOutliveAllHosts failed on the code before and passes now.

Now the end waits for the store's acknowledgement, or the answer is broken off at its deadline. Copies at peers had no other purpose and are gone.

Ruled out: two or more copies, copies in all zones (all hosts may lose power); a 404 said too early (the rows are not in the store); 503 in place of 404 (the turn would still reach no target).

Tests: three demanded that turns end while the store is away, which is the fault. They now demand that none does, that all end once it is back, and that each is charged once (TestTurnsEndOnceTheStoreIsBack, TestAnAccountOutlivesItsSequencer, TestHostThroughAnOutage).

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -48,9 +48,6 @@
 	cacheLock sync.Mutex
 	cache     Cache
 
-	copyLock sync.Mutex
-	copies   []copied
-
 	suspects suspects
 	// awayAt is when the store was last seen to be away.
 	awayAt atomic.Int64
@@ -239,18 +236,16 @@
 // Medium is what holds a turn when its end is passed on.
 type Medium string
 
-// The media, in order of what they outlive.
+// The media.
 const (
 	// InStore turns outlive the loss of all hosts.
 	InStore Medium = "store"
-	// InMemory turns are copied to a peer and outlive the loss of one host.
-	InMemory Medium = "memory"
 )
 
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
-// store or nil. It returns what holds the turn once the store has it or, while the
-// store is away, a peer has a copy. Otherwise the error is Unavailable when ctx ends;
-// the work goes on all the same.
+// store or nil. It returns once the store has it: a copy in the memory of hosts would not
+// outlive a power loss of all. Otherwise the error is Unavailable when ctx ends; the
+// work goes on all the same.
 func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) (Medium, error) {
 	if kept != nil {
 		a.remember(kept)
@@ -290,21 +285,11 @@
 	w.lock.Unlock()
 	operation := o
 	done := w.add(&operation)
-	look := time.NewTicker(lookEvery.Duration())
-	defer look.Stop()
-	for {
-		if a.away() {
-			if err := a.copyOut(ctx, o); err == nil {
-				return InMemory, nil
-			}
-		}
-		select {
-		case err := <-done:
-			return InStore, err
-		case <-look.C:
-		case <-ctx.Done():
-			return "", sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
-		}
+	select {
+	case err := <-done:
+		return InStore, err
+	case <-ctx.Done():
+		return "", sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
 	}
 }
 
--- a/archiver/events.go
+++ b/archiver/events.go
@@ -4,7 +4,6 @@
 const (
 	eventMalformed = 601
 	eventClaim     = 602
-	eventCopies    = 603
 	eventSequencer = 604
 	eventCacher    = 605
 )
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -35,12 +35,7 @@
 	claimTimeout = 300 * sd.Millisecond
 	// claimsSettle is how long the store must have been reached before claims end: by then what ran without it has been written.
 	claimsSettle = 1500 * sd.Millisecond
-	// copiesSettle is how long a peer's copies are left to that peer to write.
-	copiesSettle = 3 * sd.Second
-	// copiesKept is the number of peers that take a copy of a turn; one in another
-	// zone if there is any.
-	copiesKept = 1
-	// claimsEvery is how often claims and copies are looked over.
+	// claimsEvery is how often claims are looked over.
 	claimsEvery = 500 * sd.Millisecond
 )
 
@@ -80,7 +75,6 @@
 	messageRelease = "release"
 	messageReserve = "reserve"
 	messageSettle  = "settle"
-	messageCopy    = "copy"
 	messageRecall  = "recall"
 	messageCache   = "cache"
 )
@@ -114,7 +108,6 @@
 	messenger.Handle(router, messageRelease, a.answerRelease)
 	messenger.Handle(router, messageReserve, a.answerReserve)
 	messenger.Handle(router, messageSettle, a.answerSettle)
-	messenger.Handle(router, messageCopy, a.answerCopy)
 	messenger.Handle(router, messageRecall, a.answerRecall)
 	messenger.Handle(router, messageCache, a.answerCache)
 }
@@ -198,7 +191,7 @@
 		return Claimed{Denied: true}, nil
 	}
 	w.fence = &fence{holder: request.From}
-	answer := Claimed{Operations: append(w.lane.Operations(), a.copiesOf(request.Part)...), Accounts: map[Key]Snapshot{}}
+	answer := Claimed{Operations: w.lane.Operations(), Accounts: map[Key]Snapshot{}}
 	for program, row := range w.lane.rows {
 		if row.version > 0 {
 			answer.Accounts[program] = Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
@@ -436,8 +429,7 @@
 	}
 }
 
-// oversee ends claims and fences once the store is back for a while, and writes
-// the copies of peers that have not done so.
+// oversee ends claims and fences once the store is back for a while.
 func (a *Archive) oversee(ctx context.Context) {
 	for sleep(ctx, claimsEvery) {
 		if a.peers.Away == nil || a.away() || a.peers.Settled() < claimsSettle {
@@ -453,23 +445,5 @@
 			w.lock.Unlock()
 			w.signal()
 		}
-		if a.peers.Settled() < copiesSettle {
-			continue
-		}
-		a.copyLock.Lock()
-		copies := a.copies
-		a.copies = nil
-		a.copyLock.Unlock()
-		for i := range copies {
-			o := copies[i].operation
-			w := a.worker(o.Program)
-			w.lock.Lock()
-			w.lane.Add(&o)
-			w.lock.Unlock()
-			w.signal()
-		}
-		if len(copies) > 0 {
-			a.log.Info("copies of peers written", zap.Int("event", eventCopies), zap.Int("operations", len(copies)))
-		}
 	}
 }
--- a/archiver/copy.go
+++ b/archiver/recall.go
@@ -2,60 +2,20 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
-	"sapphiredrum.example/sapphiredrum/gossiper"
 	"sapphiredrum.example/sapphiredrum/messenger"
 )
 
-// copied is another host's operation that this host writes too.
-type copied struct {
-	from      gossiper.Peer
-	operation Operation
-}
-
-// Copied gives a host operations to write if the sender cannot.
-type Copied struct {
-	From       gossiper.Peer
-	Operations []Operation
-}
-
 // Recall asks a host for a turn and those before it, as far as it has them.
 type Recall struct{ Turn Key }
 
 // Recalled is the answer to Recall, the turn first.
 type Recalled struct{ Turns []*Turn }
 
-// copiesOf returns the operations of a part that this host holds for others.
-func (a *Archive) copiesOf(part string) []Operation {
-	a.copyLock.Lock()
-	defer a.copyLock.Unlock()
-	var list []Operation
-	for _, c := range a.copies {
-		if Part(c.operation.Program) == part {
-			list = append(list, c.operation)
-		}
-	}
-	return list
-}
-
-// answerCopy keeps operations of a peer in case that it cannot write them.
-func (a *Archive) answerCopy(_ context.Context, request Copied) (Done, error) {
-	a.copyLock.Lock()
-	defer a.copyLock.Unlock()
-	for _, o := range request.Operations {
-		if o.Kept != nil {
-			a.remember(o.Kept)
-		}
-		a.copies = append(a.copies, copied{request.From, o})
-	}
-	return Done{}, nil
-}
-
 // answerRecall returns a turn and those before it, as far as this host has them.
 func (a *Archive) answerRecall(_ context.Context, request Recall) (Recalled, error) {
 	var answer Recalled
@@ -167,43 +127,3 @@
 // majority reports whether this host hears most of the fleet. A smaller part may
 // be cut off from hosts that reach the store, and must decide nothing.
 func (a *Archive) majority() bool { return 2*(len(a.alive())+1) > a.peers.Hosts() }
-
-// copyOut has a peer keep an operation; peers of other zones are asked first.
-func (a *Archive) copyOut(ctx context.Context, o Operation) error {
-	peers := a.alive()
-	slices.SortStableFunc(peers, func(x, y gossiper.Peer) int {
-		near := func(p gossiper.Peer) int {
-			if p.Zone == a.peers.Self.Zone {
-				return 1
-			}
-			return 0
-		}
-		return near(x) - near(y)
-	})
-	if len(peers) > 1 {
-		// Hosts spread their copies; the first peer of a list would get all of them.
-		far := 0
-		for far < len(peers) && peers[far].Zone != a.peers.Self.Zone {
-			far++
-		}
-		if far > 1 {
-			at := int(o.Hold[0]) % far
-			peers[0], peers[at] = peers[at], peers[0]
-		}
-	}
-	kept := 0
-	for _, p := range peers {
-		asked, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-		_, err := messenger.Ask[Copied, Done](asked, a.peers.Client, p.Address, messageCopy, Copied{a.peers.Self, []Operation{o}})
-		cancel()
-		if err == nil && (p.Zone != a.peers.Self.Zone || a.majority()) {
-			if kept++; kept >= copiesKept {
-				return nil
-			}
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return sd.Unavailable.New("no peer took a copy of the turn")
-}
