--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -40,6 +40,7 @@
 	peers    Peers
 	clock    sd.Clock
 	log      *zap.Logger
+	started  sd.Instant
 	// Committed is told how long each transaction took, and its error.
 	Committed func(took sd.Millis, err error)
 
@@ -47,9 +48,6 @@
 	cacheLock sync.Mutex
 	cache     Cache
 
-	copyLock sync.Mutex
-	copies   []copied
-
 	suspects suspects
 	// awayAt is when the store was last seen to be away.
 	awayAt atomic.Int64
@@ -76,7 +74,7 @@
 // New returns an Archive; Run must be running for its operations to end.
 func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
-		settings: settings, store: store, peers: peers, clock: clock, log: log,
+		settings: settings, store: store, peers: peers, clock: clock, log: log, started: clock.Now(),
 		cache: Cache{Bytes: int(settings.Memory), Retention: settings.Retention},
 	}
 	for i, part := range AllParts() {
@@ -235,11 +233,20 @@
 	return w.claim != nil || (w.fence != nil && a.lives(w.fence.holder))
 }
 
+// Medium is what holds a turn when its end is passed on.
+type Medium string
+
+// The media.
+const (
+	// InStore turns outlive the loss of all hosts.
+	InStore Medium = "store"
+)
+
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
-// store or nil. It returns nil once the store has it or, while the store is away,
-// a peer holds a copy. Otherwise the error is Unavailable when ctx ends; the work
-// goes on all the same.
-func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
+// store or nil. It returns once the store has it: a copy in the memory of hosts would not
+// outlive a power loss of all. Otherwise the error is Unavailable when ctx ends; the
+// work goes on all the same.
+func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) (Medium, error) {
 	if kept != nil {
 		a.remember(kept)
 		if a.peers.Client != nil {
@@ -255,13 +262,13 @@
 	w.lock.Unlock()
 	if placed && !a.suspects.has(a.clock.Now(), at) {
 		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
-		known, err := messenger.Ask[Operation, Snapshot](asked, a.peers.Client, at, messageSettle, o)
+		known, err := messenger.Ask[Operation, Settled](asked, a.peers.Client, at, messageSettle, o)
 		cancel()
 		if err == nil {
 			w.lock.Lock()
-			w.learn(a.clock.Now(), program, known)
+			w.learn(a.clock.Now(), program, known.Snapshot)
 			w.lock.Unlock()
-			return nil
+			return known.Medium, nil
 		}
 		a.suspects.add(a.clock.Now(), at)
 		a.log.Warn("sequencer did not settle a turn", zap.Int("event", eventSequencer), zap.Stringer("program", program),
@@ -271,28 +278,18 @@
 }
 
 // settle ends a turn by this host's own lane.
-func (a *Archive) settle(ctx context.Context, o Operation) error {
+func (a *Archive) settle(ctx context.Context, o Operation) (Medium, error) {
 	w := a.worker(o.Program)
 	w.lock.Lock()
 	w.close(o.Program, o.Hold)
 	w.lock.Unlock()
 	operation := o
 	done := w.add(&operation)
-	look := time.NewTicker(lookEvery.Duration())
-	defer look.Stop()
-	for {
-		if a.away() {
-			if err := a.copyOut(ctx, o); err == nil {
-				return nil
-			}
-		}
-		select {
-		case err := <-done:
-			return err
-		case <-look.C:
-		case <-ctx.Done():
-			return sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
-		}
+	select {
+	case err := <-done:
+		return InStore, err
+	case <-ctx.Done():
+		return "", sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
 	}
 }
 
