--- a/faker/rows.go
+++ b/faker/rows.go
@@ -40,6 +40,26 @@
 	Lost, Late sd.Share
 	// Delay is how long each call takes.
 	Delay sd.Millis
+	// Parts limits the trouble to these parts; nil stands for all.
+	Parts []string
+}
+
+// strikes reports whether the trouble concerns a part.
+func (t *RowsTrouble) strikes(part string) bool {
+	return t.Parts == nil || slices.Contains(t.Parts, part)
+}
+
+// partOf returns the part of an update's rows; all of them share one.
+func partOf(update sd.Update) string {
+	for _, list := range [][]sd.Record{update.Expect, update.Put} {
+		if len(list) > 0 {
+			return list[0].Part
+		}
+	}
+	if len(update.Remove) > 0 {
+		return update.Remove[0].Part
+	}
+	return ""
 }
 
 // NewRows returns a store whose losses follow seed.
@@ -90,10 +110,13 @@
 }
 
 // enter waits as the trouble says and returns the error of a call that is refused.
-func (r *Rows) enter(ctx context.Context) error {
+func (r *Rows) enter(ctx context.Context, part string) error {
 	r.lock.Lock()
 	t := r.trouble
 	r.lock.Unlock()
+	if !t.strikes(part) {
+		return nil
+	}
 	if t.Silent {
 		<-ctx.Done()
 		return sd.Uncertain.Wrap(ctx.Err(), "store is silent")
@@ -118,12 +141,13 @@
 
 // Commit implements sd.Store.
 func (r *Rows) Commit(ctx context.Context, update sd.Update) (sd.Page, error) {
-	if err := r.enter(ctx); err != nil {
+	part := partOf(update)
+	if err := r.enter(ctx, part); err != nil {
 		return sd.Page{}, err
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.random != nil && r.random.Float64() < float64(r.trouble.Lost) {
+	if r.random != nil && r.trouble.strikes(part) && r.random.Float64() < float64(r.trouble.Lost) {
 		if r.random.Float64() < float64(r.trouble.Late) {
 			time.AfterFunc(max(r.trouble.Delay, lateLeast).Duration(), func() {
 				r.lock.Lock()
@@ -189,7 +213,7 @@
 
 // List implements sd.Store.
 func (r *Rows) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
-	if err := r.enter(ctx); err != nil {
+	if err := r.enter(ctx, part); err != nil {
 		return sd.Page{}, err
 	}
 	r.lock.Lock()
@@ -212,7 +236,8 @@
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
 	for {
-		if err := r.enter(ctx); err != nil {
+		// A watch follows a whole table; tables that are watched lie in the unnamed part.
+		if err := r.enter(ctx, ""); err != nil {
 			return sd.Page{}, err
 		}
 		r.lock.Lock()
