archiver: a turn runs once the store has its reservation

Cause: while the store was away a host reserved by what a majority of hosts agreed on, in memory. A power loss of all took what had been spent since the outage began, and it was spent again. The same class as the turns that were lost: memory of hosts taken for durable.

Now a reservation counts once the store has it, and waits for that; a caller's turn waits for a third of its time, then it is refused with 503 and a time to come back. A host that is cut off refuses at once. Claims, fences and what hosts told one another to decide without the store had no other purpose and are gone.

Ruled out: the one turn beyond the budget that is allowed, used for each outage: it would have to be known over a power loss as well.

--- a/archiver/account.go
+++ b/archiver/account.go
@@ -12,8 +12,6 @@
 	errorTypes = sd.Errors.NewSubNamespace("archiver")
 	// Malformed marks a stored row that does not parse.
 	Malformed = errorTypes.NewType("malformed")
-	// elsewhere marks an order that belongs to the holder of a claim.
-	elsewhere = sd.Unavailable.NewSubtype("elsewhere")
 	// Exhausted marks a turn that the program's budget does not hold.
 	Exhausted = errorTypes.NewType("exhausted")
 )
--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -27,8 +27,6 @@
 	// the store's usual answer, and short against a program's patience.
 	pauseMin = 20 * sd.Millisecond
 	pauseMax = 250 * sd.Millisecond
-	// lookEvery is how often a waiting operation looks whether the store is away.
-	lookEvery = 40 * sd.Millisecond
 	// sweepEvery is how often idle accounts are dropped from memory.
 	sweepEvery = 5 * sd.Second
 )
@@ -49,8 +47,6 @@
 	cache     Cache
 
 	suspects suspects
-	// awayAt is when the store was last seen to be away.
-	awayAt atomic.Int64
 }
 
 // worker runs one Lane.
@@ -59,14 +55,6 @@
 	lane    Lane
 	waiters map[*Operation]chan error
 	wake    chan struct{}
-
-	claim *claim
-	fence *fence
-	// lookedAt is when the others were last asked who holds the claim, under look.
-	look     sync.Mutex
-	lookedAt sd.Instant
-	// learned are accounts as the holders of claims know them.
-	learned map[Key]Snapshot
 	// placed are reservations that another host has made for this one.
 	placed map[Key]sd.Address
 }
@@ -88,25 +76,14 @@
 
 // Run sends transactions until ctx ends, and waits for those under way.
 func (a *Archive) Run(ctx context.Context) error {
-	ends := make(chan struct{}, Parts+2)
-	go func() {
-		a.oversee(ctx)
-		ends <- struct{}{}
-	}()
-	go func() {
-		// An idle host takes note of an outage too.
-		for sleep(ctx, lookEvery) {
-			a.away()
-		}
-		ends <- struct{}{}
-	}()
+	ends := make(chan struct{}, Parts)
 	for _, w := range a.lanes {
 		go func() {
 			a.work(ctx, w)
 			ends <- struct{}{}
 		}()
 	}
-	for range Parts + 2 {
+	for range Parts {
 		<-ends
 	}
 	return ctx.Err()
@@ -148,65 +125,47 @@
 	return nil
 }
 
-// Reserve takes a turn's most from its program's budget and returns the key of
-// the reservation; fresh tells that the program may be new. Errors are Exhausted
-// and Unavailable; after the latter a reservation that may have been made is
-// given back.
+// Reserve takes a turn's most from its program's budget. It returns the key of the
+// reservation once the store has it: one that only hosts know of would be spent again after a
+// power loss of all. Errors are Exhausted and Unavailable; after the latter a
+// reservation that may have been made is given back.
 //
 // The host that sequences the program's part does it, or the next one if that does
-// not answer. While the store is away, a host that a majority agrees to reserves
-// by what is known of the account.
-func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens, fresh bool) (Key, error) {
-	order := Placement{Program: program, Limit: limit, Budget: budget, Fresh: fresh}
-	for _, try := range []string{"first", "second", "third"} {
-		order.Hold = holdKey(turn, try)
+// not answer.
+func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens) (Key, error) {
+	order := Placement{Program: program, Limit: limit, Budget: budget}
+	for try := 0; ; try++ {
+		order.Hold = holdKey(turn, strconv.Itoa(try))
 		at := a.sequencer(program)
 		if at == "" {
-			return a.reserve(ctx, order)
+			return order.Hold, a.reserve(ctx, order)
 		}
-		placed, decided, err := a.place(ctx, at, order)
+		decided, err := a.place(ctx, at, order)
 		if err == nil || decided {
-			return placed, err
+			return order.Hold, err
 		}
 		if ctx.Err() != nil {
 			return order.Hold, sd.Unavailable.Wrap(err, "account not reached in time")
 		}
 	}
-	return order.Hold, sd.Unavailable.New("no sequencer answers")
 }
 
-// reserve takes a turn's most by this host's own lane or claim. It returns the
-// key of the reservation.
-func (a *Archive) reserve(ctx context.Context, order Placement) (Key, error) {
-	if a.away() || a.claimed(order.Program) || a.heldElsewhere(ctx, order.Program) {
-		return order.Hold, a.reserveAway(ctx, order)
-	}
+// reserve takes a turn's most by this host's own lane.
+func (a *Archive) reserve(ctx context.Context, order Placement) error {
 	operation := &Operation{Kind: Reserve, Program: order.Program, Hold: order.Hold, Tokens: order.Limit, Budget: order.Budget}
 	w := a.worker(order.Program)
 	done := w.add(operation)
-	look := time.NewTicker(lookEvery.Duration())
-	defer look.Stop()
-	for ctx.Err() == nil {
-		select {
-		case err := <-done:
-			return order.Hold, err
-		case <-ctx.Done():
-		case <-look.C:
-			if a.away() {
-				if ended, err := a.leave(w, operation, done); ended {
-					return order.Hold, err
-				}
-				order.Hold = holdKey(order.Hold, "away")
-				return order.Hold, a.reserveAway(ctx, order)
-			}
-		}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
 	}
 	if ended, err := a.leave(w, operation, done); ended && err != nil {
-		return order.Hold, err
+		return err
 	} else if ended {
 		w.add(&Operation{Kind: Cancel, Program: order.Program, Hold: order.Hold})
 	}
-	return order.Hold, sd.Unavailable.Wrap(ctx.Err(), "account not reached in time")
+	return sd.Unavailable.Wrap(ctx.Err(), "account not reached in time")
 }
 
 // leave stops waiting for a reservation. It reports whether the reservation had
@@ -224,15 +183,6 @@
 	}
 }
 
-// claimed reports whether a claim on the program's part, of this host or another,
-// is still in force.
-func (a *Archive) claimed(program Key) bool {
-	w := a.worker(program)
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	return w.claim != nil || (w.fence != nil && a.lives(w.fence.holder))
-}
-
 // Medium is what holds a turn when its end is passed on.
 type Medium string
 
@@ -264,27 +214,23 @@
 		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
 		known, err := messenger.Ask[Operation, Settled](asked, a.peers.Client, at, messageSettle, o)
 		cancel()
-		if err == nil {
-			w.lock.Lock()
+		if err == nil && !known.Pending {
 			w.learn(a.clock.Now(), program, known.Snapshot)
-			w.lock.Unlock()
 			return known.Medium, nil
 		}
-		a.suspects.add(a.clock.Now(), at)
+		if err != nil {
+			a.suspects.add(a.clock.Now(), at)
+		}
 		a.log.Warn("sequencer did not settle a turn", zap.Int("event", eventSequencer), zap.Stringer("program", program),
-			zap.String("sequencer", string(at)), zap.Error(err))
+			zap.String("sequencer", string(at)), zap.Bool("pending", known.Pending), zap.Error(err))
 	}
 	return a.settle(ctx, o)
 }
 
 // settle ends a turn by this host's own lane.
 func (a *Archive) settle(ctx context.Context, o Operation) (Medium, error) {
-	w := a.worker(o.Program)
-	w.lock.Lock()
-	w.close(o.Program, o.Hold)
-	w.lock.Unlock()
 	operation := o
-	done := w.add(&operation)
+	done := a.worker(o.Program).add(&operation)
 	select {
 	case err := <-done:
 		return InStore, err
--- a/archiver/doc.go
+++ b/archiver/doc.go
@@ -27,15 +27,14 @@
 //
 // # Without the store
 //
-// While no host in reach gets through to the store, the sequencer claims its part:
-// most of the known hosts agree to leave it alone and tell what they know. The
-// holder then reserves by that, and a turn is kept once a peer has a copy. Both
-// write what ran when the store is back; a turn's own row tells the second that it
-// has been charged.
+// Hosts keep nothing on disk, so what only they know does not outlive a power loss of
+// all. A turn therefore runs once the store has its reservation, and its end is
+// passed on once the store has the turn. Callers wait for that or are refused; the
+// memory of hosts only saves reads.
 //
 // # Reading order
 //
 // account.go and turn.go hold what is stored, lane.go the transactions, archive.go
-// what a host asks for, read.go the way to a turn, sequence.go, peers.go and copy.go
+// what a host asks for, read.go the way to a turn, sequence.go, peers.go and recall.go
 // what hosts do for one another.
 package archiver
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -309,20 +309,6 @@
 	return ended
 }
 
-// Operations returns the operations that have not ended, in order.
-func (l *Lane) Operations() []Operation {
-	var list []Operation
-	if l.batch != nil {
-		for _, o := range l.batch.operations {
-			list = append(list, *o)
-		}
-	}
-	for _, o := range l.pending {
-		list = append(list, *o)
-	}
-	return list
-}
-
 // drop ends all operations of a program whose account cannot be read.
 func (l *Lane) drop(program Key, err error) []Ended {
 	var ended []Ended
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -41,11 +41,9 @@
 // it, in the rows of the program, in all parts, at any host. Errors are Absent and Unavailable.
 func (a *Archive) load(ctx context.Context, program, turn Key, loaded map[Key]bool, read map[Key]*Turn) error {
 	if a.away() {
-		a.recall(ctx, turn, read)
-		if read[turn] == nil {
-			return sd.Unavailable.New("turn %s cannot be read: store is away", turn)
+		if a.recall(ctx, turn, read); read[turn] != nil {
+			return nil
 		}
-		return nil
 	}
 	if !loaded[program] {
 		loaded[program] = true
--- a/archiver/recall.go
+++ b/archiver/recall.go
@@ -123,7 +123,3 @@
 		a.remember(t)
 	}
 }
-
-// majority reports whether this host hears most of the fleet. A smaller part may
-// be cut off from hosts that reach the store, and must decide nothing.
-func (a *Archive) majority() bool { return 2*(len(a.alive())+1) > a.peers.Hosts() }
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// placeTimeout bounds a reservation at the sequencer, which may have to claim the
-	// part first.
-	placeTimeout = 600 * sd.Millisecond
-	// settleTimeout bounds a settlement there, which also waits for copies while the
-	// store is away.
+	// placeTimeout and settleTimeout bound a message to the sequencer. It answers before
+	// that, so that a longer silence tells that it or the connection is gone.
+	placeTimeout  = 600 * sd.Millisecond
 	settleTimeout = 900 * sd.Millisecond
+	// answerMargin is how much sooner the sequencer answers: several round trips.
+	answerMargin = 150 * sd.Millisecond
 	// suspectFor is how long a sequencer that did not answer is passed over.
 	suspectFor = sd.Second
 	// strong is the part of the strongest host's power that a sequencer must have.
@@ -29,32 +29,22 @@
 type Placement struct {
 	Program, Hold Key
 	Limit, Budget sd.Tokens
-	// Fresh tells that the program may be new.
-	Fresh bool
-	// Final orders are not passed on to a third host.
-	Final bool
 	// Seen is the stored account as the sender last saw it.
 	Seen Snapshot
 }
 
-// Placed is the answer to a Placement: the key of the reservation, or why there is
-// none.
+// Placed is the answer to a Placement: why there is no reservation, if there is none.
 type Placed struct {
-	Hold               Key
-	Exhausted, Refused string
-	// Elsewhere tells that the answering host does not have the claim.
-	Elsewhere bool
+	Exhausted string
+	// Pending tells that the store has not taken the reservation in time; it is given back.
+	Pending bool
 	Snapshot
 }
 
-// Snapshot is an account as the answering host knows it. The host that serves a
-// program keeps it, so that the program can go on when its sequencer is gone and
-// the store is away.
+// Snapshot is an account as the answering host saw it in the store. The host that
+// serves a program keeps it, so that the next sequencer can begin with it.
 type Snapshot struct {
-	Known bool
-	// Stored tells that the account is the store's row at Version; otherwise it
-	// includes what has yet to be written.
-	Stored  bool
+	Known   bool
 	Account Account
 	Version uint64
 }
@@ -62,6 +52,8 @@
 // Settled is the answer to an Operation that ends a turn.
 type Settled struct {
 	Medium Medium
+	// Pending tells that the store has not taken the turn in time; the sequencer goes on trying.
+	Pending bool
 	Snapshot
 }
 
@@ -108,22 +100,11 @@
 }
 
 // sequencer returns the address of the host to which a program's operations go,
-// or nothing if that is this one: the holder of a claim on the part, or the host
-// that sequences it.
+// or nothing if that is this one.
 func (a *Archive) sequencer(program Key) sd.Address {
 	if a.peers.Alive == nil {
 		return ""
 	}
-	w := a.worker(program)
-	w.lock.Lock()
-	f, held := w.fence, w.claim != nil && w.claim.held
-	w.lock.Unlock()
-	if held {
-		return ""
-	}
-	if f != nil && a.lives(f.holder) {
-		return f.holder.Address
-	}
 	now := a.clock.Now()
 	hosts := []gossiper.Peer{a.peers.Self}
 	for _, p := range a.peers.Alive() {
@@ -137,100 +118,77 @@
 	return ""
 }
 
-// place has the sequencer reserve a turn and returns the key of the reservation.
-// It reports whether the sequencer has decided; if not, the caller may try
-// elsewhere.
-func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (Key, bool, error) {
+// place has the sequencer reserve a turn. It reports whether the sequencer has
+// decided; if not, the caller may try again, under another key.
+func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (bool, error) {
 	asked, cancel := context.WithTimeout(ctx, placeTimeout.Duration())
 	defer cancel()
-	w := a.worker(order.Program)
-	w.lock.Lock()
-	if row := w.lane.rows[order.Program]; row != nil {
-		order.Seen = Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
-	}
-	w.lock.Unlock()
+	order.Seen = a.snapshot(order.Program)
 	placed, err := messenger.Ask[Placement, Placed](asked, a.peers.Client, at, messageReserve, order)
 	switch {
 	case err != nil:
-		a.suspects.add(a.clock.Now(), at)
-		return order.Hold, false, sd.Unavailable.Wrap(err, "sequencer %s did not answer", at)
+		if ctx.Err() == nil {
+			a.suspects.add(a.clock.Now(), at)
+		}
+		return false, sd.Unavailable.Wrap(err, "sequencer %s did not answer", at)
 	case placed.Exhausted != "":
-		return order.Hold, true, Exhausted.New("%s", placed.Exhausted)
-	case placed.Elsewhere:
-		return order.Hold, true, elsewhere.New("%s", placed.Refused)
-	case placed.Refused != "":
-		return order.Hold, true, sd.Unavailable.New("%s", placed.Refused)
+		return true, Exhausted.New("%s", placed.Exhausted)
+	case placed.Pending:
+		return false, sd.Unavailable.New("store has not taken the reservation yet")
 	}
+	w := a.worker(order.Program)
 	w.lock.Lock()
-	w.placed[placed.Hold] = at
-	w.learn(a.clock.Now(), order.Program, placed.Snapshot)
+	w.placed[order.Hold] = at
 	w.lock.Unlock()
-	return placed.Hold, true, nil
+	w.learn(a.clock.Now(), order.Program, placed.Snapshot)
+	return true, nil
 }
 
 // answerReserve reserves a turn for another host.
 func (a *Archive) answerReserve(ctx context.Context, order Placement) (Placed, error) {
-	order.Final = true
-	w := a.worker(order.Program)
-	w.lock.Lock()
-	w.learn(a.clock.Now(), order.Program, order.Seen)
-	w.lock.Unlock()
-	hold, err := a.reserve(ctx, order)
+	ctx, cancel := context.WithTimeout(ctx, (placeTimeout - answerMargin).Duration())
+	defer cancel()
+	a.worker(order.Program).learn(a.clock.Now(), order.Program, order.Seen)
+	err := a.reserve(ctx, order)
 	switch {
 	case err == nil:
-		return Placed{Hold: hold, Snapshot: a.snapshot(order.Program)}, nil
+		return Placed{Snapshot: a.snapshot(order.Program)}, nil
 	case errorx.IsOfType(err, Exhausted):
 		return Placed{Exhausted: err.Error()}, nil
 	}
-	return Placed{Refused: err.Error(), Elsewhere: errorx.IsOfType(err, elsewhere)}, nil
+	return Placed{Pending: true}, nil
 }
 
 // answerSettle settles a turn for another host.
 func (a *Archive) answerSettle(ctx context.Context, o Operation) (Settled, error) {
+	ctx, cancel := context.WithTimeout(ctx, (settleTimeout - answerMargin).Duration())
+	defer cancel()
 	if o.Kept != nil {
 		a.remember(o.Kept)
 	}
 	medium, err := a.settle(ctx, o)
+	if err != nil && ctx.Err() != nil {
+		return Settled{Pending: true}, nil
+	}
 	return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
 }
 
-// snapshot returns what this host knows of an account.
+// snapshot returns an account as this host last saw it in the store.
 func (a *Archive) snapshot(program Key) Snapshot {
 	w := a.worker(program)
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if c := w.claim; c != nil && c.held {
-		s, _ := w.project(program, c)
-		return s
-	}
-	if row := w.lane.rows[program]; row != nil {
-		return Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
+	if row := w.lane.rows[program]; row != nil && row.version > 0 {
+		return Snapshot{Known: true, Account: row.account, Version: row.version}
 	}
 	return Snapshot{}
 }
 
-// learn takes what another host knows of an account.
+// learn takes an account as another host saw it in the store.
 func (w *worker) learn(now sd.Instant, program Key, s Snapshot) {
-	switch {
-	case !s.Known:
-	case s.Stored:
+	if s.Known {
+		w.lock.Lock()
 		w.lane.See(now, program, s.Account, s.Version)
-	default:
-		if w.learned == nil {
-			w.learned = map[Key]Snapshot{}
-		}
-		w.learned[program] = s
-	}
-}
-
-// newer reports whether a snapshot is later than another: at a newer version of the
-// row, or at the same one with more spent.
-func (s Snapshot) newer(than Snapshot) bool {
-	switch {
-	case !s.Known || !than.Known:
-		return s.Known && !than.Known
-	case s.Version != than.Version:
-		return s.Version > than.Version
+		w.lock.Unlock()
 	}
-	return s.Account.Spent > than.Account.Spent
 }
--- a/explainer/explain.go
+++ b/explainer/explain.go
@@ -26,7 +26,7 @@
 
 // beside are events that change what a host believes; those near a request's lines
 // help to explain it.
-var beside = []float64{602, 611, 612, 621, 630, 631, 651, 652, 656, 658, 690}
+var beside = []float64{611, 612, 621, 630, 631, 651, 652, 656, 658, 690}
 
 // Source is a host's log.
 type Source struct {
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -11,6 +11,10 @@
 	"sapphiredrum.example/sapphiredrum/archiver"
 )
 
+// storePatience is the part of a turn's time, one in so many, that it may wait for the
+// store before it runs: with the time to come back, a caller tries three times.
+const storePatience = 3
+
 // unbounded is the budget of a turn whose caller names none.
 const unbounded = sd.Tokens(1) << 50
 
@@ -23,17 +27,25 @@
 		q.refuse(http.StatusRequestEntityTooLarge, "turn too long to keep", 0)
 		return
 	}
+	if q.isolated.Load() {
+		q.Log.Info("host is cut off, the turn cannot be reserved", zap.Int("event", eventTurn), q.id())
+		q.fail(ctx, "cut off from the store", leadElsewhere)
+		return
+	}
+	// A turn that the store does not take soon is refused while its caller still has time
+	// to come back.
+	waiting, cancel := context.WithTimeout(ctx, (q.left() / storePatience).Duration())
+	defer cancel()
 	program := archiver.ProgramKey(q.workspace, q.ask.Program)
 	if q.ask.Program == "" {
 		program = archiver.ProgramKey(q.workspace, sd.ProgramID("request:"+string(q.ask.Request)))
 	}
 	key := archiver.TurnKey(q.workspace, q.ask.Request)
 	kept := &archiver.Turn{Program: program, Key: key, Input: q.body}
-	fresh := true
 	if q.ask.Previous != "" {
 		previous := archiver.TurnKey(q.workspace, q.ask.Previous)
 		asked := q.Clock.Now()
-		chain, err := q.Archive.Chain(ctx, program, previous)
+		chain, err := q.Archive.Chain(waiting, program, previous)
 		q.measure(stageHistory, asked)
 		if errorx.IsOfType(err, sd.Absent) {
 			q.Log.Info("previous turn is not kept", zap.Int("event", eventTurn), q.id(), zap.String("previous", string(q.ask.Previous)), zap.Error(err))
@@ -49,14 +61,13 @@
 		q.chain = chain
 		last := chain[len(chain)-1]
 		kept.Previous, kept.Origin, q.prefer = last.Key, last.Program, last.Target
-		fresh = last.Program != program
 	}
 	budget := q.ask.Budget
 	if !q.ask.Budgeted {
 		budget = unbounded
 	}
 	asked := q.Clock.Now()
-	hold, err := q.Archive.Reserve(ctx, program, key, q.ask.Limit, budget, fresh)
+	hold, err := q.Archive.Reserve(waiting, program, key, q.ask.Limit, budget)
 	q.measure(stageReserve, asked)
 	if err != nil {
 		if errorx.IsOfType(err, archiver.Exhausted) {
--- a/starter/host.go
+++ b/starter/host.go
@@ -137,7 +137,7 @@
 		Memory: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
 	}, h.relay, archiver.Peers{
 		Self: h.gossiper.Self, Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Hosts: h.gossiper.Hosts,
-		Away: h.relay.Away, Settled: h.relay.Settled, Client: h.peers,
+		Away: h.relay.Away, Client: h.peers,
 	}, h.clock, log)
 	h.receiver = receiver.New(receiver.Parts{
 		Clock: h.clock, Log: log, Meter: h.meter, Gate: h.gate, Archive: h.archive, Exchanger: h.exchanger, Measures: h.measures,
