archiver: hosts wait for a sequencer as long as it says it is there

Cause: a host gave the sequencer 0.6 s to reserve, and 0.9 s to settle, and took a longer silence for its death. With a slow store a transaction takes 0.55 s, so reservations were given up and asked anew, and ends were written by every host's own lane as well: twelve transactions a part where one has its place, which the store then refuses for load.

Now the sequencer says every 0.2 s that it is still there until the store has taken the operation; only 0.6 s of silence tell that it or the connection is gone.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
-	"sapphiredrum.example/sapphiredrum/messenger"
 )
 
 // Settings of an Archive.
@@ -211,18 +210,17 @@
 	delete(w.placed, hold)
 	w.lock.Unlock()
 	if placed && !a.suspects.has(a.clock.Now(), at) {
-		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
-		known, err := messenger.Ask[Operation, Settled](asked, a.peers.Client, at, messageSettle, o)
-		cancel()
-		if err == nil && !known.Pending {
-			w.learn(a.clock.Now(), program, known.Snapshot)
-			return known.Medium, nil
+		settled, received, err := attend(ctx, a, at, messageSettle, o, func(s Settled) bool { return s.Pending })
+		if err == nil {
+			w.learn(a.clock.Now(), program, settled.Snapshot)
+			return settled.Medium, nil
 		}
-		if err != nil {
-			a.suspects.add(a.clock.Now(), at)
+		if received && ctx.Err() != nil {
+			return "", sd.Unavailable.Wrap(err, "turn is not written in time")
 		}
+		a.suspects.add(a.clock.Now(), at)
 		a.log.Warn("sequencer did not settle a turn", zap.Int("event", eventSequencer), zap.Stringer("program", program),
-			zap.String("sequencer", string(at)), zap.Bool("pending", known.Pending), zap.Error(err))
+			zap.String("sequencer", string(at)), zap.Error(err))
 	}
 	return a.settle(ctx, o)
 }
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -34,8 +34,8 @@
 
 // Answer registers what this host answers to others.
 func (a *Archive) Answer(router messenger.Router) {
-	messenger.Handle(router, messageReserve, a.answerReserve)
-	messenger.Handle(router, messageSettle, a.answerSettle)
+	messenger.Stream(router, messageReserve, a.answerReserve)
+	messenger.Stream(router, messageSettle, a.answerSettle)
 	messenger.Handle(router, messageRecall, a.answerRecall)
 	messenger.Handle(router, messageCache, a.answerCache)
 }
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
@@ -13,12 +14,12 @@
 )
 
 const (
-	// placeTimeout and settleTimeout bound a message to the sequencer. It answers before
-	// that, so that a longer silence tells that it or the connection is gone.
-	placeTimeout  = 600 * sd.Millisecond
-	settleTimeout = 900 * sd.Millisecond
-	// answerMargin is how much sooner the sequencer answers: several round trips.
-	answerMargin = 150 * sd.Millisecond
+	// sequencerSilence is how long a sequencer may say nothing to a host that waits for it:
+	// longer than it takes to notice the loss of a peer.
+	sequencerSilence = 600 * sd.Millisecond
+	// tellEvery is how often a sequencer tells a host that waits that it is still there: three
+	// times within that silence.
+	tellEvery = 200 * sd.Millisecond
 	// suspectFor is how long a sequencer that did not answer is passed over.
 	suspectFor = sd.Second
 	// strong is the part of the strongest host's power that a sequencer must have.
@@ -36,7 +37,7 @@
 // Placed is the answer to a Placement: why there is no reservation, if there is none.
 type Placed struct {
 	Exhausted string
-	// Pending tells that the store has not taken the reservation in time; it is given back.
+	// Pending tells that the store has yet to take the reservation; another answer follows.
 	Pending bool
 	Snapshot
 }
@@ -52,7 +53,7 @@
 // Settled is the answer to an Operation that ends a turn.
 type Settled struct {
 	Medium Medium
-	// Pending tells that the store has not taken the turn in time; the sequencer goes on trying.
+	// Pending tells that the store has yet to take the turn; another answer follows.
 	Pending bool
 	Snapshot
 }
@@ -118,23 +119,68 @@
 	return ""
 }
 
+// attend sends a message to a sequencer and waits for its last answer, as long as it says
+// something now and then. It reports whether the sequencer has the message.
+func attend[Q, F any](ctx context.Context, a *Archive, at sd.Address, name string, request Q, pending func(F) bool) (last F, received bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(sequencerSilence.Duration(), cancel)
+	defer silence.Stop()
+	ended := false
+	err = messenger.Follow(ctx, a.peers.Client, at, name, request, func(frame F) error {
+		silence.Reset(sequencerSilence.Duration())
+		last, received, ended = frame, true, !pending(frame)
+		return nil
+	})
+	if err == nil && !ended {
+		err = sd.Uncertain.New("sequencer %s gave no last answer", at)
+	}
+	return last, received, err
+}
+
+// tell sends pending answers until work has ended, and returns what it returned.
+func tell[F any](send func(F) error, pending F, work func() (F, error)) error {
+	type result struct {
+		frame F
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		frame, err := work()
+		done <- result{frame, err}
+	}()
+	ticker := time.NewTicker(tellEvery.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-done:
+			if r.err != nil {
+				return r.err
+			}
+			return send(r.frame)
+		case <-ticker.C:
+			if err := send(pending); err != nil {
+				// The host has gone; what it asked for ends with its context.
+				<-done
+				return err
+			}
+		}
+	}
+}
+
 // place has the sequencer reserve a turn. It reports whether the sequencer has
 // decided; if not, the caller may try again, under another key.
 func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (bool, error) {
-	asked, cancel := context.WithTimeout(ctx, placeTimeout.Duration())
-	defer cancel()
 	order.Seen = a.snapshot(order.Program)
-	placed, err := messenger.Ask[Placement, Placed](asked, a.peers.Client, at, messageReserve, order)
+	placed, _, err := attend(ctx, a, at, messageReserve, order, func(p Placed) bool { return p.Pending })
 	switch {
 	case err != nil:
 		if ctx.Err() == nil {
 			a.suspects.add(a.clock.Now(), at)
 		}
-		return false, sd.Unavailable.Wrap(err, "sequencer %s did not answer", at)
+		return false, sd.Unavailable.Wrap(err, "sequencer %s did not reserve", at)
 	case placed.Exhausted != "":
 		return true, Exhausted.New("%s", placed.Exhausted)
-	case placed.Pending:
-		return false, sd.Unavailable.New("store has not taken the reservation yet")
 	}
 	w := a.worker(order.Program)
 	w.lock.Lock()
@@ -145,32 +191,26 @@
 }
 
 // answerReserve reserves a turn for another host.
-func (a *Archive) answerReserve(ctx context.Context, order Placement) (Placed, error) {
-	ctx, cancel := context.WithTimeout(ctx, (placeTimeout - answerMargin).Duration())
-	defer cancel()
+func (a *Archive) answerReserve(ctx context.Context, order Placement, send func(Placed) error) error {
 	a.worker(order.Program).learn(a.clock.Now(), order.Program, order.Seen)
-	err := a.reserve(ctx, order)
-	switch {
-	case err == nil:
-		return Placed{Snapshot: a.snapshot(order.Program)}, nil
-	case errorx.IsOfType(err, Exhausted):
-		return Placed{Exhausted: err.Error()}, nil
-	}
-	return Placed{Pending: true}, nil
+	return tell(send, Placed{Pending: true}, func() (Placed, error) {
+		err := a.reserve(ctx, order)
+		if errorx.IsOfType(err, Exhausted) {
+			return Placed{Exhausted: err.Error()}, nil
+		}
+		return Placed{Snapshot: a.snapshot(order.Program)}, err
+	})
 }
 
 // answerSettle settles a turn for another host.
-func (a *Archive) answerSettle(ctx context.Context, o Operation) (Settled, error) {
-	ctx, cancel := context.WithTimeout(ctx, (settleTimeout - answerMargin).Duration())
-	defer cancel()
+func (a *Archive) answerSettle(ctx context.Context, o Operation, send func(Settled) error) error {
 	if o.Kept != nil {
 		a.remember(o.Kept)
 	}
-	medium, err := a.settle(ctx, o)
-	if err != nil && ctx.Err() != nil {
-		return Settled{Pending: true}, nil
-	}
-	return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
+	return tell(send, Settled{Pending: true}, func() (Settled, error) {
+		medium, err := a.settle(ctx, o)
+		return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
+	})
 }
 
 // snapshot returns an account as this host last saw it in the store.
