archiver: a reservation that was given up goes before those that wait behind it

What callers saw: 402, which ends a program, for a caller that came back after a 503: its first attempt's reservation was made only after its host had given it up, and was given back behind the second attempt's in the lane.

Cause: the cancellation was queued last. Since turns wait for the store, and are refused after a third of their time, this happens in every outage and whenever the store is slow.

Now the cancellation is queued first, so the next transaction holds it before any reservation. The property TestGivenUpReservationsUnderLostAndLateTransactions passes before and after.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -307,7 +307,8 @@
 			continue
 		}
 		if end.Operation.Kind == Reserve && end.Err == nil {
-			w.lane.Add(&Operation{Kind: Cancel, Program: end.Operation.Program, Hold: end.Operation.Hold})
+			// Whoever waits behind it must not be refused for it.
+			w.lane.AddFirst(&Operation{Kind: Cancel, Program: end.Operation.Program, Hold: end.Operation.Hold})
 		}
 	}
 }
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -91,6 +91,9 @@
 // Add queues an operation.
 func (l *Lane) Add(operation *Operation) { l.pending = append(l.pending, operation) }
 
+// AddFirst queues an operation before all others.
+func (l *Lane) AddFirst(operation *Operation) { l.pending = slices.Insert(l.pending, 0, operation) }
+
 // Waiting returns the number of operations that have not ended.
 func (l *Lane) Waiting() int {
 	n := len(l.pending)
