archiver: reservations of a lost sequencer are given back

What callers saw: a program was refused (402) with budget left: a reservation that the store had taken from a sequencer which died before it could answer stayed open for ever, beside the one made for the turn by the next sequencer.

Cause: a host asks the next sequencer under another key and forgot the first.

Now an order names the reservations given up before it, which are cancelled in the same lane ahead of it; if the turn is given up, the host cancels them itself.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -144,13 +144,24 @@
 			return order.Hold, err
 		}
 		if ctx.Err() != nil {
+			a.giveBack(order)
 			return order.Hold, sd.Unavailable.Wrap(err, "account not reached in time")
 		}
+		order.GivenUp = append(order.GivenUp, order.Hold)
+	}
+}
+
+// giveBack cancels reservations that a sequencer may have made before it was lost.
+func (a *Archive) giveBack(order Placement) {
+	w := a.worker(order.Program)
+	for _, hold := range order.GivenUp {
+		w.add(&Operation{Kind: Cancel, Program: order.Program, Hold: hold})
 	}
 }
 
 // reserve takes a turn's most by this host's own lane.
 func (a *Archive) reserve(ctx context.Context, order Placement) error {
+	a.giveBack(order)
 	operation := &Operation{Kind: Reserve, Program: order.Program, Hold: order.Hold, Tokens: order.Limit, Budget: order.Budget}
 	w := a.worker(order.Program)
 	done := w.add(operation)
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -30,6 +30,8 @@
 type Placement struct {
 	Program, Hold Key
 	Limit, Budget sd.Tokens
+	// GivenUp are reservations for the same turn that lost sequencers may have made.
+	GivenUp []Key
 	// Seen is the stored account as the sender last saw it.
 	Seen Snapshot
 }
