starter: a host serves once it knows the other hosts

What callers would see: more than a workspace's rate, and more than a cold target bears, after all hosts have started together.

Cause: until a host has read the table of hosts it takes itself for the only one, and counts on the whole of what all may take together.

Now the meterer and the balancer admit nothing that is bounded over all hosts until they are told how many there are, and a plan comes into force once the table of hosts was read; until then callers get 503. Three tests of a lone host now say that it is alone.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -86,6 +86,9 @@
 	if p.settings.ColdRate == 0 {
 		return true
 	}
+	if s.hosts == 0 {
+		return false
+	}
 	bound := float64(p.settings.ColdRate)*s.settings.ColdOver + s.settings.ColdSlack
 	part := math.Floor(bound * coldEven / float64(s.hosts))
 	own := float64(t.lately(now))
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -78,7 +78,8 @@
 	evacuated map[sd.ZoneName]bool
 	// silent zones are probably cut off from this host.
 	silent []sd.ZoneName
-	// hosts is the number of hosts among which the cold bound is shared.
+	// hosts is the number of hosts among which the cold bound is shared; zero until they
+	// are known.
 	hosts int
 	peers map[sd.HostID]report
 	queue []*Ticket
@@ -168,7 +169,7 @@
 	}
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
-		evacuated: map[sd.ZoneName]bool{}, hosts: 1, peers: map[sd.HostID]report{},
+		evacuated: map[sd.ZoneName]bool{}, peers: map[sd.HostID]report{},
 	}
 }
 
@@ -342,7 +343,7 @@
 	for _, t := range p.members {
 		slots += int(t.Slots)
 	}
-	share := max(float64(slots)/float64(s.hosts), 1)
+	share := max(float64(slots)/float64(max(s.hosts, 1)), 1)
 	return sd.Millis(p.service * float64(ahead) / share)
 }
 
--- a/meterer/state.go
+++ b/meterer/state.go
@@ -22,7 +22,7 @@
 	buckets  map[gossiper.Code]*bucket
 	peers    map[sd.HostID]*peer
 	// hosts is the number of hosts that may be admitting, reach the number of those
-	// that are in reach, both with this one.
+	// that are in reach, both with this one; zero until they are known.
 	hosts, reach int
 	// gap is the average time between two beats of a host.
 	gap float64
@@ -65,7 +65,7 @@
 // New returns the state of a host. Its buckets start empty, as those of a
 // restarted fleet must.
 func New(settings Settings) *State {
-	return &State{settings: settings, buckets: map[gossiper.Code]*bucket{}, peers: map[sd.HostID]*peer{}, hosts: 1, reach: 1}
+	return &State{settings: settings, buckets: map[gossiper.Code]*bucket{}, peers: map[sd.HostID]*peer{}}
 }
 
 // Hosts sets the number of hosts that may be admitting and of those in reach,
@@ -100,7 +100,12 @@
 func (b *bucket) capacity() float64 { return max(b.burst, 1) }
 
 // part is the share of the fleet's rate that this host may count on.
-func (s *State) part() float64 { return min(float64(s.reach)/float64(s.hosts), 1) }
+func (s *State) part() float64 {
+	if s.hosts == 0 {
+		return 0
+	}
+	return min(float64(s.reach)/float64(s.hosts), 1)
+}
 
 func (s *State) fillAll(now sd.Instant) {
 	for _, b := range s.buckets {
@@ -131,6 +136,10 @@
 // unseenMost bounds the part of a bucket that is kept for admissions not yet told.
 const unseenMost = 0.5
 
+// unknownWait is when a caller should come back to a host that does not know the others
+// yet: it reads them at its start.
+const unknownWait = 300 * sd.Millisecond
+
 // gapSmoothing is the weight of a new gap between beats in the average.
 const gapSmoothing = 0.05
 
@@ -179,6 +188,10 @@
 	}
 	part := s.part()
 	b.fill(now, part)
+	if part == 0 {
+		// Each host would take the whole rate until it knows of the others.
+		return Verdict{Wait: unknownWait, Tokens: b.tokens, Rate: sd.Rate(b.rate)}
+	}
 	need := min(1, b.capacity()*part)
 	if begins && b.drained > 0 && now.Since(b.drained) < beginPause {
 		need = max(need, b.capacity()*part*beginReserve)
--- a/meterer/state_test.go
+++ b/meterer/state_test.go
@@ -173,6 +173,7 @@
 // programs leave the rest of the bucket to them.
 func TestNewProgramsYieldInAFlood(t *testing.T) {
 	s := meterer.New(allowed)
+	s.Hosts(0, 1, 1)
 	s.Configure(0, []sd.Workspace{{ID: "w", Rate: 100, Burst: 100}})
 	now := sd.Instant(1000)
 	for v := s.Admit(now, "w", false); v.Admitted; {
@@ -190,6 +191,7 @@
 // A workspace without a rate is not bounded, one of a smaller plan is at once.
 func TestPlansChangeBounds(t *testing.T) {
 	s := meterer.New(meterer.Settings{})
+	s.Hosts(0, 1, 1)
 	s.Configure(0, []sd.Workspace{{ID: "w"}})
 	for range 1000 {
 		if !s.Admit(1, "w", false).Admitted {
@@ -304,6 +306,7 @@
 // waits, until what was borrowed has been paid back.
 func TestProgramsUnderWayBorrow(t *testing.T) {
 	s := meterer.New(allowed)
+	s.Hosts(0, 1, 1)
 	s.Configure(0, []sd.Workspace{{ID: "w", Rate: 10, Burst: 10}})
 	begun := 0
 	for s.Admit(5000, "w", true).Admitted {
--- a/starter/host.go
+++ b/starter/host.go
@@ -104,6 +104,11 @@
 	// rows holds the versions of the hosts' rows.
 	rows map[sd.HostID]sd.Record
 
+	planLock sync.Mutex
+	// table is that of the newest plan; it is in force once the other hosts are known.
+	table *receiver.Table
+	known bool
+
 	draining atomic.Bool
 	targets  atomic.Bool
 	// alone tells that the host was cut off when it last looked.
@@ -197,12 +202,15 @@
 	}
 	silent := h.gossiper.Silent()
 	hosts, reach := h.gossiper.Hosts(), h.gossiper.Reach(silent)
+	known := h.knows()
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
 		s.Silent(silent)
 		beat.Inflight, beat.Sent = s.Beat(now)
 	})
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
-		s.Hosts(now, hosts, reach)
+		if known {
+			s.Hosts(now, hosts, reach)
+		}
 		beat.Admitted = s.Beat(now, toldFor*h.gossiper.Interval())
 	})
 }
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -32,18 +32,41 @@
 			h.log.Error("plan cannot be used", zap.Int("event", eventPlanBad), zap.Uint64("version", record.Version), zap.Error(err))
 			continue
 		}
-		if now := h.receiver.Table(); now != nil && now.Plan.Revision >= plan.Revision {
+		h.planLock.Lock()
+		newest := h.table == nil || h.table.Plan.Revision < plan.Revision
+		if newest {
+			h.table = receiver.NewTable(plan)
+		}
+		h.planLock.Unlock()
+		if !newest {
 			continue
 		}
 		h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Configure(plan.Pools) })
 		h.meter.update(func(s *meterer.State, now sd.Instant) { s.Configure(now, plan.Workspaces) })
 		h.idle.limit.Store(int64(plan.Bounds.IdleTimeout))
-		h.receiver.SetPlan(receiver.NewTable(plan))
+		h.enforce()
 		h.log.Info("plan in force", zap.Int("event", eventPlan), zap.Uint64("revision", uint64(plan.Revision)),
-			zap.Uint64("version", record.Version), zap.Int("rules", len(plan.Rules)), zap.Int("keys", len(plan.Keys)))
+			zap.Uint64("version", record.Version), zap.Int("rules", len(plan.Rules)), zap.Int("keys", len(plan.Keys)), zap.Bool("waits", !h.knows()))
+	}
+}
+
+// enforce puts the newest plan in force once the other hosts are known: one that does not
+// know them would take the whole of what all may take together.
+func (h *Host) enforce() {
+	h.planLock.Lock()
+	defer h.planLock.Unlock()
+	if h.known && h.table != nil && h.receiver.Table() != h.table {
+		h.receiver.SetPlan(h.table)
 	}
 }
 
+// knows reports whether this host has read which others there are.
+func (h *Host) knows() bool {
+	h.planLock.Lock()
+	defer h.planLock.Unlock()
+	return h.known
+}
+
 // targetsChanged takes registrations. One that lapsed while the store was away
 // counts until its target has had time to return.
 func (h *Host) targetsChanged(records []sd.Record) {
@@ -95,8 +118,13 @@
 		}
 		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation, Power: row.Power})
 	}
-	hosts := h.gossiper.Hosts()
+	hosts, reach := h.gossiper.Hosts(), h.gossiper.Reach(nil)
 	h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Hosts(hosts) })
+	h.meter.update(func(s *meterer.State, now sd.Instant) { s.Hosts(now, hosts, reach) })
+	h.planLock.Lock()
+	h.known = true
+	h.planLock.Unlock()
+	h.enforce()
 }
 
 // publish writes this host's row and removes it at the end.
