balancer: what a target has got counts over restarts of all hosts and lapsed registrations

What callers would see: a cold target that gets more than it bears and fails, after all hosts were killed and started again within a second, or after its registration lapsed for a moment.

Cause: what was sent in the last second is known to hosts' memory alone, and to the entry of a target that is forgotten with its registration.

Now hosts that start together send nothing to targets with a cold bound for 0.5 s, which with the least time of a restart spans the second; a host that hears one which has run for longer does not wait. What a removed target got is kept for a second.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -86,7 +86,8 @@
 	if p.settings.ColdRate == 0 {
 		return true
 	}
-	if s.hosts == 0 {
+	if s.hosts == 0 || (!s.joined && now.Since(s.began) < startQuiet) {
+		// All hosts may have sent their parts just before they were lost together.
 		return false
 	}
 	bound := float64(p.settings.ColdRate)*s.settings.ColdOver + s.settings.ColdSlack
@@ -122,6 +123,19 @@
 	return even
 }
 
+// begin notes when this host began to count what it sends, and forgets what removed
+// targets got too long ago to matter.
+func (s *State) begin(now sd.Instant) {
+	if s.began == 0 {
+		s.began = now
+	}
+	for id, sent := range s.removed {
+		if len(sent) == 0 || now.Since(sent[len(sent)-1]) > coldWindow {
+			delete(s.removed, id)
+		}
+	}
+}
+
 func (t *target) lately(now sd.Instant) int { return t.within(now, coldWindow) }
 
 // within returns the number of requests sent in the last span.
@@ -143,6 +157,7 @@
 // Beat returns what this host tells the others: its requests under way and those
 // sent in the last second.
 func (s *State) Beat(now sd.Instant) (inflight, sent map[gossiper.Code]int) {
+	s.begin(now)
 	inflight, sent = map[gossiper.Code]int{}, map[gossiper.Code]int{}
 	for _, t := range s.targets {
 		t.announced, t.before = t.lately(now), s.before(now.Add(-heardFor), t)
--- a/balancer/start_test.go
+++ b/balancer/start_test.go
@@ -77,3 +77,50 @@
 		t.Fatalf("%d requests in 0.3 s, bound %.0f a second", got, startBound)
 	}
 }
+
+// Loss of all hosts: those that start again do not know what was sent a moment before.
+func TestColdBoundHoldsOverAQuickRestartOfAllHosts(t *testing.T) {
+	for _, dark := range []sd.Instant{300, 500, 660, 700, 800} {
+		states := started()
+		for _, s := range states {
+			s.Hosts(startHosts)
+		}
+		// Idle hosts hear of one another, then a crowd comes.
+		for now := sd.Instant(2000); now < 4900; now += 100 {
+			for i, s := range states {
+				inflight, lately := s.Beat(now)
+				for j, other := range states {
+					if j != i {
+						other.Heard(now, sd.HostID(fmt.Sprint("h", i)), inflight, lately)
+					}
+				}
+			}
+		}
+		sent := press(states, 4900, 5100, true)
+		before := len(sent)
+		states = started()
+		for _, s := range states {
+			s.Hosts(startHosts)
+		}
+		sent = append(sent, press(states, 5100+dark, 6500, true)...)
+		got := mostInASecond(sent)
+		t.Logf("dark for %d ms: %d sent before, %d in a second", dark, before, got)
+		if float64(got) > startBound {
+			t.Errorf("dark for %d ms: %d requests in a second, bound %.0f", dark, got, startBound)
+		}
+	}
+}
+
+// A registration that lapses and is back within a second names the same target, which has
+// got what it got.
+func TestColdBoundHoldsOverALapsedRegistration(t *testing.T) {
+	states := started()[:1]
+	sent := press(states, 5000, 5400, true)
+	r := states[0].Targets()[0]
+	states[0].Remove(r.ID)
+	states[0].Register(r)
+	sent = append(sent, press(states, 5400, 5800, true)...)
+	if got := mostInASecond(sent); float64(got) > startBound {
+		t.Fatalf("%d requests in 0.8 s, bound %.0f a second", got, startBound)
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -45,6 +45,10 @@
 	restMost  = 3 * sd.Second
 	// coldWindow is the span over which the bound of cold targets holds.
 	coldWindow = sd.Second
+	// startQuiet is how long hosts that have started together send nothing to targets with a
+	// cold bound. With the least time in which a process is started again it spans the
+	// window.
+	startQuiet = 500 * sd.Millisecond
 	// coldEven is the part of the bound that the hosts may use without hearing of one
 	// another.
 	coldEven = 0.5
@@ -81,9 +85,16 @@
 	// hosts is the number of hosts among which the cold bound is shared; zero until they
 	// are known.
 	hosts int
-	peers map[sd.HostID]report
-	queue []*Ticket
-	next  uint64
+	// began is when this host began to count what it sends; joined tells that others ran
+	// before it.
+	began  sd.Instant
+	joined bool
+	// removed holds what targets got that were removed lately: their registrations may lapse
+	// for a moment.
+	removed map[sd.TargetID][]sd.Instant
+	peers   map[sd.HostID]report
+	queue   []*Ticket
+	next    uint64
 }
 
 type pool struct {
@@ -169,7 +180,7 @@
 	}
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
-		evacuated: map[sd.ZoneName]bool{}, peers: map[sd.HostID]report{},
+		evacuated: map[sd.ZoneName]bool{}, removed: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]report{},
 	}
 }
 
@@ -192,6 +203,10 @@
 // Hosts sets the number of hosts among which the cold bound is shared.
 func (s *State) Hosts(count int) { s.hosts = max(count, 1) }
 
+// Join tells that a host is heard which has run for longer than the cold bound counts: this
+// one did not start together with all others.
+func (s *State) Join() { s.joined = true }
+
 // Evacuate tells whether targets of a zone may get requests.
 func (s *State) Evacuate(zone sd.ZoneName, out bool) {
 	if out {
@@ -215,7 +230,8 @@
 			s.Remove(r.ID)
 		}
 		t = &target{rank: rank(s.settings.Host, r.ID), code: gossiper.CodeOf(r.ID)}
-		t.ID = r.ID
+		t.ID, t.sent = r.ID, s.removed[r.ID]
+		delete(s.removed, r.ID)
 		t.before = s.before(0, t)
 		s.targets[r.ID] = t
 		p := s.pool(r.Pool)
@@ -233,6 +249,7 @@
 		return
 	}
 	delete(s.targets, id)
+	s.removed[id] = t.sent
 	p := s.pool(t.Pool)
 	p.members = slices.DeleteFunc(p.members, func(m *target) bool { return m == t })
 }
@@ -249,6 +266,7 @@
 // Ask gives the ticket a target, refuses it, or queues it. It reports whether the
 // ticket is settled; a queued one is settled by Advance.
 func (s *State) Ask(now sd.Instant, k *Ticket) bool {
+	s.begin(now)
 	if k.Begins && s.crowded(now, k) {
 		k.Refused = Crowded
 		return true
--- a/starter/host.go
+++ b/starter/host.go
@@ -69,6 +69,9 @@
 	// toldFor is the number of rounds in which a changed count is told: datagrams may
 	// be lost.
 	toldFor = 5
+	// longRun is how long another host must have run to tell that this one did not start
+	// together with all others: longer than what a cold target has got counts.
+	longRun = 1500 * sd.Millisecond
 	// tellEvery is how often the counters are logged.
 	tellEvery = 10 * sd.Second
 	// storePause is the pause after a failed write of this host's row.
@@ -217,7 +220,13 @@
 
 // heard takes another host's beat.
 func (h *Host) heard(beat gossiper.Beat) {
-	h.gate.Update(func(s *balancer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Inflight, beat.Sent) })
+	ran := sd.Millis(beat.Number) * h.gossiper.Interval()
+	h.gate.Update(func(s *balancer.State, now sd.Instant) {
+		s.Heard(now, beat.Host, beat.Inflight, beat.Sent)
+		if ran >= longRun {
+			s.Join()
+		}
+	})
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
 		s.Heard(now, beat.Host, beat.Incarnation, beat.Number, beat.Admitted)
 	})
