relayer: calls end once the store is back

What callers saw: after an outage in which the store was silent, a turn that waited for a transaction waited up to 1.6 s more although the store answered again. A part has one transaction at a time, so all its turns waited with it.

Cause: a call that the store will never answer held its caller until its time-out. The host learned of the return by probes, but only calls under way or beginning sent them, watches only once they were overdue, and open calls took no note of it.

A lost store is now probed every 300 ms as long as calls are made, and a call sent before the host found the store again ends as Uncertain 120 ms later: a store that is well answers in about 10 ms, and all calls may be sent again. Watches too, as what they wait for may have been missed. Probes stop a second after the last call.

Ruled out: a loop beside the calls that never ends; it would probe for hosts that are going away.

Cost: 3.3 small reads a second and host while the store is lost.

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -40,6 +40,9 @@
 	probeAgain = 45 * sd.Millisecond
 	// probeEvery is how often a lost store is tried again.
 	probeEvery = 300 * sd.Millisecond
+	// idleAfter is how long after the last call a lost store is not tried any more: longer
+	// than the pauses of those who follow its tables.
+	idleAfter = sd.Second
 )
 
 // probeTable is the table that a probe reads; its rows do not matter.
@@ -59,7 +62,10 @@
 	// Changed is told when this host has lost the store or reaches it again.
 	Changed func()
 
-	lock     sync.Mutex
+	lock sync.Mutex
+	// open counts the calls under way; lastCall is when one was last begun or ended.
+	open     int
+	lastCall sd.Instant
 	failures int
 	// refused counts calls refused for overload with no other answer between them.
 	refused   int
@@ -69,11 +75,13 @@
 	backAt    sd.Instant
 	probed    sd.Instant
 	probing   bool
+	// found is closed when the store is found again.
+	found chan struct{}
 }
 
 // New returns a Relay of direct; peers returns the hosts that are alive.
 func New(direct sd.Store, peers func(reaching bool) []gossiper.Peer, zone sd.ZoneName, client *messenger.Client, clock sd.Clock, log *zap.Logger) *Relay {
-	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log}
+	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log, found: make(chan struct{})}
 }
 
 // Reaches reports whether this host reaches the store itself.
@@ -171,6 +179,8 @@
 func (r *Relay) do(parent context.Context, o Order, hedge sd.Millis) (sd.Page, error) {
 	ctx, cancel := context.WithTimeout(parent, (hedge + callTimeout).Duration())
 	defer cancel()
+	sent, found := r.begin()
+	defer r.end()
 	outcomes := make(chan outcome, 2)
 	open, relayed := 0, false
 	ask := func(direct bool) {
@@ -213,7 +223,18 @@
 				return sd.Page{}, sd.Uncertain.Wrap(end.err, "call may have taken effect")
 			}
 			return sd.Page{}, sd.Unavailable.Wrap(end.err, "store not reached")
+		case <-found:
+			found = nil
+			timer.Reset(hedgeAfter.Duration())
 		case <-timer.C:
+			now := r.clock.Now()
+			if r.missed(sent, now) {
+				return sd.Page{}, sd.Uncertain.New("not answered in %d ms; the store has come back meanwhile", now.Since(sent))
+			}
+			if now.Since(sent) < hedge {
+				timer.Reset(hedgeAgain.Duration())
+				continue
+			}
 			// One part of the store may be slow for its load; a probe tells whether all
 			// of it is, and only then a peer is asked too.
 			r.doubt()
@@ -227,6 +248,33 @@
 	}
 }
 
+// begin notes a call. It returns when it was sent, and what is closed when the store is
+// found again.
+func (r *Relay) begin() (sd.Instant, <-chan struct{}) {
+	now := r.clock.Now()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.open++
+	r.lastCall = now
+	return now, r.found
+}
+
+func (r *Relay) end() {
+	now := r.clock.Now()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.open--
+	r.lastCall = now
+}
+
+// missed reports whether a call will hardly be answered: it was sent before the store
+// was found again, and others would have been answered by now.
+func (r *Relay) missed(sent, now sd.Instant) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return !r.lost && sent < r.backAt && now.Since(r.backAt) >= hedgeAfter
+}
+
 // measure makes a call at the store itself and notes how that went.
 func (r *Relay) measure(ctx context.Context, o Order) (sd.Page, error) {
 	start := r.clock.Now()
@@ -272,7 +320,7 @@
 		return
 	}
 	r.probing, r.probed = true, now
-	go r.probe()
+	go r.probe(0)
 }
 
 // Suspect looks at once whether this host reaches the store: a peer has just lost
@@ -286,22 +334,38 @@
 }
 
 // probe reads no row from the store itself until it is told an answer or has lost the
-// store. Its word alone decides.
-func (r *Relay) probe() {
-	for range refusedCalls {
-		ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter.Duration())
-		start := r.clock.Now()
-		_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
-		cancel()
-		r.note(err, r.clock.Now().Since(start), lostAfter)
-		if !errorx.IsOfType(err, sd.Crowded) || !r.Reaches() {
-			break
+// store, and then until the store is found again. Its word alone decides. It begins
+// after a pause.
+func (r *Relay) probe(pause sd.Millis) {
+	for again := true; again; pause, again = r.next() {
+		time.Sleep(pause.Duration())
+		for range refusedCalls {
+			ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter.Duration())
+			start := r.clock.Now()
+			_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
+			cancel()
+			r.note(err, r.clock.Now().Since(start), lostAfter)
+			if !errorx.IsOfType(err, sd.Crowded) || !r.Reaches() {
+				break
+			}
+			time.Sleep(probeAgain.Duration())
 		}
-		time.Sleep(probeAgain.Duration())
 	}
+}
+
+// next returns the pause before the next probe, or false if none is due: the store is
+// reached, or nobody calls it.
+func (r *Relay) next() (sd.Millis, bool) {
+	now := r.clock.Now()
 	r.lock.Lock()
-	r.probing = false
-	r.lock.Unlock()
+	defer r.lock.Unlock()
+	if !r.lost || (r.open == 0 && now.Since(r.lastCall) > idleAfter) {
+		r.probing = false
+		return 0, false
+	}
+	due := max(r.probed.Add(probeEvery), now)
+	r.probed = due
+	return due.Since(now), true
 }
 
 // Away reports whether neither this host nor a peer that it hears reaches the
@@ -325,6 +389,8 @@
 		r.failures, r.refused = 0, 0
 		if r.lost {
 			r.lost, r.backAt = false, now
+			close(r.found)
+			r.found = make(chan struct{})
 			r.changed()
 			r.log.Info("store is reached again", zap.Int("event", eventStoreBack), zap.Int64("lost_ms", int64(now.Since(r.lostAt))))
 		}
@@ -347,6 +413,10 @@
 	r.failures += weight
 	if !r.lost && r.failures >= lostAfter {
 		r.lost, r.lostAt, r.probed = true, now, now
+		if !r.probing {
+			r.probing = true
+			go r.probe(probeEvery)
+		}
 		r.changed()
 		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures),
 			zap.Int64("took_ms", int64(took)), zap.Error(err))
