relayer: unanswered calls end while others are answered

What callers saw: while the store lost answers, or one of its parts was silent, a turn waited 1.6 s for each transaction that was not answered, with all turns of its part, although the store answered others within milliseconds.

Cause: a call waited for its time-out even when the probe that it had sent for, and other calls, showed the store to be well.

A call now ends as Uncertain 0.4 s after it was sent if one sent later was answered within 60 ms, directly or by way of a peer. A store that is slow for all answers nothing within 170 ms, so there calls are waited for as before. Watches are not concerned. For the same reason a call that fails says nothing about the store if one sent later was answered: a probe that goes to a silent part no longer makes the store count as lost on a host whose other calls are answered.

TestUnansweredCallEndsWhileOthersAreAnswered and TestUnansweredRelayedCallEnds: before 1.62 s each, after 0.42 s. TestLongCallsAreWaitedFor passes before and after.

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -26,6 +26,13 @@
 	hedgeAfter = 120 * sd.Millisecond
 	// hedgeAgain is how often it is looked again whether a peer should be asked.
 	hedgeAgain = 60 * sd.Millisecond
+	// quickAnswer tells a store that is well from a slow one: it answers in some 10 ms, a
+	// slow one takes 170 ms at least.
+	quickAnswer = 60 * sd.Millisecond
+	// giveUpAfter is how long a call waits while calls sent after it are answered quickly:
+	// 40 times the store's usual answer. A part has a second's transactions waiting at most,
+	// and hardly ever 0.4 s of them, as each host has one under way.
+	giveUpAfter = 400 * sd.Millisecond
 	// callTimeout bounds a call: a slow store takes some 600 ms.
 	callTimeout = 1500 * sd.Millisecond
 	// lostAfter is the number of failures in a row after which the store counts as
@@ -73,8 +80,10 @@
 	lost      bool
 	lostAt    sd.Instant
 	backAt    sd.Instant
-	probed    sd.Instant
-	probing   bool
+	// quickAt is when the last of the calls was sent that the store answered quickly.
+	quickAt sd.Instant
+	probed  sd.Instant
+	probing bool
 	// found is closed when the store is found again.
 	found chan struct{}
 }
@@ -137,17 +146,17 @@
 
 // Commit implements sd.Store.
 func (r *Relay) Commit(ctx context.Context, update sd.Update) (sd.Page, error) {
-	return r.do(ctx, Order{Update: &update}, hedgeAfter)
+	return r.do(ctx, Order{Update: &update}, true)
 }
 
 // List implements sd.Store.
 func (r *Relay) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
-	return r.do(ctx, Order{List: &listOrder{table, part, from, to}}, hedgeAfter)
+	return r.do(ctx, Order{List: &listOrder{table, part, from, to}}, true)
 }
 
 // Watch implements sd.Store.
 func (r *Relay) Watch(ctx context.Context, table string, after uint64, wait sd.Millis) (sd.Page, error) {
-	return r.do(ctx, Order{Watch: &watch{table, after, wait}}, wait+hedgeAfter)
+	return r.do(ctx, Order{Watch: &watch{table, after, wait}}, true)
 }
 
 // perform makes a call at a store.
@@ -174,15 +183,19 @@
 	return err == nil || errorx.IsOfType(err, sd.Conflict) || errorx.IsOfType(err, sd.Absent)
 }
 
-// do makes a call directly, and by way of a peer if that fails, takes long, or
-// has failed lately.
-func (r *Relay) do(parent context.Context, o Order, hedge sd.Millis) (sd.Page, error) {
+// do makes a call directly, and, if it may be relayed, by way of a peer if that fails,
+// takes long, or has failed lately.
+func (r *Relay) do(parent context.Context, o Order, relay bool) (sd.Page, error) {
+	hedge := hedgeAfter
+	if o.Watch != nil {
+		hedge += o.Watch.Wait
+	}
 	ctx, cancel := context.WithTimeout(parent, (hedge + callTimeout).Duration())
 	defer cancel()
 	sent, found := r.begin()
 	defer r.end()
 	outcomes := make(chan outcome, 2)
-	open, relayed := 0, false
+	open, relayed := 0, !relay
 	ask := func(direct bool) {
 		open++
 		relayed = relayed || !direct
@@ -196,7 +209,7 @@
 			outcomes <- outcome{page, err, false}
 		}()
 	}
-	ask(r.try())
+	ask(!relay || r.try())
 	timer := time.NewTimer(hedge.Duration())
 	defer timer.Stop()
 	uncertain := false
@@ -207,8 +220,8 @@
 			if definite(end.err) {
 				return end.page, end.err
 			}
-			if errorx.IsOfType(end.err, sd.Crowded) && r.Reaches() {
-				// A peer would only add to what the store has to do.
+			if !relay || (errorx.IsOfType(end.err, sd.Crowded) && r.Reaches()) {
+				// In a crowd a peer would only add to what the store has to do.
 				return sd.Page{}, end.err
 			}
 			uncertain = uncertain || errorx.IsOfType(end.err, sd.Uncertain)
@@ -228,8 +241,8 @@
 			timer.Reset(hedgeAfter.Duration())
 		case <-timer.C:
 			now := r.clock.Now()
-			if r.missed(sent, now) {
-				return sd.Page{}, sd.Uncertain.New("not answered in %d ms; the store has come back meanwhile", now.Since(sent))
+			if r.missed(o, sent, now) {
+				return sd.Page{}, sd.Uncertain.New("not answered in %d ms, as later calls were", now.Since(sent))
 			}
 			if now.Since(sent) < hedge {
 				timer.Reset(hedgeAgain.Duration())
@@ -268,11 +281,15 @@
 }
 
 // missed reports whether a call will hardly be answered: it was sent before the store
-// was found again, and others would have been answered by now.
-func (r *Relay) missed(sent, now sd.Instant) bool {
+// was found again, or others that were sent later were answered quickly. The latter says
+// nothing about a watch.
+func (r *Relay) missed(o Order, sent, now sd.Instant) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return !r.lost && sent < r.backAt && now.Since(r.backAt) >= hedgeAfter
+	if !r.lost && sent < r.backAt && now.Since(r.backAt) >= hedgeAfter {
+		return true
+	}
+	return o.Watch == nil && sent < r.quickAt && now.Since(sent) >= giveUpAfter
 }
 
 // measure makes a call at the store itself and notes how that went.
@@ -289,7 +306,7 @@
 		return page, err
 	}
 	if !definite(err) || took < hedgeAfter {
-		r.note(err, took, 1)
+		r.note(err, start, 1)
 	}
 	return page, err
 }
@@ -344,7 +361,7 @@
 			start := r.clock.Now()
 			_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
 			cancel()
-			r.note(err, r.clock.Now().Since(start), lostAfter)
+			r.note(err, start, lostAfter)
 			if !errorx.IsOfType(err, sd.Crowded) || !r.Reaches() {
 				break
 			}
@@ -380,12 +397,17 @@
 	}
 }
 
-// note takes the outcome of a direct call, and as how many failures one counts.
-func (r *Relay) note(err error, took sd.Millis, weight int) {
+// note takes the outcome of a direct call, when that was sent, and as how many failures
+// one counts.
+func (r *Relay) note(err error, sent sd.Instant, weight int) {
 	now := r.clock.Now()
+	took := now.Since(sent)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if definite(err) {
+		if took < quickAnswer {
+			r.quickAt = max(r.quickAt, sent)
+		}
 		r.failures, r.refused = 0, 0
 		if r.lost {
 			r.lost, r.backAt = false, now
@@ -396,6 +418,10 @@
 		}
 		return
 	}
+	if sent < r.quickAt {
+		// Only this call failed, or only its part of the store.
+		return
+	}
 	if errorx.IsOfType(err, sd.Crowded) {
 		// The store refuses some calls of all hosts when there are too many, and all
 		// calls of some hosts when it turns those away.
@@ -466,7 +492,7 @@
 
 // Answer makes another host's call, directly only.
 func (r *Relay) Answer(ctx context.Context, o Order) (Result, error) {
-	page, err := perform(ctx, r.direct, o)
+	page, err := r.do(ctx, o, false)
 	got := Result{Page: page}
 	if err != nil {
 		got.Message, got.Kind = err.Error(), kindUncertain
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -94,3 +94,125 @@
 		})
 	}
 }
+
+// mute is a store whose commits to one part take effect and are never answered.
+type mute struct {
+	*faker.Rows
+	part string
+}
+
+func (m mute) Commit(ctx context.Context, u sd.Update) (sd.Page, error) {
+	page, err := m.Rows.Commit(ctx, u)
+	if u.Expect[0].Part != m.part {
+		return page, err
+	}
+	<-ctx.Done()
+	return sd.Page{}, sd.Uncertain.Wrap(ctx.Err(), "answer lost")
+}
+
+func putIn(part, key string) sd.Update {
+	cell := sd.Cell{Table: "t", Part: part, Key: key}
+	return sd.Update{Expect: []sd.Record{{Cell: cell}}, Put: []sd.Record{{Cell: cell, Value: []byte(key)}}}
+}
+
+// Lost answers of the store, or one of its parts silent: a call held its caller, and all
+// that waited for the same part, for 1.6 s while the store answered others within
+// milliseconds.
+func TestUnansweredCallEndsWhileOthersAreAnswered(t *testing.T) {
+	lost, silent := faker.NewRows(1), faker.NewRows(1)
+	silent.Trouble(faker.RowsTrouble{Silent: true, Parts: []string{"p0"}})
+	list := func(r *relayer.Relay) error { _, err := r.List(t.Context(), "t", "p0", "", ""); return err }
+	commit := func(r *relayer.Relay) error { _, err := r.Commit(t.Context(), putIn("p0", "a")); return err }
+	for name, c := range map[string]struct {
+		store sd.Store
+		call  func(r *relayer.Relay) error
+	}{
+		"lost answer":           {mute{lost, "p0"}, commit},
+		"commit to silent part": {silent, commit},
+		"list of silent part":   {silent, list},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := alone(c.store)
+			start := time.Now()
+			err := c.call(r)
+			took := time.Since(start)
+			t.Logf("ended after %v: %v", took, err)
+			if !errorx.IsOfType(err, sd.Uncertain) {
+				t.Fatalf("ended with %v", err)
+			}
+			if took > 700*time.Millisecond {
+				t.Fatalf("held for %v", took)
+			}
+			if !r.Reaches() {
+				t.Fatal("the store counts as lost")
+			}
+			if _, err := r.Commit(t.Context(), putIn("p1", name)); err != nil {
+				t.Fatalf("another part: %v", err)
+			}
+		})
+	}
+}
+
+// As above, for a call that a peer makes for a host that does not reach the store.
+func TestUnansweredRelayedCallEnds(t *testing.T) {
+	r, mine, peers := pair(t)
+	mine.set(faker.RowsTrouble{Down: true})
+	if _, err := r.Commit(t.Context(), putIn("p1", "a")); err != nil {
+		t.Fatal(err)
+	}
+	peers.store.Trouble(faker.RowsTrouble{Silent: true, Parts: []string{"p0"}})
+	start := time.Now()
+	_, err := r.Commit(t.Context(), putIn("p0", "b"))
+	took := time.Since(start)
+	t.Logf("ended after %v: %v", took, err)
+	if !errorx.IsOfType(err, sd.Uncertain) || took > 700*time.Millisecond {
+		t.Fatalf("held for %v: %v", took, err)
+	}
+}
+
+// A watch waits as long as it was asked to, however quickly others are answered, and a
+// call to a store that is slow for all is waited for.
+func TestLongCallsAreWaitedFor(t *testing.T) {
+	t.Run("watch", func(t *testing.T) {
+		r := alone(faker.NewRows(1))
+		ended := make(chan error, 1)
+		go func() { _, err := r.Watch(t.Context(), "t", 0, sd.Second); ended <- err }()
+		for start := time.Now(); time.Since(start) < 900*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+			if _, err := r.List(t.Context(), "t", "p0", "", ""); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	})
+	t.Run("slow", func(t *testing.T) {
+		// Transactions of a part wait for one another, reads do not.
+		rows := faker.NewRows(1)
+		r := alone(queue{rows, 3 * 300 * sd.Millisecond})
+		rows.Trouble(faker.RowsTrouble{Delay: 250 * sd.Millisecond})
+		for _, key := range []string{"a", "b", "c"} {
+			if _, err := r.Commit(t.Context(), put(key)); err != nil {
+				t.Fatalf("%s: %v", key, err)
+			}
+		}
+		if rows.Commits() != 3 {
+			t.Fatalf("%d transactions for 3", rows.Commits())
+		}
+	})
+}
+
+// queue is a store whose transactions wait for others before they begin.
+type queue struct {
+	*faker.Rows
+	wait sd.Millis
+}
+
+func (q queue) Commit(ctx context.Context, u sd.Update) (sd.Page, error) {
+	select {
+	case <-ctx.Done():
+		return sd.Page{}, sd.Uncertain.Wrap(ctx.Err(), "waits for others")
+	case <-time.After(q.wait.Duration()):
+		return q.Rows.Commit(ctx, u)
+	}
+}
