--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
@@ -13,12 +14,12 @@
 )
 
 const (
-	// placeTimeout bounds a reservation at the sequencer, which may have to claim the
-	// part first.
-	placeTimeout = 600 * sd.Millisecond
-	// settleTimeout bounds a settlement there, which also waits for copies while the
-	// store is away.
-	settleTimeout = 900 * sd.Millisecond
+	// sequencerSilence is how long a sequencer may say nothing to a host that waits for it:
+	// longer than it takes to notice the loss of a peer.
+	sequencerSilence = 600 * sd.Millisecond
+	// tellEvery is how often a sequencer tells a host that waits that it is still there: three
+	// times within that silence.
+	tellEvery = 200 * sd.Millisecond
 	// suspectFor is how long a sequencer that did not answer is passed over.
 	suspectFor = sd.Second
 	// strong is the part of the strongest host's power that a sequencer must have.
@@ -29,32 +30,22 @@
 type Placement struct {
 	Program, Hold Key
 	Limit, Budget sd.Tokens
-	// Fresh tells that the program may be new.
-	Fresh bool
-	// Final orders are not passed on to a third host.
-	Final bool
 	// Seen is the stored account as the sender last saw it.
 	Seen Snapshot
 }
 
-// Placed is the answer to a Placement: the key of the reservation, or why there is
-// none.
+// Placed is the answer to a Placement: why there is no reservation, if there is none.
 type Placed struct {
-	Hold               Key
-	Exhausted, Refused string
-	// Elsewhere tells that the answering host does not have the claim.
-	Elsewhere bool
+	Exhausted string
+	// Pending tells that the store has yet to take the reservation; another answer follows.
+	Pending bool
 	Snapshot
 }
 
-// Snapshot is an account as the answering host knows it. The host that serves a
-// program keeps it, so that the program can go on when its sequencer is gone and
-// the store is away.
+// Snapshot is an account as the answering host saw it in the store. The host that
+// serves a program keeps it, so that the next sequencer can begin with it.
 type Snapshot struct {
-	Known bool
-	// Stored tells that the account is the store's row at Version; otherwise it
-	// includes what has yet to be written.
-	Stored  bool
+	Known   bool
 	Account Account
 	Version uint64
 }
@@ -62,6 +53,8 @@
 // Settled is the answer to an Operation that ends a turn.
 type Settled struct {
 	Medium Medium
+	// Pending tells that the store has yet to take the turn; another answer follows.
+	Pending bool
 	Snapshot
 }
 
@@ -108,22 +101,11 @@
 }
 
 // sequencer returns the address of the host to which a program's operations go,
-// or nothing if that is this one: the holder of a claim on the part, or the host
-// that sequences it.
+// or nothing if that is this one.
 func (a *Archive) sequencer(program Key) sd.Address {
 	if a.peers.Alive == nil {
 		return ""
 	}
-	w := a.worker(program)
-	w.lock.Lock()
-	f, held := w.fence, w.claim != nil && w.claim.held
-	w.lock.Unlock()
-	if held {
-		return ""
-	}
-	if f != nil && a.lives(f.holder) {
-		return f.holder.Address
-	}
 	now := a.clock.Now()
 	hosts := []gossiper.Peer{a.peers.Self}
 	for _, p := range a.peers.Alive() {
@@ -137,100 +119,116 @@
 	return ""
 }
 
-// place has the sequencer reserve a turn and returns the key of the reservation.
-// It reports whether the sequencer has decided; if not, the caller may try
-// elsewhere.
-func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (Key, bool, error) {
-	asked, cancel := context.WithTimeout(ctx, placeTimeout.Duration())
+// attend sends a message to a sequencer and waits for its last answer, as long as it says
+// something now and then. It reports whether the sequencer has the message.
+func attend[Q, F any](ctx context.Context, a *Archive, at sd.Address, name string, request Q, pending func(F) bool) (last F, received bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := a.worker(order.Program)
-	w.lock.Lock()
-	if row := w.lane.rows[order.Program]; row != nil {
-		order.Seen = Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
+	silence := time.AfterFunc(sequencerSilence.Duration(), cancel)
+	defer silence.Stop()
+	ended := false
+	err = messenger.Follow(ctx, a.peers.Client, at, name, request, func(frame F) error {
+		silence.Reset(sequencerSilence.Duration())
+		last, received, ended = frame, true, !pending(frame)
+		return nil
+	})
+	if err == nil && !ended {
+		err = sd.Uncertain.New("sequencer %s gave no last answer", at)
+	}
+	return last, received, err
+}
+
+// tell sends pending answers until work has ended, and returns what it returned.
+func tell[F any](send func(F) error, pending F, work func() (F, error)) error {
+	type result struct {
+		frame F
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		frame, err := work()
+		done <- result{frame, err}
+	}()
+	ticker := time.NewTicker(tellEvery.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-done:
+			if r.err != nil {
+				return r.err
+			}
+			return send(r.frame)
+		case <-ticker.C:
+			if err := send(pending); err != nil {
+				// The host has gone; what it asked for ends with its context.
+				<-done
+				return err
+			}
+		}
 	}
-	w.lock.Unlock()
-	placed, err := messenger.Ask[Placement, Placed](asked, a.peers.Client, at, messageReserve, order)
+}
+
+// place has the sequencer reserve a turn. It reports whether the sequencer has
+// decided; if not, the caller may try again, under another key.
+func (a *Archive) place(ctx context.Context, at sd.Address, order Placement) (bool, error) {
+	order.Seen = a.snapshot(order.Program)
+	placed, _, err := attend(ctx, a, at, messageReserve, order, func(p Placed) bool { return p.Pending })
 	switch {
 	case err != nil:
-		a.suspects.add(a.clock.Now(), at)
-		return order.Hold, false, sd.Unavailable.Wrap(err, "sequencer %s did not answer", at)
+		if ctx.Err() == nil {
+			a.suspects.add(a.clock.Now(), at)
+		}
+		return false, sd.Unavailable.Wrap(err, "sequencer %s did not reserve", at)
 	case placed.Exhausted != "":
-		return order.Hold, true, Exhausted.New("%s", placed.Exhausted)
-	case placed.Elsewhere:
-		return order.Hold, true, elsewhere.New("%s", placed.Refused)
-	case placed.Refused != "":
-		return order.Hold, true, sd.Unavailable.New("%s", placed.Refused)
+		return true, Exhausted.New("%s", placed.Exhausted)
 	}
+	w := a.worker(order.Program)
 	w.lock.Lock()
-	w.placed[placed.Hold] = at
-	w.learn(a.clock.Now(), order.Program, placed.Snapshot)
+	w.placed[order.Hold] = at
 	w.lock.Unlock()
-	return placed.Hold, true, nil
+	w.learn(a.clock.Now(), order.Program, placed.Snapshot)
+	return true, nil
 }
 
 // answerReserve reserves a turn for another host.
-func (a *Archive) answerReserve(ctx context.Context, order Placement) (Placed, error) {
-	order.Final = true
-	w := a.worker(order.Program)
-	w.lock.Lock()
-	w.learn(a.clock.Now(), order.Program, order.Seen)
-	w.lock.Unlock()
-	hold, err := a.reserve(ctx, order)
-	switch {
-	case err == nil:
-		return Placed{Hold: hold, Snapshot: a.snapshot(order.Program)}, nil
-	case errorx.IsOfType(err, Exhausted):
-		return Placed{Exhausted: err.Error()}, nil
-	}
-	return Placed{Refused: err.Error(), Elsewhere: errorx.IsOfType(err, elsewhere)}, nil
+func (a *Archive) answerReserve(ctx context.Context, order Placement, send func(Placed) error) error {
+	a.worker(order.Program).learn(a.clock.Now(), order.Program, order.Seen)
+	return tell(send, Placed{Pending: true}, func() (Placed, error) {
+		err := a.reserve(ctx, order)
+		if errorx.IsOfType(err, Exhausted) {
+			return Placed{Exhausted: err.Error()}, nil
+		}
+		return Placed{Snapshot: a.snapshot(order.Program)}, err
+	})
 }
 
 // answerSettle settles a turn for another host.
-func (a *Archive) answerSettle(ctx context.Context, o Operation) (Settled, error) {
+func (a *Archive) answerSettle(ctx context.Context, o Operation, send func(Settled) error) error {
 	if o.Kept != nil {
 		a.remember(o.Kept)
 	}
-	medium, err := a.settle(ctx, o)
-	return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
+	return tell(send, Settled{Pending: true}, func() (Settled, error) {
+		medium, err := a.settle(ctx, o)
+		return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
+	})
 }
 
-// snapshot returns what this host knows of an account.
+// snapshot returns an account as this host last saw it in the store.
 func (a *Archive) snapshot(program Key) Snapshot {
 	w := a.worker(program)
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if c := w.claim; c != nil && c.held {
-		s, _ := w.project(program, c)
-		return s
-	}
-	if row := w.lane.rows[program]; row != nil {
-		return Snapshot{Known: true, Stored: true, Account: row.account, Version: row.version}
+	if row := w.lane.rows[program]; row != nil && row.version > 0 {
+		return Snapshot{Known: true, Account: row.account, Version: row.version}
 	}
 	return Snapshot{}
 }
 
-// learn takes what another host knows of an account.
+// learn takes an account as another host saw it in the store.
 func (w *worker) learn(now sd.Instant, program Key, s Snapshot) {
-	switch {
-	case !s.Known:
-	case s.Stored:
+	if s.Known {
+		w.lock.Lock()
 		w.lane.See(now, program, s.Account, s.Version)
-	default:
-		if w.learned == nil {
-			w.learned = map[Key]Snapshot{}
-		}
-		w.learned[program] = s
-	}
-}
-
-// newer reports whether a snapshot is later than another: at a newer version of the
-// row, or at the same one with more spent.
-func (s Snapshot) newer(than Snapshot) bool {
-	switch {
-	case !s.Known || !than.Known:
-		return s.Known && !than.Known
-	case s.Version != than.Version:
-		return s.Version > than.Version
+		w.lock.Unlock()
 	}
-	return s.Account.Spent > than.Account.Spent
 }
