relayer: a slow store is not lost

Programs' rows were not read, as the store counted as away, and transactions were given up after 1.6 s though those in line at their part are answered after 0.6 to 1.6 s. At the beginning calls went to peers as well, which got no quicker answer.

A probe is now waited for up to 0.9 s. It still counts as failed after 120 ms, so that a host that is turned away is known as soon as before, but its answer brings the store back, and from then on the store is doubted only after three times what its last answer took. A slow store may take 3 s for a call. Peers are asked only if one says that it reaches the store, and later ones too if none did at first.

TestSlowStoreIsNotLost, calls once the host knows: before: 10 direct and 12 through a peer for 12 calls, lost all the time; after: 12 direct, none through a peer, never lost. TestSlowTransactionsAreWaitedFor: before: Uncertain after 1.62 s; after: answered after 1.77 s.

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -33,8 +33,17 @@
 	// 40 times the store's usual answer. A part has a second's transactions waiting at most,
 	// and hardly ever 0.4 s of them, as each host has one under way.
 	giveUpAfter = 400 * sd.Millisecond
-	// callTimeout bounds a call: a slow store takes some 600 ms.
+	// callTimeout bounds a call to a store that is well: a part has a second's transactions
+	// waiting at most.
 	callTimeout = 1500 * sd.Millisecond
+	// slowTimeout bounds a call to a slow store: a transaction takes some 600 ms there once
+	// those before it have ended.
+	slowTimeout = 3 * sd.Second
+	// slowTimes is how many times a slow store's last answer the next one may take.
+	slowTimes = 3
+	// slowest is how long an answer to a probe is waited for: three times as long as a slow
+	// store takes.
+	slowest = 900 * sd.Millisecond
 	// lostAfter is the number of failures in a row after which the store counts as
 	// lost to this host; one alone may be a lost answer.
 	lostAfter = 2
@@ -74,6 +83,8 @@
 	open     int
 	lastCall sd.Instant
 	failures int
+	// usual is how long the store's last answer took that was no transaction's wait.
+	usual sd.Millis
 	// refused counts calls refused for overload with no other answer between them.
 	refused   int
 	refusedAt sd.Instant
@@ -190,8 +201,10 @@
 	if o.Watch != nil {
 		hedge += o.Watch.Wait
 	}
-	ctx, cancel := context.WithTimeout(parent, (hedge + callTimeout).Duration())
+	ctx, cancel := context.WithTimeout(parent, (hedge + slowTimeout).Duration())
 	defer cancel()
+	limit := time.NewTimer((hedge + callTimeout).Duration())
+	defer limit.Stop()
 	sent, found := r.begin()
 	defer r.end()
 	outcomes := make(chan outcome, 2)
@@ -244,23 +257,40 @@
 			if r.missed(o, sent, now) {
 				return sd.Page{}, sd.Uncertain.New("not answered in %d ms, as later calls were", now.Since(sent))
 			}
-			if now.Since(sent) < hedge {
-				timer.Reset(hedgeAgain.Duration())
-				continue
+			// One part of the store may be slow for its load; a probe tells whether the
+			// store is lost, and only then a peer that reaches it is asked too.
+			if now.Since(sent) >= hedge-hedgeAfter+r.patience() {
+				r.doubt()
 			}
-			// One part of the store may be slow for its load; a probe tells whether all
-			// of it is, and only then a peer is asked too.
-			r.doubt()
-			if !relayed && !r.Reaches() {
+			if now.Since(sent) >= hedge && !relayed && !r.Reaches() && len(r.peers(true)) > 0 {
 				ask(false)
 			}
 			timer.Reset(hedgeAgain.Duration())
+		case <-limit.C:
+			if !r.slow() {
+				return sd.Page{}, sd.Uncertain.New("store did not answer in time")
+			}
 		case <-ctx.Done():
 			return sd.Page{}, sd.Uncertain.Wrap(ctx.Err(), "store did not answer in time")
 		}
 	}
 }
 
+// patience is how long the store may take before it is doubted: several times its usual
+// answer. A store that is slow for all is no quicker for peers.
+func (r *Relay) patience() sd.Millis {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return min(max(hedgeAfter, slowTimes*r.usual), slowest)
+}
+
+// slow reports whether the store answers, and takes long.
+func (r *Relay) slow() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return !r.lost && r.usual >= hedgeAfter
+}
+
 // begin notes a call. It returns when it was sent, and what is closed when the store is
 // found again.
 func (r *Relay) begin() (sd.Instant, <-chan struct{}) {
@@ -280,16 +310,18 @@
 	r.lastCall = now
 }
 
-// missed reports whether a call will hardly be answered: it was sent before the store
-// was found again, or others that were sent later were answered quickly. The latter says
-// nothing about a watch.
+// missed reports whether a call will hardly be answered: others that were sent later were
+// answered quickly. That says nothing about a watch, unless the store was away meanwhile.
 func (r *Relay) missed(o Order, sent, now sd.Instant) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	if sent >= r.quickAt {
+		return false
+	}
 	if !r.lost && sent < r.backAt && now.Since(r.backAt) >= hedgeAfter {
 		return true
 	}
-	return o.Watch == nil && sent < r.quickAt && now.Since(sent) >= giveUpAfter
+	return o.Watch == nil && now.Since(sent) >= giveUpAfter
 }
 
 // measure makes a call at the store itself and notes how that went.
@@ -357,11 +389,7 @@
 	for again := true; again; pause, again = r.next() {
 		time.Sleep(pause.Duration())
 		for range refusedCalls {
-			ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter.Duration())
-			start := r.clock.Now()
-			_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
-			cancel()
-			r.note(err, start, lostAfter)
+			err := r.ping()
 			if !errorx.IsOfType(err, sd.Crowded) || !r.Reaches() {
 				break
 			}
@@ -370,6 +398,32 @@
 	}
 }
 
+// ping reads no row from the store itself. A read that is overdue counts as failed; if it is
+// answered all the same, the store is slow and not lost.
+func (r *Relay) ping() error {
+	ctx, cancel := context.WithTimeout(context.Background(), slowest.Duration())
+	start := r.clock.Now()
+	ends := make(chan error, 1)
+	go func() {
+		defer cancel()
+		_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
+		if definite(err) || ctx.Err() == nil {
+			r.note(err, start, lostAfter)
+		}
+		ends <- err
+	}()
+	overdue := time.NewTimer(r.patience().Duration())
+	defer overdue.Stop()
+	select {
+	case err := <-ends:
+		return err
+	case <-overdue.C:
+		err := sd.Uncertain.New("store did not answer a probe")
+		r.note(err, start, lostAfter)
+		return err
+	}
+}
+
 // next returns the pause before the next probe, or false if none is due: the store is
 // reached, or nobody calls it.
 func (r *Relay) next() (sd.Millis, bool) {
@@ -408,6 +462,9 @@
 		if took < quickAnswer {
 			r.quickAt = max(r.quickAt, sent)
 		}
+		if sent >= r.quickAt {
+			r.usual = took
+		}
 		r.failures, r.refused = 0, 0
 		if r.lost {
 			r.lost, r.backAt = false, now
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -216,3 +217,50 @@
 		return q.Rows.Commit(ctx, u)
 	}
 }
+
+// A store that was slow for all counted as lost as long as that lasted: reads were refused,
+// and calls sent twice, directly and by way of peers that got no quicker answer.
+func TestSlowStoreIsNotLost(t *testing.T) {
+	r, mine, _ := pair(t)
+	var relayed atomic.Int64
+	r.Relayed = func() { relayed.Add(1) }
+	mine.store.Trouble(faker.RowsTrouble{Delay: 270 * sd.Millisecond})
+	for _, key := range []string{"first", "second"} {
+		// The host takes note that the store is slow.
+		if _, err := r.Commit(t.Context(), put(key)); err != nil && !errorx.IsOfType(err, sd.Conflict) {
+			t.Fatal(err)
+		}
+	}
+	direct, first, lost := mine.called(), relayed.Load(), 0
+	for _, key := range []string{"a", "b", "c", "d", "e", "f"} {
+		if _, err := r.Commit(t.Context(), put(key)); err != nil {
+			t.Fatalf("%s: %v", key, err)
+		}
+		if !r.Reaches() {
+			lost++
+		}
+		if _, err := r.List(t.Context(), "t", "", "", ""); err != nil {
+			t.Fatalf("read after %s: %v", key, err)
+		}
+	}
+	t.Logf("12 calls: %d direct, %d through a peer, lost after %d of 6", mine.called()-direct, relayed.Load()-first, lost)
+	if lost > 0 || relayed.Load() > first || mine.called()-direct > 14 {
+		t.Fatal("a slow store is lost, or called more often than need be")
+	}
+	mine.set(faker.RowsTrouble{Silent: true})
+	eventually(t, 4*time.Second, "silence after slowness is found out", func() bool {
+		_, _ = commitWithin(r, time.Second)
+		return !r.Reaches()
+	})
+}
+
+// As above: transactions that wait in line at a slow store are answered after 1.6 s at
+// times, and were given up for nothing.
+func TestSlowTransactionsAreWaitedFor(t *testing.T) {
+	rows := faker.NewRows(1)
+	rows.Trouble(faker.RowsTrouble{Delay: 270 * sd.Millisecond})
+	r := alone(queue{rows, 1500 * sd.Millisecond})
+	if _, err := r.Commit(t.Context(), put("a")); err != nil {
+		t.Fatal(err)
+	}
+}
