relayer: a store with a silent part is reached

Cause: a probe read one part, and its failure proved the loss of the store.

A probe that is not answered in 60 ms, or fails, reads a second of the parts that the host has made calls to. While the store is lost, probes read them in turn, one each, so an outage of the whole store costs no more calls than before. A refusal for load still decides alone.

TestStoreWithASilentPartIsReached, time in which the store counted as lost of 2 s: the probes' part silent 1.85 s, then none; refusing 1.96 s, then none; two of three parts silent 1.82 s, then 0.58 s.

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,9 @@
 // probeTable is the table that a probe reads; its rows do not matter.
 const probeTable = "status"
 
+// partsKept bounds the parts among which probes choose: an installation has some five.
+const partsKept = 8
+
 // Relay is a store that is reached directly or through peers. It implements
 // sd.Store and is safe for concurrent use.
 type Relay struct {
@@ -95,13 +99,16 @@
 	quickAt sd.Instant
 	probed  sd.Instant
 	probing bool
+	// parts are those that calls were made to; well is the one that last answered a probe.
+	parts []string
+	well  int
 	// found is closed when the store is found again.
 	found chan struct{}
 }
 
 // New returns a Relay of direct; peers returns the hosts that are alive.
 func New(direct sd.Store, peers func(reaching bool) []gossiper.Peer, zone sd.ZoneName, client *messenger.Client, clock sd.Clock, log *zap.Logger) *Relay {
-	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log, found: make(chan struct{})}
+	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log, found: make(chan struct{}), parts: []string{""}}
 }
 
 // Reaches reports whether this host reaches the store itself.
@@ -138,6 +145,25 @@
 	Wait  sd.Millis
 }
 
+// part returns the part that a call concerns; tables that are watched lie in the unnamed one.
+func (o Order) part() string {
+	switch {
+	case o.List != nil:
+		return o.List.Part
+	case o.Update == nil:
+		return ""
+	}
+	for _, list := range [][]sd.Record{o.Update.Expect, o.Update.Put} {
+		if len(list) > 0 {
+			return list[0].Part
+		}
+	}
+	if len(o.Update.Remove) > 0 {
+		return o.Update.Remove[0].Part
+	}
+	return ""
+}
+
 // Result is what a peer returns. A conflict comes with its page, so errors are
 // told by their kind.
 type Result struct {
@@ -205,7 +231,7 @@
 	defer cancel()
 	limit := time.NewTimer((hedge + callTimeout).Duration())
 	defer limit.Stop()
-	sent, found := r.begin()
+	sent, found := r.begin(o.part())
 	defer r.end()
 	outcomes := make(chan outcome, 2)
 	open, relayed := 0, !relay
@@ -291,14 +317,17 @@
 	return !r.lost && r.usual >= hedgeAfter
 }
 
-// begin notes a call. It returns when it was sent, and what is closed when the store is
+// begin notes a call to a part. It returns when it was sent, and what is closed when the store is
 // found again.
-func (r *Relay) begin() (sd.Instant, <-chan struct{}) {
+func (r *Relay) begin(part string) (sd.Instant, <-chan struct{}) {
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.open++
 	r.lastCall = now
+	if len(r.parts) < partsKept && !slices.Contains(r.parts, part) {
+		r.parts = append(r.parts, part)
+	}
 	return now, r.found
 }
 
@@ -398,30 +427,79 @@
 	}
 }
 
-// ping reads no row from the store itself. A read that is overdue counts as failed; if it is
-// answered all the same, the store is slow and not lost.
+// ping reads no row from the store itself, and from a second part if the first does not
+// answer quickly: one part alone may be away. Reads that are overdue count as failed; if one
+// is answered all the same, the store is slow and not lost.
 func (r *Relay) ping() error {
-	ctx, cancel := context.WithTimeout(context.Background(), slowest.Duration())
 	start := r.clock.Now()
-	ends := make(chan error, 1)
-	go func() {
-		defer cancel()
-		_, err := r.direct.List(ctx, probeTable, "", "~", "~~")
-		if definite(err) || ctx.Err() == nil {
-			r.note(err, start, lostAfter)
+	parts := r.pingParts()
+	ends := make(chan error, len(parts))
+	open := 0
+	read := func() {
+		if open == len(parts) {
+			return
 		}
-		ends <- err
-	}()
-	overdue := time.NewTimer(r.patience().Duration())
+		part := parts[open]
+		open++
+		go func() { ends <- r.pingPart(part) }()
+	}
+	read()
+	hedge, overdue := time.NewTimer(quickAnswer.Duration()), time.NewTimer(r.patience().Duration())
+	defer hedge.Stop()
 	defer overdue.Stop()
-	select {
-	case err := <-ends:
-		return err
-	case <-overdue.C:
-		err := sd.Uncertain.New("store did not answer a probe")
+	for ended := 0; ; {
+		select {
+		case err := <-ends:
+			ended++
+			if definite(err) {
+				return nil
+			}
+			if !errorx.IsOfType(err, sd.Crowded) {
+				read()
+			}
+			if ended == open {
+				r.note(err, start, lostAfter)
+				return err
+			}
+		case <-hedge.C:
+			read()
+		case <-overdue.C:
+			err := sd.Uncertain.New("store did not answer a probe")
+			r.note(err, start, lostAfter)
+			return err
+		}
+	}
+}
+
+// pingParts returns the parts that the next probe reads. Those of a lost store take turns;
+// one part alone is asked, as all that answer will do.
+func (r *Relay) pingParts() []string {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.lost {
+		r.well = (r.well + 1) % len(r.parts)
+		return []string{r.parts[r.well]}
+	}
+	parts := []string{r.parts[r.well]}
+	if len(r.parts) > 1 {
+		parts = append(parts, r.parts[(r.well+1)%len(r.parts)])
+	}
+	return parts
+}
+
+// pingPart reads no row from a part, and notes an answer.
+func (r *Relay) pingPart(part string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), slowest.Duration())
+	defer cancel()
+	start := r.clock.Now()
+	_, err := r.direct.List(ctx, probeTable, part, "~", "~~")
+	if definite(err) {
 		r.note(err, start, lostAfter)
-		return err
+		r.lock.Lock()
+		r.well = max(0, slices.Index(r.parts, part))
+		r.lock.Unlock()
 	}
+	return err
 }
 
 // next returns the pause before the next probe, or false if none is due: the store is
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -264,3 +264,47 @@
 		t.Fatal(err)
 	}
 }
+
+// Some parts of the store silent: hosts whose probes went to one of them counted the whole
+// store as lost, and reads of the other parts were refused.
+func TestStoreWithASilentPartIsReached(t *testing.T) {
+	for name, c := range map[string]struct {
+		trouble faker.RowsTrouble
+		lost    time.Duration
+	}{
+		"silent":     {faker.RowsTrouble{Silent: true, Parts: []string{""}}, 0},
+		"refusing":   {faker.RowsTrouble{Down: true, Parts: []string{""}}, 0},
+		"two silent": {faker.RowsTrouble{Silent: true, Parts: []string{"", "p0"}}, 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rows := faker.NewRows(1)
+			r := alone(rows)
+			for _, part := range []string{"p0", "p1"} {
+				if _, err := r.List(t.Context(), "t", part, "", ""); err != nil {
+					t.Fatal(err)
+				}
+			}
+			rows.Trouble(c.trouble)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = r.Watch(ctx, "t", 0, 50*sd.Millisecond)
+			}()
+			lost := time.Duration(0)
+			for ctx.Err() == nil {
+				r.Suspect()
+				time.Sleep(10 * time.Millisecond)
+				if !r.Reaches() {
+					lost += 10 * time.Millisecond
+				}
+			}
+			<-ended
+			t.Logf("lost for about %v of 2 s", lost)
+			if lost > c.lost {
+				t.Fatal("counts as lost")
+			}
+		})
+	}
+}
