--- /dev/null
+++ b/archiver/giveup_test.go
@@ -0,0 +1,162 @@
+package archiver
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	sd "sapphiredrum.example/sapphiredrum"
+)
+
+// Reservations are given up at any moment, turns are settled by the lane that reserved
+// them, by another one, or by both, while answers are lost and transactions come late.
+// However that falls: what runs and what was used stay within the budget, each turn is
+// charged once, and nothing stays reserved in the end.
+func TestGivenUpReservationsUnderLostAndLateTransactions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const budget, most = sd.Tokens(700), sd.Tokens(200)
+		store := &oracle{rows: map[sd.Cell]sd.Record{}}
+		workers := make([]*worker, 2)
+		for i := range workers {
+			workers[i] = &worker{lane: Lane{Part: "p0"}, waiters: map[*Operation]chan error{}, wake: make(chan struct{}, 1)}
+		}
+		type turn struct {
+			lane          int
+			program, hold Key
+			operation     *Operation
+			done          <-chan error
+		}
+		var asked, running []*turn
+		used, granted := map[Key]sd.Tokens{}, map[Key]sd.Tokens{}
+		now := sd.Instant(1)
+		grants := func() {
+			var rest []*turn
+			for _, tr := range asked {
+				select {
+				case err := <-tr.done:
+					if err == nil {
+						granted[tr.program] += most
+						running = append(running, tr)
+						if sum := used[tr.program] + granted[tr.program]; sum > budget {
+							t.Fatalf("%d run and are used of %d", sum, budget)
+						}
+					}
+				default:
+					rest = append(rest, tr)
+				}
+			}
+			asked = rest
+		}
+		step := func(i int, calm bool) bool {
+			w := workers[i]
+			w.deliver(w.lane.Expire(now))
+			update, due := w.lane.Next(now)
+			if !due {
+				return false
+			}
+			fate := "done"
+			if !calm {
+				fate = rapid.SampledFrom([]string{"done", "done", "lost", "refused", "late"}).Draw(t, "fate")
+			}
+			// Callers give up while a transaction is under way, too.
+			if !calm && len(asked) > 0 && rapid.IntRange(0, 3).Draw(t, "give up") == 0 {
+				tr := asked[0]
+				asked = asked[1:]
+				delete(workers[tr.lane].waiters, tr.operation)
+				tr.operation.Until = now
+			}
+			switch fate {
+			case "done":
+				page, err := store.apply(update)
+				w.deliver(w.lane.Done(now, page, err))
+			case "lost":
+				_, _ = store.apply(update)
+				w.deliver(w.lane.Done(now, sd.Page{}, sd.Uncertain.New("lost")))
+			case "refused":
+				w.deliver(w.lane.Done(now, sd.Page{}, sd.Unavailable.New("refused")))
+			case "late":
+				store.late = append(store.late, update)
+				w.deliver(w.lane.Done(now, sd.Page{}, sd.Uncertain.New("late")))
+			}
+			grants()
+			return true
+		}
+		late := func() {
+			if len(store.late) > 0 {
+				_, _ = store.apply(store.late[0])
+				store.late = store.late[1:]
+			}
+		}
+		programs := map[Key]bool{}
+		for n := range rapid.IntRange(5, 80).Draw(t, "steps") {
+			now++
+			i := rapid.IntRange(0, 1).Draw(t, "lane")
+			switch rapid.SampledFrom([]string{"reserve", "settle", "step", "step", "step", "late"}).Draw(t, "action") {
+			case "reserve":
+				tr := &turn{lane: i, program: Key{byte(rapid.IntRange(0, 1).Draw(t, "program")) * Parts, 1}, hold: digest("hold", "", fmt.Sprint(n))}
+				tr.operation = &Operation{Kind: Reserve, Program: tr.program, Hold: tr.hold, Tokens: most, Budget: budget}
+				tr.done = workers[i].add(tr.operation)
+				programs[tr.program] = true
+				asked = append(asked, tr)
+			case "settle":
+				if len(running) == 0 {
+					continue
+				}
+				tr := running[0]
+				running = running[1:]
+				o := Operation{Kind: Settle, Program: tr.program, Hold: tr.hold, Tokens: sd.Tokens(rapid.IntRange(0, int(most)).Draw(t, "used"))}
+				if rapid.Bool().Draw(t, "whole") {
+					o.Kept = &Turn{Program: tr.program, Key: tr.hold, Input: []byte("x")}
+				}
+				used[tr.program] += o.Tokens
+				granted[tr.program] -= most
+				first, second := o, o
+				by := rapid.IntRange(0, 2).Draw(t, "settled by")
+				if by != 1 {
+					workers[0].add(&first)
+				}
+				if by != 0 {
+					workers[1].add(&second)
+				}
+			case "step":
+				step(i, false)
+			case "late":
+				late()
+			}
+		}
+		for _, tr := range append(asked, running...) {
+			if len(asked) > 0 && tr == asked[0] {
+				asked = asked[1:]
+				delete(workers[tr.lane].waiters, tr.operation)
+				tr.operation.Until = now
+				continue
+			}
+			workers[tr.lane].add(&Operation{Kind: Settle, Program: tr.program, Hold: tr.hold})
+		}
+		running = nil
+		for calm := 0; calm < 400; calm++ {
+			now++
+			a, b := step(0, true), step(1, true)
+			if !a && !b {
+				break
+			}
+		}
+		for len(store.late) > 0 {
+			late()
+		}
+		for program := range programs {
+			row := store.rows[accountCell("p0", program)]
+			if row.Version == 0 {
+				continue
+			}
+			account, err := DecodeAccount(row.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if account.Spent != used[program] || account.Reserved() > 0 {
+				t.Fatalf("spent %d of which turns used %d; %d stay reserved", account.Spent, used[program], account.Reserved())
+			}
+		}
+	})
+}
