relayer: failing tests of a lost answer

TestRefusalOfAPeerDoesNotHideALostAnswer: an answer lost here and a 429 to a peer are told as Crowded, so a lane takes its transaction for not sent and does not cancel the reservation. TestACallEndsSoonAfterTheStoreIsBack: a call sent into the silence ended 1220 ms after the store was back; the part's lane waits for it.

--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -199,3 +199,43 @@
 		})
 	}
 }
+
+// A call that may have taken effect is not told as one that was refused, because a peer
+// that was asked as well was refused.
+func TestRefusalOfAPeerDoesNotHideALostAnswer(t *testing.T) {
+	r, mine, peers := pair(t)
+	mine.store.Trouble(faker.RowsTrouble{Lost: 1})
+	peers.set(faker.RowsTrouble{Crowded: true})
+	_, err := r.Commit(t.Context(), put("a"))
+	if mine.store.Commits() != 1 {
+		t.Fatal("the call did not take effect")
+	}
+	if !errorx.IsOfType(err, sd.Uncertain) {
+		t.Fatalf("got %v, want Uncertain", err)
+	}
+}
+
+// Held longer than the outage: a call that was sent while the store was silent ended only
+// with its own time, long after the store was back.
+func TestACallEndsSoonAfterTheStoreIsBack(t *testing.T) {
+	r, mine, peers := pair(t)
+	mine.set(faker.RowsTrouble{Silent: true})
+	peers.set(faker.RowsTrouble{Silent: true})
+	ended := make(chan time.Time, 1)
+	go func() {
+		for {
+			if _, err := r.Commit(t.Context(), put("a")); err == nil || errorx.IsOfType(err, sd.Conflict) {
+				ended <- time.Now()
+				return
+			}
+		}
+	}()
+	time.Sleep(400 * time.Millisecond)
+	mine.set(faker.RowsTrouble{})
+	peers.set(faker.RowsTrouble{})
+	back := time.Now()
+	// A lost store is looked for every 0.3 s.
+	if took := (<-ended).Sub(back); took > 700*time.Millisecond {
+		t.Fatalf("the call ended %d ms after the store was back", took.Milliseconds())
+	}
+}
