starter: failing test of a host that does not know the others

A host is ready, and serves, before it has read the table of hosts; what it counts on for rates and cold targets is the whole then.

--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -271,3 +271,32 @@
 		}
 	}
 }
+
+// Start of all hosts: one that has not read yet which others there are would take the
+// whole rate of a workspace, and of a cold target, for itself.
+func TestAHostServesOnceItKnowsTheOthers(t *testing.T) {
+	s := newSite(t)
+	var hidden atomic.Bool
+	hidden.Store(true)
+	store := emulator.Store(s.rows)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A probe of the store reads this table too, from a later key on.
+		if q := r.URL.Query(); hidden.Load() && r.URL.Path == "/v1/rows-get" && q.Get("table") == platform.PeerTable && q.Get("from") == "" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	s.store = strings.TrimPrefix(server.URL, "http://")
+	shows := time.AfterFunc(1500*time.Millisecond, func() { hidden.Store(false) })
+	defer shows.Stop()
+	callers, _, _ := s.host("h1")
+	if !hidden.Load() {
+		return
+	}
+	t.Error("ready before the table of hosts was read")
+	if got, err := turn(&http.Client{}, callers, "t1", ""); hidden.Load() && (got != 503 || err != nil) {
+		t.Errorf("a turn was answered %d %v, want 503", got, err)
+	}
+}
