archiver: failing test of a reservation that conflicts with its own copy

The relay sends a call by two ways; the copy that comes second conflicts with the first, and the lane takes the conflict for a transaction without effect: a reservation given up then is dropped, never cancelled, and the program is answered 402 for good (spent 0, open 290 of 500), which is LOST after a final fault.

--- a/archiver/giveup_test.go
+++ b/archiver/giveup_test.go
@@ -160,3 +160,31 @@
 		}
 	})
 }
+
+// LOST by a 402 for ever: a reservation that was given up was taken by the store all the
+// same, by a copy of its transaction; the answer that came was the conflict of the other
+// copy with the first.
+func TestLaneGivesBackAReservationThatConflictsWithItsOwnCopy(t *testing.T) {
+	store := &oracle{rows: map[sd.Cell]sd.Record{}}
+	lane := &Lane{Part: "p0"}
+	o := &Operation{Kind: Reserve, Program: key(0), Hold: key(1), Tokens: 100, Budget: 100}
+	lane.Add(o)
+	update, _ := lane.Next(1)
+	_, _ = store.apply(update)
+	page, err := store.apply(update)
+	o.Until = 2
+	lane.Done(2, page, err)
+	lane.Expire(3)
+	for range 5 {
+		update, due := lane.Next(4)
+		if !due {
+			break
+		}
+		page, err := store.apply(update)
+		lane.Done(4, page, err)
+	}
+	account, err := DecodeAccount(store.rows[accountCell("p0", key(0))].Value)
+	if err != nil || account.Reserved() != 0 {
+		t.Fatalf("reserved %d, %v", account.Reserved(), err)
+	}
+}
