archiver: a conflict may be with another copy of the same transaction

Cause: a call may be sent twice, directly and by a peer or again. The copy that comes second conflicts with the first; a reservation given up then was dropped as if nothing had been made, and stayed open for ever.

Now an operation counts as possibly made after a conflict too, so that giving it up is followed by its cancellation.

--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -260,7 +260,8 @@
 		}
 		return ended
 	}
-	if uncertain {
+	if uncertain || conflict {
+		// A conflict may be with another copy of the same transaction.
 		for _, o := range b.operations {
 			o.sent = true
 		}
