relayer: a peer's refusal does not hide a lost answer

What callers would see: a program refused (402) with budget left, as a reservation that the store took, with its answer lost, was believed not to be made and never given back.

Cause: a call sent directly and by a peer ended with the peer's 429, "nothing was done", although the direct one was open or its answer lost.

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -261,6 +261,9 @@
 			}
 			if !relay || (errorx.IsOfType(end.err, sd.Crowded) && r.Reaches()) {
 				// In a crowd a peer would only add to what the store has to do.
+				if uncertain || open > 0 {
+					return sd.Page{}, sd.Uncertain.Wrap(end.err, "call may have taken effect another way")
+				}
 				return sd.Page{}, end.err
 			}
 			uncertain = uncertain || errorx.IsOfType(end.err, sd.Uncertain)
