archiver: a caller who leaves does not make the sequencer suspect

A sequencer's word counts only if it says that the store has the turn: one of an older version may mean a peer's memory.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -222,14 +222,16 @@
 	w.lock.Unlock()
 	if placed && !a.suspects.has(a.clock.Now(), at) {
 		settled, received, err := attend(ctx, a, at, messageSettle, o, func(s Settled) bool { return s.Pending })
-		if err == nil {
+		if err == nil && settled.Medium == InStore {
 			w.learn(a.clock.Now(), program, settled.Snapshot)
-			return settled.Medium, nil
+			return InStore, nil
 		}
 		if received && ctx.Err() != nil {
 			return "", sd.Unavailable.Wrap(err, "turn is not written in time")
 		}
-		a.suspects.add(a.clock.Now(), at)
+		if ctx.Err() == nil {
+			a.suspects.add(a.clock.Now(), at)
+		}
 		a.log.Warn("sequencer did not settle a turn", zap.Int("event", eventSequencer), zap.Stringer("program", program),
 			zap.String("sequencer", string(at)), zap.Error(err))
 	}
