exchanger: bound the head of a target's answer

A target may send bytes that are no answer without end. The head of an answer had no bound: http.ReadResponse kept every byte of a status line, a header or a list of headers until the caller's deadline. Informational answers were bounded by their number already, but not their heads.

A connection now fails the read of a head after 16 KB. It does not count as an idle connection that was dropped without notice.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 
+	"github.com/joomcode/errorx"
+
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
@@ -50,6 +52,9 @@
 	// strayBytes bounds the body of a skipped answer.
 	strayBytes = 1 << 20
 	bufferSize = 4 << 10
+	// headBytes bounds the head of an answer: what plans usually let callers send in
+	// one, and many times what targets send.
+	headBytes = 16 << 10
 )
 
 // Call is a request to a target.
@@ -83,11 +88,32 @@
 	net.Conn
 	reader  *bufio.Reader
 	address sd.Address
+	// heading tells that a head is being read, of which headLeft bytes may still come.
+	heading  bool
+	headLeft int
 	// since is when the connection was last used, until when it may no longer be.
 	since, until sd.Instant
 	used         bool
 }
 
+// Read reads what the target sent. It fails at the end of a head that is too long.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.heading && c.headLeft <= 0 {
+		return 0, sd.BrokenAnswer.New("head of an answer longer than %d bytes", headBytes)
+	}
+	n, err := c.Conn.Read(p)
+	c.headLeft -= n
+	return n, err
+}
+
+// readHead reads the head of the next answer.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.heading, c.headLeft = true, headBytes-c.reader.Buffered()
+	response, err := http.ReadResponse(c.reader, request)
+	c.heading = false
+	return response, err
+}
+
 // New returns an Exchanger without connections.
 func New(settings Settings) *Exchanger {
 	if settings.Connect == 0 {
@@ -178,9 +204,9 @@
 	request := &http.Request{Method: call.Method}
 	skipped := false
 	for range strays + 1 {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := conn.readHead(request)
 		if err != nil {
-			if conn.used && !skipped && ctx.Err() == nil {
+			if conn.used && !skipped && ctx.Err() == nil && !errorx.IsOfType(err, sd.BrokenAnswer) {
 				x.doubt(conn, sent)
 			}
 			return fail(err)
@@ -340,7 +366,9 @@
 	if x.Opened != nil {
 		x.Opened(address)
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), address: address}, nil
+	conn := &connection{Conn: raw, address: address}
+	conn.reader = bufio.NewReaderSize(conn, bufferSize)
+	return conn, nil
 }
 
 func (x *Exchanger) take(address sd.Address) *connection {
