exchanger: a long late answer is not skipped in part

An answer to an earlier request that arrives late is skipped. Of a body over 1 MB only the first megabyte was skipped, and what followed was read as the head of the next answer: bytes of another request's answer, without end if the target sends so, could be taken for this request's. The new test got the answer "forged" out of the body of another; it failed for a body just over the bound and for one of a terabyte.

Now such an exchange ends as Uncertain at the bound, and its connection is closed.

--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -184,3 +184,32 @@
 		}
 	}
 }
+
+// Guards against a late answer longer than what is skipped of it: the rest was
+// read as the answer to the next request.
+func TestLongLateAnswerEndsTheExchange(t *testing.T) {
+	forged := reply("b", "forged")
+	for name, length := range map[string]int{"just longer": 1<<20 + len(forged), "huge": 1 << 40} {
+		at := target(t, func(conn net.Conn, _ int) {
+			r := bufio.NewReader(conn)
+			if id, ok := next(r); !ok || id != "b" {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: "+strconv.Itoa(length)+"\r\n\r\n"+
+				strings.Repeat("x", 1<<20)+forged)
+			_, _ = r.ReadByte()
+		})
+		x, _ := newExchanger(t)
+		start := time.Now()
+		body, err := fetch(t, x, at, call("b"))
+		if !errorx.IsOfType(err, sd.Uncertain) {
+			t.Errorf("%s: %q, %v", name, body, err)
+		}
+		if took := time.Since(start); took > patience {
+			t.Errorf("%s: ended after %v", name, took)
+		}
+		if x.Idle() != 0 {
+			t.Errorf("%s: the connection was kept", name)
+		}
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -49,7 +49,8 @@
 	idleLeast = 500 * sd.Millisecond
 	// strays bounds the answers to earlier requests that are skipped.
 	strays = 3
-	// strayBytes bounds the body of a skipped answer.
+	// strayBytes bounds the body of a skipped answer; a new connection costs less than
+	// to read more.
 	strayBytes = 1 << 20
 	bufferSize = 4 << 10
 	// headBytes bounds the head of an answer: what plans usually let callers send in
@@ -217,7 +218,8 @@
 		if !call.Belongs(response.StatusCode, response.Header) {
 			skipped = true
 			framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-			if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes)); err != nil || !framed {
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes+1))
+			if err != nil || !framed || n > strayBytes {
 				return fail(sd.BrokenAnswer.New("answer belongs to another request"))
 			}
 			continue
