receiver: an answer that is too long is not passed on as whole

Of a plain answer the receiver read at most 16 MB and took what it had for the whole: a caller saw status 200, a Content-Length of 16 MB and the target's signature on a part of the body, and the connection counted as read to its end, so that the rest stood where the next answer was due.

One whose head tells a longer length is not read at all. Answers of exactly 16 MB pass, by length, in chunks and up to the close.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -136,6 +136,8 @@
 	Body   io.Reader
 	// Framed answers tell where they end; others end with their connection.
 	Framed bool
+	// Length is the length of the body, or -1 if the head does not tell it.
+	Length int64
 
 	exchanger *Exchanger
 	conn      *connection
@@ -224,8 +226,12 @@
 			}
 			continue
 		}
+		length := response.ContentLength
+		if call.Method == http.MethodHead {
+			length = 0
+		}
 		return &Answer{
-			Status: response.StatusCode, Header: response.Header, Body: response.Body,
+			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: length,
 			Framed:    response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 			exchanger: x, conn: conn, response: response, stop: stop, written: written, skipped: skipped,
 		}, false, nil
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -383,9 +383,22 @@
 	return answer.Status >= 300 || (reply.Stamped && answer.Header.Get("Content-Encoding") == "")
 }
 
+// readBody reads the body of a plain answer. Errors are BrokenAnswer for one that is
+// too long, and those of the connection.
+func readBody(answer *exchanger.Answer) ([]byte, error) {
+	if answer.Length > answerBytes {
+		return nil, sd.BrokenAnswer.New("answer of %d bytes, more than %d", answer.Length, int64(answerBytes))
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, answerBytes+1))
+	if err == nil && len(body) > answerBytes {
+		return nil, sd.BrokenAnswer.New("answer longer than %d bytes", answerBytes)
+	}
+	return body, err
+}
+
 // pass reads a plain answer whole and hands it to the caller.
 func (q *request) pass(ctx context.Context, answer *exchanger.Answer, release func(balancer.Result)) ended {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, answerBytes))
+	body, err := readBody(answer)
 	answer.Close(err == nil)
 	if err != nil || promises(answer.Status) || !own(answer) {
 		q.Log.Warn("answer broken", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(q.target)),
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -46,15 +46,19 @@
 	desks    []*emulator.Target
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, options ...func(*receiver.Parts)) *bench {
 	b := &bench{t: t, rows: faker.NewRows(1), meter: &open{}, measures: receiver.NewMeasures()}
 	clock := sd.NewClock()
 	x := exchanger.New(exchanger.Settings{Clock: clock})
 	b.gate = receiver.NewGate(balancer.Settings{Host: "h", Zone: "z"}, clock)
 	archive := archiver.New(archiver.Settings{Memory: 1 << 20, Retention: sd.Minute}, b.rows, archiver.Peers{}, clock, zap.NewNop())
-	r := receiver.New(receiver.Parts{
+	parts := receiver.Parts{
 		Clock: clock, Log: zap.NewNop(), Meter: b.meter, Gate: b.gate, Archive: archive, Exchanger: x, Measures: b.measures,
-	})
+	}
+	for _, option := range options {
+		option(&parts)
+	}
+	r := receiver.New(parts)
 	plan, err := platform.DecodePlan(emulator.Plan(1, 0, "k1", "k2"))
 	if err != nil {
 		t.Fatal(err)
