receiver: a refusal's body does not hold the request

A target that tells that it did not run a request may let its body go on without end, or not come at all. The receiver read up to 16 MB of it before it tried another target, took that for the whole, and kept the connection: in the new test the next request got an answer that stood in the rest of the refusal's body. A body that never came held the request until its deadline (2 s in the test) though it was certain that it had not run.

The exchange is now dropped: 16 KB or 20 ms of the body are waited for, so that a sound refusal's connection is still used again, and the request goes on.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -52,6 +53,10 @@
 	// strayBytes bounds the body of a skipped answer; a new connection costs less than
 	// to read more.
 	strayBytes = 1 << 20
+	// dropTime is how long Drop waits for a body: a round trip and some.
+	dropTime = 20 * sd.Millisecond
+	// dropBytes bounds what Drop reads: less than a new connection costs.
+	dropBytes  = 16 << 10
 	bufferSize = 4 << 10
 	// headBytes bounds the head of an answer: what plans usually let callers send in
 	// one, and many times what targets send.
@@ -256,6 +261,20 @@
 	a.exchanger.keep(a.conn, a.Header.Get("Keep-Alive"))
 }
 
+// Drop ends the exchange without the body. The connection is kept only if the rest
+// of the answer is short and comes at once.
+func (a *Answer) Drop() {
+	n := int64(0)
+	err := a.conn.SetReadDeadline(time.Now().Add(dropTime.Duration()))
+	if err == nil && a.Length <= dropBytes {
+		n, err = io.Copy(io.Discard, io.LimitReader(a.Body, dropBytes+1))
+	}
+	if err == nil {
+		err = a.conn.SetReadDeadline(time.Time{})
+	}
+	a.Close(err == nil && a.Length <= dropBytes && n <= dropBytes)
+}
+
 // Close drops all idle connections; later exchanges keep none.
 func (x *Exchanger) Close() {
 	x.lock.Lock()
--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -255,3 +255,82 @@
 		}
 	}
 }
+
+// Guards against a refusal with a long body: 16 MB of it were read, its connection
+// was used again with the rest of it, and a body that did not come held the request
+// until its deadline.
+func TestEndlessRefusalIsARefusal(t *testing.T) {
+	const refused = "HTTP/1.1 503 Full\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n"
+	for name, c := range map[string]struct {
+		serve       func(w *bufio.Writer) bool
+		connections int
+	}{
+		"chunks": {func(w *bufio.Writer) bool {
+			_, _ = w.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+			return pour(w, chunk)
+		}, 2},
+		"until it closes": {func(w *bufio.Writer) bool {
+			_, _ = w.WriteString("\r\n")
+			return pour(w, piece)
+		}, 2},
+		"a terabyte": {func(w *bufio.Writer) bool {
+			_, _ = w.WriteString("Content-Length: 1099511627776\r\n\r\n")
+			return pour(w, piece)
+		}, 2},
+		"rest later": {func(w *bufio.Writer) bool {
+			forged := head("next", "Content-Length: 6") + "\r\nforged"
+			_, _ = w.WriteString("Content-Length: " + strconv.Itoa(16<<20+len(forged)) + "\r\n\r\n")
+			for range 16 << 20 / len(piece) {
+				_, _ = w.WriteString(piece)
+			}
+			_ = w.Flush()
+			time.Sleep(300 * time.Millisecond)
+			_, _ = w.WriteString(forged)
+			return true
+		}, 2},
+		"no body": {func(w *bufio.Writer) bool {
+			_, _ = w.WriteString("Content-Length: 5\r\n\r\n")
+			_ = w.Flush()
+			time.Sleep(patience)
+			return false
+		}, 2},
+		"short body": {func(w *bufio.Writer) bool {
+			_, _ = w.WriteString("Content-Length: 5\r\n\r\nfull\n")
+			return true
+		}, 1},
+		"short body later": {func(w *bufio.Writer) bool {
+			_, _ = w.WriteString("Content-Length: 5\r\n\r\n")
+			_ = w.Flush()
+			time.Sleep(5 * time.Millisecond)
+			_, _ = w.WriteString("full\n")
+			return true
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			targets := b.raws("desk", 1, func(w *bufio.Writer, id string) bool {
+				if id == "refused" {
+					_, _ = w.WriteString(strings.ReplaceAll(refused, "ID", id))
+					return c.serve(w)
+				}
+				_, _ = w.WriteString(head(id, "Content-Length: 2") + "\r\nok")
+				return true
+			})
+			start := time.Now()
+			status, h, _, whole := b.ask("POST", "/pay/x", "refused", "")
+			if status != http.StatusServiceUnavailable || !whole || h.Get("Retry-After") == "" {
+				t.Errorf("status %d, whole %v", status, whole)
+			}
+			if took := time.Since(start); took > patience/2 {
+				t.Errorf("answered after %v", took)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if status, _, text, _ := b.ask("POST", "/pay/x", "next", ""); status != http.StatusOK || text != "ok" {
+				t.Errorf("next request: status %d, %q", status, text)
+			}
+			if _, connections := ranAt(targets, ""); connections != c.connections {
+				t.Errorf("%d connections, want %d", connections, c.connections)
+			}
+		})
+	}
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -343,8 +343,7 @@
 		q.Gate.Update(func(b *balancer.State, now sd.Instant) { b.Told(now, ticket.Target, reply.Running, reply.Waiting) })
 	}
 	if reply.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, answerBytes))
-		answer.Close(err == nil)
+		answer.Drop()
 		q.Log.Info("target refused", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(ticket.Target)), zap.Int("status", answer.Status))
 		if answer.Status == http.StatusMisdirectedRequest {
 			release(balancer.Unreached)
