receiver: bound what all answers take of the host's memory

Buffers now draw on a common bound, 0.15 of the host's memory, beyond the first 32 KB of each, and grow without copying. An answer for which there is no room is passed on as it arrives, so that no sound one fails for want of memory, and is broken off beyond 16 MB; a caller of HTTP/1.0 could not tell that and gets 502 if the length is not known. What was held of an answer that comes whole can still be thrown away for another target's, as before.

The gauge answer_buffer_bytes shows what the buffers take.

--- a/receiver/doc.go
+++ b/receiver/doc.go
@@ -7,6 +7,9 @@
 // rule allows it; the answer goes to the caller. A turn's last byte is held back
 // until the store has the turn.
 //
+// Whatever a target sends is bounded, and so is what all answers take of the host's
+// memory together: see buffer.
+//
 // What a refusal tells the caller is true: 429 and 503 mean that no target has
 // run the request and none will; whatever may have run ends with 502 or 504.
 package receiver
--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -334,3 +336,197 @@
 		})
 	}
 }
+
+// small gives the receiver the memory of the smallest host.
+func small(p *receiver.Parts) { p.Memory = 112 << 20 }
+
+// crowd is the number of requests at once.
+const crowd = 60
+
+// fitsSmallest runs do under the runtime's limit of the smallest host, and fails
+// the test if the process, with its callers and targets, takes more than that host has.
+func fitsSmallest(t *testing.T, b *bench, name string, do func()) {
+	t.Helper()
+	const memory, limit = 112 << 20, 78 << 20
+	before := debug.SetMemoryLimit(limit)
+	defer debug.SetMemoryLimit(before)
+	debug.FreeOSMemory()
+	taken, held := uint64(0), int64(0)
+	stop, watched := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			taken, held = max(taken, m.Sys-m.HeapReleased), max(held, b.held())
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	do()
+	close(stop)
+	<-watched
+	t.Logf("%s: %d at once, buffers took %d KB, the process %d KB", name, crowd, held>>10, taken>>10)
+	if taken > memory {
+		t.Errorf("%s: the process took over %d KB", name, memory>>10)
+	}
+	if most := int64(memory * 15 / 100); held > most || held == 0 {
+		t.Errorf("%s: buffers took %d KB, want up to %d", name, held>>10, most>>10)
+	}
+	if left := b.held(); left != 0 {
+		t.Errorf("%s: buffers keep %d bytes", name, left)
+	}
+}
+
+// held returns what the receiver's buffers take.
+func (b *bench) held() int64 {
+	return int64(b.measures.Set.GetOrCreateGauge("answer_buffer_bytes", nil).Get())
+}
+
+// skim sends a request and counts the answer's bytes without keeping them.
+func (b *bench) skim(path, id string) (status int, length int64, whole bool) {
+	req, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, b.server.URL+path, strings.NewReader("x"))
+	if err != nil {
+		b.t.Error(err)
+		return 0, 0, false
+	}
+	req.Host = "h.example"
+	for name, value := range map[string]string{
+		"Request-Id": id, "Key": "k1", "Deadline-Ms": "3000", "Program-Id": "p-" + id, "Token-Budget": "100000", "Token-Usage": "1,50000",
+	} {
+		req.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, 0, false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	length, err = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, length, err == nil
+}
+
+// Guards against many long answers at once, which took more memory than a small
+// host has: endless ones end, sound ones pass, and usual ones are never in the way.
+func TestLongAnswersFitTheSmallestHost(t *testing.T) {
+	const long = 3 << 20
+	b := newBench(t, small)
+	b.raws("desk", 4, func(w *bufio.Writer, id string) bool {
+		kind, _, _ := strings.Cut(id, "-")
+		switch kind {
+		case "usual":
+			_, _ = w.WriteString(head(id, "Content-Length: 4096") + "\r\n" + strings.Repeat(piece, 4096/len(piece)))
+			return true
+		case "length":
+			_, _ = w.WriteString(head(id, "Content-Length: "+strconv.Itoa(long)) + "\r\n")
+			for range long / len(piece) {
+				_, _ = w.WriteString(piece)
+			}
+			return true
+		case "chunked":
+			_, _ = w.WriteString(head(id, "Transfer-Encoding: chunked") + "\r\n")
+			for range long / 4096 {
+				_, _ = w.WriteString(chunk)
+			}
+			_, _ = w.WriteString("0\r\n\r\n")
+			return true
+		}
+		return endlessBodies["chunks"](w, id)
+	})
+	for _, kind := range []string{"endless", "length", "chunked"} {
+		fitsSmallest(t, b, kind, func() {
+			var all sync.WaitGroup
+			for n := range crowd {
+				all.Go(func() {
+					status, length, whole := b.skim("/pay/x", kind+"-"+strconv.Itoa(n))
+					switch {
+					case kind == "endless" && whole && status != http.StatusBadGateway:
+						t.Errorf("%s: status %d, %d bytes as whole", kind, status, length)
+					case kind != "endless" && (status != http.StatusOK || !whole || length != long):
+						t.Errorf("%s: status %d, %d bytes, whole %v", kind, status, length, whole)
+					}
+				})
+				all.Go(func() {
+					if status, length, whole := b.skim("/pay/x", "usual-"+kind+strconv.Itoa(n)); status != http.StatusOK || !whole || length != 4096 {
+						t.Errorf("usual among %s: status %d, %d bytes, whole %v", kind, status, length, whole)
+					}
+				})
+			}
+			all.Wait()
+		})
+	}
+}
+
+// A sound answer for which there is no room is passed on as it arrives; one that
+// goes on without end is broken off, and does not look whole to any caller.
+func TestAnswerBeyondTheBuffersIsPassedOn(t *testing.T) {
+	const long = 3 << 20
+	option, logs := logged()
+	b := newBench(t, option, func(p *receiver.Parts) { p.Memory = 1 << 20 })
+	sound := func(w *bufio.Writer, id, status, line, start, end string) bool {
+		_, _ = w.WriteString(strings.Replace(head(id, line), "200 OK", status, 1) + "\r\n" + start)
+		for range long / 4096 {
+			_, _ = w.WriteString(strings.Repeat(piece, 128))
+		}
+		_, _ = w.WriteString(end)
+		return true
+	}
+	targets := b.raws("desk", 2, func(w *bufio.Writer, id string) bool {
+		switch kind, _, _ := strings.Cut(id, "-"); kind {
+		case "length":
+			return sound(w, id, "200 OK", "Content-Length: "+strconv.Itoa(long), "", "")
+		case "chunked":
+			return sound(w, id, "200 OK", "Transfer-Encoding: chunked", "300000\r\n", "\r\n0\r\n\r\n")
+		case "failed":
+			return sound(w, id, "500 Failed", "Content-Length: "+strconv.Itoa(long), "", "")
+		case "short":
+			return sound(w, id, "200 OK", "Content-Length: "+strconv.Itoa(long+1), "", "") && w.Flush() != nil
+		case "endless":
+			return endlessBodies["chunks"](w, id)
+		}
+		return false
+	})
+	for _, c := range []struct {
+		id     string
+		status int
+		whole  bool
+	}{{"length", 200, true}, {"chunked", 200, true}, {"failed", 500, true}, {"short", 200, false}, {"endless", 200, false}} {
+		start := time.Now()
+		status, length, whole := b.skim("/pay/x", c.id)
+		if status != c.status || whole != c.whole || (whole && length != long) {
+			t.Errorf("%s: status %d, %d bytes, whole %v", c.id, status, length, whole)
+		}
+		if took := time.Since(start); took > patience {
+			t.Errorf("%s: ended after %v", c.id, took)
+		}
+		if runs, _ := ranAt(targets, c.id); runs != 1 {
+			t.Errorf("%s: ran %d times", c.id, runs)
+		}
+		if !c.whole && !names(logs, c.id) {
+			t.Errorf("%s: no line names the target and the reason", c.id)
+		}
+	}
+	if _, _, _, whole := b.ask("GET", "/look/x", "failed-look", ""); !whole {
+		t.Error("an answer of 500 broke off")
+	}
+	if runs, _ := ranAt(targets, "failed-look"); runs != 2 {
+		t.Errorf("a repeatable call that failed ran %d times", runs)
+	}
+	for id, want := range map[string]string{"length-old": "200", "endless-old": "502", "chunked-old": "502"} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, "POST /pay/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: "+id+"\r\nKey: k1\r\n\r\n")
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || !strings.HasPrefix(answer.Status, want) {
+			t.Errorf("%s: %v, %v, want %s", id, answer, err, want)
+		}
+		_ = conn.Close()
+	}
+	if held := b.held(); held != 0 {
+		t.Errorf("buffers keep %d bytes", held)
+	}
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -36,17 +36,24 @@
 	Archive   *archiver.Archive
 	Exchanger *exchanger.Exchanger
 	Measures  *Measures
+	// Memory is the host's; zero stands for the smallest host's.
+	Memory sd.Bytes
 }
 
 // Receiver is the handler of callers' requests.
 type Receiver struct {
 	Parts
+	buffers  *buffers
 	table    atomic.Pointer[Table]
 	isolated atomic.Bool
 }
 
 // New returns a Receiver that answers 503 until it has a plan.
-func New(parts Parts) *Receiver { return &Receiver{Parts: parts} }
+func New(parts Parts) *Receiver {
+	r := &Receiver{Parts: parts, buffers: newBuffers(parts.Memory)}
+	parts.Measures.Set.GetOrCreateGauge("answer_buffer_bytes", func() float64 { return float64(r.buffers.taken.Load()) })
+	return r
+}
 
 // SetPlan puts a plan in force.
 func (r *Receiver) SetPlan(t *Table) { r.table.Store(t) }
@@ -65,8 +72,6 @@
 	startReserve = 20 * sd.Millisecond
 	// refusals bounds the targets that may refuse one request before it is given up.
 	refusals = 4
-	// answerBytes bounds the body of a plain answer.
-	answerBytes = 16 << 20
 	// comeBack is when a caller should come back to a fleet that lacks something:
 	// a target, the store, a plan.
 	comeBack = 300 * sd.Millisecond
@@ -382,24 +387,18 @@
 	return answer.Status >= 300 || (reply.Stamped && answer.Header.Get("Content-Encoding") == "")
 }
 
-// readBody reads the body of a plain answer. Errors are BrokenAnswer for one that is
-// too long, and those of the connection.
-func readBody(answer *exchanger.Answer) ([]byte, error) {
-	if answer.Length > answerBytes {
-		return nil, sd.BrokenAnswer.New("answer of %d bytes, more than %d", answer.Length, int64(answerBytes))
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, answerBytes+1))
-	if err == nil && len(body) > answerBytes {
-		return nil, sd.BrokenAnswer.New("answer longer than %d bytes", answerBytes)
-	}
-	return body, err
-}
-
-// pass reads a plain answer whole and hands it to the caller.
+// pass reads a plain answer and hands it to the caller: as a whole, or as it arrives
+// if it is longer than may be held.
 func (q *request) pass(ctx context.Context, answer *exchanger.Answer, release func(balancer.Result)) ended {
-	body, err := readBody(answer)
-	answer.Close(err == nil)
+	body := &buffer{common: q.buffers}
+	defer body.free()
+	whole, err := body.fill(answer)
+	if err == nil && !whole && answer.Length < 0 && !q.http.ProtoAtLeast(1, 1) {
+		// Such a caller could not tell an answer that breaks off from a whole one.
+		err = sd.BrokenAnswer.New("no memory to hold an answer of unknown length")
+	}
 	if err != nil || promises(answer.Status) || !own(answer) {
+		answer.Close(err == nil && whole)
 		q.Log.Warn("answer broken", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(q.target)),
 			zap.Int("status", answer.Status), zap.Error(err))
 		if ctx.Err() != nil {
@@ -409,20 +408,31 @@
 		release(balancer.Failed)
 		return q.repeat()
 	}
-	if answer.Status >= 500 {
+	if answer.Status >= 500 && q.repeat() == again && ctx.Err() == nil {
+		answer.Close(whole)
 		release(balancer.Failed)
-		if q.repeat() == again && ctx.Err() == nil {
-			return again
-		}
-	} else {
-		release(balancer.Served)
+		return again
 	}
 	h := q.w.Header()
 	platform.CallerHeader(answer.Header, h)
 	platform.MarkReply(h, q.ask.Request)
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	if whole {
+		answer.Close(true)
+		release(result(answer))
+		h["Content-Length"] = []string{strconv.Itoa(body.size)}
+	} else if answer.Length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(answer.Length, 10)}
+	}
 	q.w.WriteHeader(answer.Status)
-	if _, err := q.w.Write(body); err != nil {
+	for _, part := range body.parts {
+		if _, err = q.w.Write(part); err != nil {
+			break
+		}
+	}
+	if !whole {
+		return q.passRest(ctx, answer, body, err, release)
+	}
+	if err != nil {
 		q.note(answer.Status, "caller left")
 		return answered
 	}
@@ -430,6 +440,52 @@
 	return answered
 }
 
+// result tells how a target did that gave an answer of its own.
+func result(answer *exchanger.Answer) balancer.Result {
+	if answer.Status >= 500 {
+		return balancer.Failed
+	}
+	return balancer.Served
+}
+
+// passRest hands the rest of a long answer to the caller as it arrives, after what
+// was held of it; failure is that of the caller's connection.
+func (q *request) passRest(ctx context.Context, answer *exchanger.Answer, held *buffer, failure error, release func(balancer.Result)) ended {
+	size := held.size
+	held.free()
+	space := make([]byte, freeBytes)
+	for failure == nil {
+		n, err := answer.Body.Read(space)
+		size += n
+		if size > answerBytes {
+			err = sd.BrokenAnswer.New("answer longer than %d bytes", answerBytes)
+			n = 0
+		}
+		if n > 0 {
+			_, failure = q.w.Write(space[:n])
+		}
+		if err == io.EOF && failure == nil {
+			answer.Close(true)
+			release(result(answer))
+			q.note(answer.Status, "")
+			return answered
+		}
+		if failure == nil {
+			failure = err
+		}
+	}
+	answer.Close(false)
+	if ctx.Err() != nil {
+		release(balancer.Abandoned)
+	} else {
+		release(balancer.Failed)
+	}
+	q.Log.Warn("answer broken", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(q.target)),
+		zap.Int("status", answer.Status), zap.Int("bytes", size), zap.Error(failure))
+	q.note(answer.Status, "answer broke off")
+	panic(http.ErrAbortHandler)
+}
+
 // uri returns the request's path and query as the caller sent them.
 func (q *request) uri() string {
 	if uri := q.http.RequestURI; len(uri) > 0 && uri[0] == '/' {
--- a/starter/host.go
+++ b/starter/host.go
@@ -141,6 +141,7 @@
 	}, h.clock, log)
 	h.receiver = receiver.New(receiver.Parts{
 		Clock: h.clock, Log: log, Meter: h.meter, Gate: h.gate, Archive: h.archive, Exchanger: h.exchanger, Measures: h.measures,
+		Memory: settings.Memory,
 	})
 	h.idle.clock = h.clock
 	h.count()
