receiver: comments in a stream are no events, and not without end

Comments and blank lines between the events of a stream, as servers send to keep a connection open, were counted as events: each was charged to the program's budget as an event's tokens, and added a line to what the next turn's target gets.

What is part of no event is still passed on, but neither counted nor kept, and a stream with over 8 KB of it between two events is broken off. A block with any field counts as an event as before.

--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -33,6 +33,13 @@
 	// ran counts the requests by id, connections those that were opened.
 	ran         map[string]int
 	connections int
+	bodies      map[string]string
+}
+
+func (g *raw) body(id string) string {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.bodies[id]
 }
 
 // raws replaces the bench's targets of a pool by count that answer with serve,
@@ -54,7 +61,7 @@
 		if err != nil {
 			b.t.Fatal(err)
 		}
-		g := &raw{address: sd.Address(listener.Addr().String()), ran: map[string]int{}}
+		g := &raw{address: sd.Address(listener.Addr().String()), ran: map[string]int{}, bodies: map[string]string{}}
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
@@ -91,12 +98,14 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
 		id := req.Header.Get("Request-Id")
 		g.lock.Lock()
 		g.ran[id]++
+		g.bodies[id] = string(body)
 		g.lock.Unlock()
 		if !serve(w, id) || w.Flush() != nil {
 			return
@@ -530,3 +539,131 @@
 		t.Errorf("buffers keep %d bytes", held)
 	}
 }
+
+// event is one event of a stream with its blank line.
+func event(n int, data string) string {
+	return "id: " + strconv.Itoa(n) + "\ndata: " + data + "\n\n"
+}
+
+// chunked returns text as one chunk of a body.
+func chunked(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
+}
+
+// streamed sends text as one chunk of a body.
+func streamed(w *bufio.Writer, text string) bool {
+	_, _ = w.WriteString(chunked(text))
+	return w.Flush() == nil
+}
+
+func streamHead(id string) string {
+	return head(id, "Transfer-Encoding: chunked", "Content-Type: text/event-stream") + "\r\n"
+}
+
+// endlessStreams are streams without end, and the most bytes of them that a caller
+// who allows 56 tokens, four events, may get.
+var endlessStreams = map[string]struct {
+	serve func(w *bufio.Writer, id string) bool
+	most  int
+}{
+	"line": {func(w *bufio.Writer, _ string) bool {
+		streamed(w, event(1, "one")+"data: ")
+		return pour(w, chunked(strings.Repeat("x", 4096)))
+	}, 100},
+	"first line": {func(w *bufio.Writer, _ string) bool {
+		return pour(w, chunked(strings.Repeat("x", 4096)))
+	}, 100},
+	"long event": {func(w *bufio.Writer, _ string) bool {
+		streamed(w, event(1, "one"))
+		return pour(w, chunked(strings.Repeat("data: and more \n", 256)))
+	}, 100},
+	"blank lines": {func(w *bufio.Writer, _ string) bool {
+		streamed(w, event(1, "one"))
+		return pour(w, chunked(strings.Repeat("\n", 4096)))
+	}, 32 << 10},
+	"comments": {func(w *bufio.Writer, _ string) bool {
+		streamed(w, event(1, "one"))
+		return pour(w, chunked(strings.Repeat(": keep-alive  \n\n", 256)))
+	}, 32 << 10},
+}
+
+// Guards against a stream without end, which was passed on, counted as spent and
+// kept in memory until the caller's deadline.
+func TestEndlessStreamBreaksOff(t *testing.T) {
+	for name, c := range endlessStreams {
+		t.Run(name, func(t *testing.T) {
+			option, logs := logged()
+			b := newBench(t, option)
+			targets := b.raws("engines", 2, func(w *bufio.Writer, id string) bool {
+				_, _ = w.WriteString(streamHead(id))
+				return c.serve(w, id)
+			})
+			start := time.Now()
+			status, text, whole := b.turn("t1", "", "hello", "Deadline-Ms", "3000")
+			if took := time.Since(start); took > patience {
+				t.Errorf("ended after %v", took)
+			}
+			if status == http.StatusOK && whole {
+				t.Error("an endless stream looks whole")
+			}
+			if status != http.StatusOK && status != http.StatusBadGateway {
+				t.Errorf("status %d of a turn that has run", status)
+			}
+			if len(text) > c.most {
+				t.Errorf("the caller got %d bytes, want up to %d", len(text), c.most)
+			}
+			if runs, connections := ranAt(targets, "t1"); runs != 1 || connections != 1 {
+				t.Errorf("ran %d times over %d connections", runs, connections)
+			}
+			if !names(logs, "t1") {
+				t.Error("no line names the target and the reason")
+			}
+			if status, _, _ := b.turn("t2", "t1", "x"); status != http.StatusNotFound {
+				t.Errorf("going on from a turn without end: status %d", status)
+			}
+		})
+	}
+}
+
+// What may be long in a sound stream: an event, all events together, comments
+// before and between them.
+func TestLongStreamsPass(t *testing.T) {
+	long := strings.Repeat("x", 60_000)
+	for name, c := range map[string]struct {
+		events []string
+		usage  string
+		output string
+	}{
+		"event":    {[]string{event(1, long)}, "1,56", long + "\n"},
+		"turn":     {[]string{event(1, long), event(2, long), event(3, long), event(4, long), event(5, long), event(6, long), event(7, long), event(8, long)}, "1,112", strings.Repeat(long+"\n", 8)},
+		"comments": {[]string{":" + strings.Repeat(" ", 2048) + "\n\n", event(1, "a"), strings.Repeat(": keep-alive\n\n", 100), event(2, "b"), "\n\n", event(3, "c")}, "1,56", "a\nb\nc\n"},
+		// The last event holds what is left of the turn's most.
+		"last event": {[]string{event(1, "a"), event(2, "b"), event(3, "c")}, "1,30", "a\nb\nc\n"},
+		"no usage":   {[]string{event(1, "a"), event(2, "b"), event(3, "c")}, "", "a\nb\nc\n"},
+	} {
+		b := newBench(t)
+		targets := b.raws("engines", 1, func(w *bufio.Writer, id string) bool {
+			_, _ = w.WriteString(streamHead(id))
+			if id == "t2" {
+				streamed(w, event(1, "end"))
+			} else {
+				for _, text := range c.events {
+					streamed(w, text)
+				}
+			}
+			_, _ = w.WriteString("0\r\n\r\n")
+			return true
+		})
+		want := strings.Join(c.events, "")
+		status, text, whole := b.turn("t1", "", "in", "Token-Usage", c.usage, "Token-Budget", "1000")
+		if status != http.StatusOK || !whole || text != want {
+			t.Errorf("%s: status %d, %d bytes, want %d, whole %v", name, status, len(text), len(want), whole)
+		}
+		if status, _, whole := b.turn("t2", "t1", "x", "Token-Budget", "1000"); status != http.StatusOK || !whole {
+			t.Errorf("%s: going on: status %d, whole %v", name, status, whole)
+		}
+		if got := targets[0].body("t2"); got != "in"+c.output+"x" {
+			t.Errorf("%s: the next turn came with %d bytes, want %d", name, len(got), len(c.output)+3)
+		}
+	}
+}
--- a/receiver/events.go
+++ b/receiver/events.go
@@ -6,8 +6,24 @@
 	"io"
 )
 
-// eventBytes bounds one event of a stream.
-const eventBytes = 1 << 20
+const (
+	// eventBytes bounds one event of a stream.
+	eventBytes = 1 << 20
+	// fillerBytes bounds what a stream sends between two events, or before the first,
+	// that is part of none: some hundred comments that keep a connection open.
+	fillerBytes = 8 << 10
+)
+
+// isFiller reports whether a block of a stream holds only comments and blank lines,
+// and so is no event.
+func isFiller(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
 
 // readEvent returns the next event of a stream as it was sent, with its blank
 // line, and its data. At the clean end of the stream the error is io.EOF; raw may
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/platform"
@@ -45,18 +46,28 @@
 		}
 	}
 	var failure error
+	filler := 0
 	for {
 		raw, data, err := readEvent(reader)
 		if err != nil && err != io.EOF {
 			failure = err
 			break
 		}
-		if len(raw) > 0 {
-			begin()
-			if err == nil {
+		if err == nil {
+			if isFiller(raw) {
+				filler += len(raw)
+			} else {
+				filler = 0
 				s.events++
 				s.output = append(append(s.output, data...), '\n')
 			}
+			if filler > fillerBytes {
+				failure = sd.BrokenAnswer.New("over %d bytes without an event", fillerBytes)
+				break
+			}
+		}
+		if len(raw) > 0 {
+			begin()
 			_, writeErr := q.w.Write(raw)
 			if writeErr == nil {
 				writeErr = controller.Flush()
