receiver: a stream ends with what its turn may generate

A turn's budget is reserved for the most that its caller allows (the second number of Token-Usage), but nothing held the stream to it: a target that sends events without end had them passed on until the deadline, over the reservation and the program's whole budget.

A stream is now broken off before the first event beyond that.

--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -573,6 +573,10 @@
 	"first line": {func(w *bufio.Writer, _ string) bool {
 		return pour(w, chunked(strings.Repeat("x", 4096)))
 	}, 100},
+	"events at once": {func(w *bufio.Writer, _ string) bool {
+		streamed(w, event(1, "one"))
+		return pour(w, chunked(strings.Repeat("data: of event\n\n", 256)))
+	}, 4 * 32},
 	"long event": {func(w *bufio.Writer, _ string) bool {
 		streamed(w, event(1, "one"))
 		return pour(w, chunked(strings.Repeat("data: and more \n", 256)))
@@ -585,6 +589,16 @@
 		streamed(w, event(1, "one"))
 		return pour(w, chunked(strings.Repeat(": keep-alive  \n\n", 256)))
 	}, 32 << 10},
+	"events": {func(w *bufio.Writer, _ string) bool {
+		n := 1
+		for streamed(w, event(n, "more")) {
+			n++
+		}
+		return false
+	}, 4 * len(event(1, "more"))},
+	"events without data": {func(w *bufio.Writer, _ string) bool {
+		return pour(w, chunked(strings.Repeat("event: nothing\n\n", 256)))
+	}, 4 * 16},
 }
 
 // Guards against a stream without end, which was passed on, counted as spent and
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -18,6 +18,8 @@
 type stream struct {
 	output []byte
 	events int
+	// most bounds events: what the caller's limit on tokens allows; zero does not.
+	most int
 	// whole tells that the target's stream came to its end.
 	whole bool
 	// finish is called after the last event, before the caller sees the end; false
@@ -65,6 +67,12 @@
 				failure = sd.BrokenAnswer.New("over %d bytes without an event", fillerBytes)
 				break
 			}
+			if s.most > 0 && s.events > s.most {
+				// This one is not handed out.
+				s.events--
+				failure = sd.BrokenAnswer.New("more than the %d events that the turn's limit allows", s.most)
+				break
+			}
 		}
 		if len(raw) > 0 {
 			begin()
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -71,6 +71,10 @@
 	}
 	settled := false
 	s := &stream{}
+	if size := q.table.EventTokens(q.pool); q.ask.Limit > 0 {
+		// The last event may hold fewer tokens than the others.
+		s.most = int((q.ask.Limit + size - 1) / size)
+	}
 	s.finish = func() bool {
 		settled = true
 		used := sd.Tokens(s.events) * q.table.EventTokens(q.pool)
