receiver: bound the memory of streams

What a stream says is held until the turn is kept, without a bound, and one event could take 1 MB. 60 streams of endless events took the process of the new test to 918 MB in 3 s; the smallest host has 112 MB.

An event has at most 64 KB, and input and output of a turn together the 512 KB that its input alone had before. The output draws on the buffers' common bound, with its first 32 KB outside, several times a usual turn.

--- a/receiver/buffer.go
+++ b/receiver/buffer.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 
@@ -49,7 +50,7 @@
 	}
 }
 
-// buffer holds the body of one answer in parts, which are never copied to grow.
+// buffer holds one answer, or what a stream says, in parts, which are never copied to grow.
 type buffer struct {
 	common *buffers
 	parts  [][]byte
@@ -111,6 +112,23 @@
 	}
 }
 
+// write appends text, or reports that the common bound is reached.
+func (b *buffer) write(text []byte) bool {
+	for len(text) > 0 {
+		space := b.space(0)
+		if space == nil {
+			return false
+		}
+		n := copy(space, text)
+		b.filled(n)
+		text = text[n:]
+	}
+	return true
+}
+
+// text returns what is held, in memory of its own.
+func (b *buffer) text() []byte { return bytes.Join(b.parts, nil) }
+
 // free gives back the buffer's memory.
 func (b *buffer) free() {
 	b.common.taken.Add(-int64(b.taken))
--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -354,13 +354,14 @@
 
 // fitsSmallest runs do under the runtime's limit of the smallest host, and fails
 // the test if the process, with its callers and targets, takes more than that host has.
-func fitsSmallest(t *testing.T, b *bench, name string, do func()) {
+// Held is the most that buffers took.
+func fitsSmallest(t *testing.T, b *bench, name string, do func()) (held int64) {
 	t.Helper()
 	const memory, limit = 112 << 20, 78 << 20
 	before := debug.SetMemoryLimit(limit)
 	defer debug.SetMemoryLimit(before)
 	debug.FreeOSMemory()
-	taken, held := uint64(0), int64(0)
+	taken := uint64(0)
 	stop, watched := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(watched)
@@ -382,12 +383,13 @@
 	if taken > memory {
 		t.Errorf("%s: the process took over %d KB", name, memory>>10)
 	}
-	if most := int64(memory * 15 / 100); held > most || held == 0 {
-		t.Errorf("%s: buffers took %d KB, want up to %d", name, held>>10, most>>10)
+	if most := int64(memory * 15 / 100); held > most {
+		t.Errorf("%s: buffers took %d KB, over %d", name, held>>10, most>>10)
 	}
 	if left := b.left(); left != 0 {
 		t.Errorf("%s: buffers keep %d bytes", name, left)
 	}
+	return held
 }
 
 // held returns what the receiver's buffers take.
@@ -454,7 +456,7 @@
 		return endlessBodies["chunks"](w, id)
 	})
 	for _, kind := range []string{"endless", "length", "chunked"} {
-		fitsSmallest(t, b, kind, func() {
+		held := fitsSmallest(t, b, kind, func() {
 			var all sync.WaitGroup
 			for n := range crowd {
 				all.Go(func() {
@@ -474,6 +476,9 @@
 			}
 			all.Wait()
 		})
+		if held == 0 {
+			t.Errorf("%s: buffers took nothing", kind)
+		}
 	}
 }
 
@@ -605,6 +610,14 @@
 		}
 		return false
 	}, 4 * len(event(1, "more"))},
+	"long events": {func(w *bufio.Writer, _ string) bool {
+		text := strings.Repeat("x", 60_000)
+		n := 1
+		for streamed(w, event(n, text)) {
+			n++
+		}
+		return false
+	}, 4 * (60_000 + 32)},
 	"events without data": {func(w *bufio.Writer, _ string) bool {
 		return pour(w, chunked(strings.Repeat("event: nothing\n\n", 256)))
 	}, 4 * 16},
@@ -690,3 +703,74 @@
 		}
 	}
 }
+
+// Guards against a stream longer than a turn that can be kept, whose end waited for
+// a write that the store cannot take.
+func TestStreamTooLongToKeepBreaksOff(t *testing.T) {
+	option, logs := logged()
+	b := newBench(t, option)
+	text := strings.Repeat("x", 50_000)
+	b.raws("engines", 1, func(w *bufio.Writer, id string) bool {
+		_, _ = w.WriteString(streamHead(id))
+		for n := range 30 {
+			streamed(w, event(n, text))
+		}
+		_, _ = w.WriteString("0\r\n\r\n")
+		return true
+	})
+	status, got, whole := b.turn("t1", "", strings.Repeat("y", 100_000), "Token-Usage", "1,1000", "Token-Budget", "10000")
+	if status != http.StatusOK || whole || len(got) > 512<<10-100_000 {
+		t.Errorf("status %d, %d bytes, whole %v", status, len(got), whole)
+	}
+	if !names(logs, "t1") {
+		t.Error("no line names the target and the reason")
+	}
+	if status, _, _ := b.turn("t2", "t1", "x"); status != http.StatusNotFound {
+		t.Errorf("going on from it: status %d", status)
+	}
+}
+
+// Guards against many long streams at once, which took more memory than a small
+// host has.
+func TestLongStreamsFitTheSmallestHost(t *testing.T) {
+	b := newBench(t, small)
+	text := strings.Repeat("x", 50_000)
+	b.raws("engines", 4, func(w *bufio.Writer, id string) bool {
+		_, _ = w.WriteString(streamHead(id))
+		switch kind, _, _ := strings.Cut(id, "-"); kind {
+		case "usual":
+			for n := range 8 {
+				streamed(w, event(n, strings.Repeat("x", 480)))
+			}
+			_, _ = w.WriteString("0\r\n\r\n")
+			return true
+		case "events":
+			n := 1
+			for streamed(w, event(n, text)) {
+				n++
+			}
+			return false
+		case "lines":
+			return pour(w, chunked(strings.Repeat("data: of one event that never ends\n", 100)))
+		}
+		return pour(w, chunked(text))
+	})
+	for _, kind := range []string{"events", "lines", "line"} {
+		fitsSmallest(t, b, kind, func() {
+			var all sync.WaitGroup
+			for n := range crowd {
+				all.Go(func() {
+					if status, _, whole := b.skim("/talk/x", kind+"-"+strconv.Itoa(n)); status == http.StatusOK && whole {
+						t.Errorf("%s: an endless stream looks whole", kind)
+					}
+				})
+				all.Go(func() {
+					if status, _, whole := b.skim("/talk/x", "usual-"+kind+strconv.Itoa(n)); status != http.StatusOK || !whole {
+						t.Errorf("usual among %s: status %d, whole %v", kind, status, whole)
+					}
+				})
+			}
+			all.Wait()
+		})
+	}
+}
--- a/receiver/events.go
+++ b/receiver/events.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
+
+	sd "sapphiredrum.example/sapphiredrum"
 )
 
 const (
-	// eventBytes bounds one event of a stream.
-	eventBytes = 1 << 20
+	// eventBytes bounds one event of a stream: a hundred times a usual one, and an
+	// eighth of the longest turn that is kept.
+	eventBytes = 64 << 10
 	// fillerBytes bounds what a stream sends between two events, or before the first,
 	// that is part of none: some hundred comments that keep a connection open.
 	fillerBytes = 8 << 10
@@ -27,12 +29,15 @@
 
 // readEvent returns the next event of a stream as it was sent, with its blank
 // line, and its data. At the clean end of the stream the error is io.EOF; raw may
-// then hold bytes after the last event.
+// then hold bytes after the last event. Of a longer event the error is BrokenAnswer.
 func readEvent(r *bufio.Reader) (raw, data []byte, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
 		raw = append(raw, line...)
-		if err == bufio.ErrBufferFull && len(raw) < eventBytes {
+		if len(raw) > eventBytes {
+			return nil, nil, sd.BrokenAnswer.New("event longer than %d bytes", eventBytes)
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
@@ -41,9 +46,6 @@
 		if bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n")) || len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return raw, eventData(raw), nil
 		}
-		if len(raw) > eventBytes {
-			return raw, nil, io.ErrShortBuffer
-		}
 	}
 }
 
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -16,7 +16,9 @@
 
 // stream is what a relayed stream leaves behind.
 type stream struct {
-	output []byte
+	// output is the data of each event and a line feed, of which room bytes are left.
+	output buffer
+	room   int
 	events int
 	// most bounds events: what the caller's limit on tokens allows; zero does not.
 	most int
@@ -27,6 +29,22 @@
 	finish func() bool
 }
 
+// add takes an event that is to be passed on. Errors are BrokenAnswer for one that is
+// beyond the stream's bounds.
+func (s *stream) add(data []byte) error {
+	if s.most > 0 && s.events >= s.most {
+		return sd.BrokenAnswer.New("more than the %d events that the turn's limit allows", s.most)
+	}
+	if s.room -= len(data) + 1; s.room < 0 {
+		return sd.BrokenAnswer.New("turn longer than %d bytes", turnBytes)
+	}
+	if !s.output.write(data) || !s.output.write([]byte{'\n'}) {
+		return sd.BrokenAnswer.New("no memory to hold the turn after %d bytes", s.output.size)
+	}
+	s.events++
+	return nil
+}
+
 // relay passes a stream's events on as they arrive.
 func (q *request) relay(ctx context.Context, answer *exchanger.Answer, s *stream, release func(balancer.Result)) ended {
 	if !own(answer) {
@@ -60,17 +78,12 @@
 				filler += len(raw)
 			} else {
 				filler = 0
-				s.events++
-				s.output = append(append(s.output, data...), '\n')
+				failure = s.add(data)
 			}
 			if filler > fillerBytes {
 				failure = sd.BrokenAnswer.New("over %d bytes without an event", fillerBytes)
-				break
 			}
-			if s.most > 0 && s.events > s.most {
-				// This one is not handed out.
-				s.events--
-				failure = sd.BrokenAnswer.New("more than the %d events that the turn's limit allows", s.most)
+			if failure != nil {
 				break
 			}
 		}
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -70,7 +70,8 @@
 		return
 	}
 	settled := false
-	s := &stream{}
+	s := &stream{output: buffer{common: q.buffers}, room: turnBytes - len(q.body)}
+	defer s.output.free()
 	if size := q.table.EventTokens(q.pool); q.ask.Limit > 0 {
 		// The last event may hold fewer tokens than the others.
 		s.most = int((q.ask.Limit + size - 1) / size)
@@ -82,7 +83,7 @@
 			q.settle(ctx, program, hold, used)
 			return false
 		}
-		kept.Target, kept.Output = q.target, s.output
+		kept.Target, kept.Output = q.target, s.output.text()
 		ended := q.Clock.Now()
 		medium, err := q.Archive.Settle(ctx, program, hold, used, kept)
 		q.measure(stageSettle, ended)
