--- a/messenger/client.go
+++ b/messenger/client.go
@@ -116,16 +116,18 @@
 func newTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
 const (
 	pathPrefix               = "/peer/"
 	maxMessage               = 64 << 20
+	maxHead                  = 16 << 10 // many times a peer's own
 	dialTimeout              = 500 * time.Millisecond
 	idleTimeout              = 90 * time.Second
 	idleConnections          = 64
