relayer: probes know the parts of the store from the start

What callers saw: with a part of the store silent, hosts that had made few calls counted the whole store as lost for up to 4.2 s and went through peers for parts that answered.

Cause: probes chose among the parts that the host had made calls to. The host now names all parts of programs.

TestStoreIsReachedThroughPartsThatAreKnown fails without that ("counts as lost") and passes.

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -111,6 +111,18 @@
 	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log, found: make(chan struct{}), parts: []string{""}}
 }
 
+// Know names parts of the store that probes may read. Those that calls are made to are
+// known as well.
+func (r *Relay) Know(parts ...string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, part := range parts {
+		if len(r.parts) < partsKept && !slices.Contains(r.parts, part) {
+			r.parts = append(r.parts, part)
+		}
+	}
+}
+
 // Reaches reports whether this host reaches the store itself.
 func (r *Relay) Reaches() bool {
 	r.lock.Lock()
@@ -324,13 +336,11 @@
 // found again.
 func (r *Relay) begin(part string) (sd.Instant, <-chan struct{}) {
 	now := r.clock.Now()
+	r.Know(part)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.open++
 	r.lastCall = now
-	if len(r.parts) < partsKept && !slices.Contains(r.parts, part) {
-		r.parts = append(r.parts, part)
-	}
 	return now, r.found
 }
 
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -308,3 +308,18 @@
 		})
 	}
 }
+
+// One part away: a host that had made calls to no other part yet counted the whole store as
+// lost.
+func TestStoreIsReachedThroughPartsThatAreKnown(t *testing.T) {
+	rows := faker.NewRows(1)
+	r := alone(rows)
+	r.Know("p0", "p1")
+	rows.Trouble(faker.RowsTrouble{Silent: true, Parts: []string{""}})
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		r.Suspect()
+		if !r.Reaches() {
+			t.Fatal("counts as lost")
+		}
+	}
+}
--- a/starter/host.go
+++ b/starter/host.go
@@ -132,6 +132,7 @@
 		Fill: h.fill, Heard: h.heard, Clock: h.clock, Log: log,
 	}
 	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
+	h.relay.Know(archiver.AllParts()...)
 	h.relay.Changed, h.gossiper.Troubled = h.gossiper.Hasten, h.relay.Suspect
 	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock})
 	h.gate = receiver.NewGate(balancer.Settings{
