--- a/balancer/load.go
+++ b/balancer/load.go
@@ -79,6 +79,13 @@
 	return s.load(now, t) < int(t.Slots) && s.bears(now, p, t)
 }
 
+// Hosts sets the number of hosts among which the cold bound is shared.
+func (s *State) Hosts(count int) { s.hosts = max(count, 1) }
+
+// Join tells that a host is heard which has run for longer than the cold bound counts: this
+// one did not start together with all others.
+func (s *State) Join() { s.joined = true }
+
 // bears reports whether one more request keeps the bound of cold targets. A host may
 // send as many as the others know of; beyond that, its share of what the others leave
 // unused, less a margin. A small part of the bound is each host's without a word.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -200,13 +200,6 @@
 	return p
 }
 
-// Hosts sets the number of hosts among which the cold bound is shared.
-func (s *State) Hosts(count int) { s.hosts = max(count, 1) }
-
-// Join tells that a host is heard which has run for longer than the cold bound counts: this
-// one did not start together with all others.
-func (s *State) Join() { s.joined = true }
-
 // Evacuate tells whether targets of a zone may get requests.
 func (s *State) Evacuate(zone sd.ZoneName, out bool) {
 	if out {
