--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -35,11 +35,12 @@
 
 // bench is one receiver between a caller and two engines and two desks.
 type bench struct {
-	t      *testing.T
-	rows   *faker.Rows
-	meter  *open
-	server *httptest.Server
-	gate   *receiver.Gate
+	receiver *receiver.Receiver
+	t        *testing.T
+	rows     *faker.Rows
+	meter    *open
+	server   *httptest.Server
+	gate     *receiver.Gate
 	// measures are the receiver's.
 	measures *receiver.Measures
 	engines  []*emulator.Target
@@ -59,6 +60,7 @@
 		option(&parts)
 	}
 	r := receiver.New(parts)
+	b.receiver = r
 	plan, err := platform.DecodePlan(emulator.Plan(1, 0, "k1", "k2"))
 	if err != nil {
 		t.Fatal(err)
