--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -193,20 +193,11 @@
 	}
 }
 
-// Medium is what holds a turn when its end is passed on.
-type Medium string
-
-// The media.
-const (
-	// InStore turns outlive the loss of all hosts.
-	InStore Medium = "store"
-)
-
 // Settle ends a turn: used is what was handed to the caller, kept the turn to
 // store or nil. It returns once the store has it: a copy in the memory of hosts would not
 // outlive a power loss of all. Otherwise the error is Unavailable when ctx ends; the
 // work goes on all the same.
-func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) (Medium, error) {
+func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
 	if kept != nil {
 		a.remember(kept)
 		if a.peers.Client != nil {
@@ -222,12 +213,12 @@
 	w.lock.Unlock()
 	if placed && !a.suspects.has(a.clock.Now(), at) {
 		settled, received, err := attend(ctx, a, at, messageSettle, o, func(s Settled) bool { return s.Pending })
-		if err == nil && settled.Medium == InStore {
+		if err == nil {
 			w.learn(a.clock.Now(), program, settled.Snapshot)
-			return InStore, nil
+			return nil
 		}
 		if received && ctx.Err() != nil {
-			return "", sd.Unavailable.Wrap(err, "turn is not written in time")
+			return sd.Unavailable.Wrap(err, "turn is not written in time")
 		}
 		if ctx.Err() == nil {
 			a.suspects.add(a.clock.Now(), at)
@@ -239,14 +230,14 @@
 }
 
 // settle ends a turn by this host's own lane.
-func (a *Archive) settle(ctx context.Context, o Operation) (Medium, error) {
+func (a *Archive) settle(ctx context.Context, o Operation) error {
 	operation := o
 	done := a.worker(o.Program).add(&operation)
 	select {
 	case err := <-done:
-		return InStore, err
+		return err
 	case <-ctx.Done():
-		return "", sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
+		return sd.Unavailable.Wrap(ctx.Err(), "turn is not written in time")
 	}
 }
 
--- a/archiver/fleet_test.go
+++ b/archiver/fleet_test.go
@@ -194,7 +194,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() {
-		_, err := m.Settle(ctx, p, hold, 50, t)
+		err := m.Settle(ctx, p, hold, 50, t)
 		ended <- err
 	}()
 	return ended, nil
--- a/archiver/giveback_test.go
+++ b/archiver/giveback_test.go
@@ -43,7 +43,7 @@
 	f.kill(dies)
 	f.rows.Trouble(faker.RowsTrouble{})
 	hold := <-reserved
-	_, err := f.hosts[serves].Settle(ctx, program, hold, 50, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
+	err := f.hosts[serves].Settle(ctx, program, hold, 50, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
 	f.must(err)
 	account := archiver.Account{}
 	for range 40 {
--- a/archiver/outage_test.go
+++ b/archiver/outage_test.go
@@ -52,7 +52,7 @@
 		}
 		handed += most
 		go func() {
-			_, _ = f.hosts[at].Settle(t.Context(), program, hold, most, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
+			_ = f.hosts[at].Settle(t.Context(), program, hold, most, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
 		}()
 		return nil
 	}
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -54,7 +54,6 @@
 
 // Settled is the answer to an Operation that ends a turn.
 type Settled struct {
-	Medium Medium
 	// Pending tells that the store has yet to take the turn; another answer follows.
 	Pending bool
 	Snapshot
@@ -210,8 +209,8 @@
 		a.remember(o.Kept)
 	}
 	return tell(send, Settled{Pending: true}, func() (Settled, error) {
-		medium, err := a.settle(ctx, o)
-		return Settled{Medium: medium, Snapshot: a.snapshot(o.Program)}, err
+		err := a.settle(ctx, o)
+		return Settled{Snapshot: a.snapshot(o.Program)}, err
 	})
 }
 
--- a/archiver/settle_test.go
+++ b/archiver/settle_test.go
@@ -62,7 +62,7 @@
 	f.store(false)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := f.hosts[0].Settle(t.Context(), program, hold, 40, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
+		err := f.hosts[0].Settle(t.Context(), program, hold, 40, &archiver.Turn{Program: program, Key: turn, Input: []byte("in"), Output: []byte("out\n")})
 		ended <- err
 	}()
 	f.kill(1)
--- a/receiver/measures.go
+++ b/receiver/measures.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
-	"sapphiredrum.example/sapphiredrum/archiver"
 )
 
 // Events of this package; docs/EVENTS.md lists them.
@@ -34,11 +33,6 @@
 	m.Set.GetOrCreateHistogram(`request_seconds{kind="` + kind + `"}`).Update(float64(took) / float64(sd.Second))
 }
 
-// kept counts a turn by what holds it when its end is passed on.
-func (m *Measures) kept(medium archiver.Medium) {
-	m.Set.GetOrCreateCounter(`turns_kept_total{in="` + string(medium) + `"}`).Inc()
-}
-
 // note logs and counts the end of a request. Status 0 tells that the caller left
 // before an answer.
 func (q *request) note(status int, reason string) {
@@ -69,9 +63,6 @@
 		zap.Int("tried", q.tried), zap.Int("sent", q.sent),
 	}
 	fields = append(fields, q.stageFields()...)
-	if q.kept != "" {
-		fields = append(fields, zap.String("kept", string(q.kept)))
-	}
 	if reason == "" {
 		q.Log.Info("answered", fields...)
 		return
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -109,8 +109,6 @@
 	// tried counts the targets that it was sent to.
 	tried  int
 	target sd.TargetID
-	// kept is what holds a turn whose end was passed on.
-	kept   archiver.Medium
 	stages [stageCount]sd.Millis
 }
 
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -96,14 +96,12 @@
 		}
 		kept.Target, kept.Output = q.target, s.output.text()
 		ended := q.Clock.Now()
-		medium, err := q.Archive.Settle(ctx, program, hold, used, kept)
+		err := q.Archive.Settle(ctx, program, hold, used, kept)
 		q.measure(stageSettle, ended)
 		if err != nil {
 			q.Log.Warn("turn is not kept", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 			return false
 		}
-		q.kept = medium
-		q.Measures.kept(medium)
 		return true
 	}
 	defer func() {
@@ -119,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
 	go func() {
 		defer cancel()
-		if _, err := q.Archive.Settle(ctx, program, hold, used, nil); err != nil {
+		if err := q.Archive.Settle(ctx, program, hold, used, nil); err != nil {
 			q.Log.Info("account of a failed turn is not written yet", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 		}
 	}()
