archiver: a grant that nobody waits for is given back

What callers would see: a program refused (402) with budget left. A host stops waiting for a reservation at the moment at which its sequencer grants it; the sequencer has sent its answer and cannot know that nobody read it.

Cause: whoever gave up only closed the connection.

Now the host tells the sequencer, which takes the reservation back if it was made or is under way, and does nothing otherwise; if the sequencer does not answer, the host cancels with its own lane.

--- a/archiver/giveback_test.go
+++ b/archiver/giveback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,3 +83,34 @@
 		t.Fatalf("the next attempt: %v", err)
 	}
 }
+
+// Refused for nothing: a reservation that its sequencer granted at the moment at which the host
+// stopped waiting stayed open for ever.
+func TestAGrantThatNobodyWaitsForIsGivenBack(t *testing.T) {
+	const most = 100
+	f := newFleet(t, 3)
+	f.rows.Trouble(faker.RowsTrouble{Delay: 20})
+	for i := range 60 {
+		program := archiver.ProgramKey("w", sd.ProgramID(fmt.Sprint("p", i)))
+		wait := time.Duration(20+i%10) * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		hold, err := f.hosts[i%3].Reserve(ctx, program, archiver.TurnKey("w", sd.CallID(fmt.Sprint("t", i))), most, most)
+		cancel()
+		if err == nil {
+			f.must(f.hosts[i%3].Settle(t.Context(), program, hold, 0, nil))
+		}
+	}
+	f.rows.Trouble(faker.RowsTrouble{})
+	f.eventually("nothing stays reserved", func() bool {
+		for i := range 60 {
+			row := f.rows.Row(cellOf(fmt.Sprint("p", i)))
+			if row.Version == 0 {
+				continue
+			}
+			if account, err := archiver.DecodeAccount(row.Value); err != nil || account.Reserved() > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -25,6 +25,7 @@
 const (
 	messageReserve = "reserve"
 	messageSettle  = "settle"
+	messageCancel  = "cancel"
 	messageRecall  = "recall"
 	messageCache   = "cache"
 )
@@ -36,6 +37,7 @@
 func (a *Archive) Answer(router messenger.Router) {
 	messenger.Stream(router, messageReserve, a.answerReserve)
 	messenger.Stream(router, messageSettle, a.answerSettle)
+	messenger.Handle(router, messageCancel, a.answerCancel)
 	messenger.Handle(router, messageRecall, a.answerRecall)
 	messenger.Handle(router, messageCache, a.answerCache)
 }
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
@@ -178,6 +179,8 @@
 	case err != nil:
 		if ctx.Err() == nil {
 			a.suspects.add(a.clock.Now(), at)
+		} else {
+			a.cancel(ctx, at, order)
 		}
 		return false, sd.Unavailable.Wrap(err, "sequencer %s did not reserve", at)
 	case placed.Exhausted != "":
@@ -191,6 +194,37 @@
 	return true, nil
 }
 
+// cancel tells a sequencer that nobody waits for a reservation any more. Its grant may be on
+// the way, which the sequencer cannot know.
+func (a *Archive) cancel(ctx context.Context, at sd.Address, order Placement) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout.Duration())
+	defer cancel()
+	o := Operation{Kind: Cancel, Program: order.Program, Hold: order.Hold}
+	if _, err := messenger.Ask[Operation, Done](ctx, a.peers.Client, at, messageCancel, o); err != nil {
+		a.log.Info("sequencer does not answer, the reservation is cancelled here", zap.Int("event", eventSequencer),
+			zap.Stringer("program", order.Program), zap.String("sequencer", string(at)), zap.Error(err))
+		a.worker(order.Program).add(&o)
+	}
+}
+
+// answerCancel gives back a reservation that was made for another host, or is about to be.
+func (a *Archive) answerCancel(_ context.Context, o Operation) (Done, error) {
+	w := a.worker(o.Program)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for waiting := range w.waiters {
+		if waiting.Kind == Reserve && waiting.Hold == o.Hold {
+			delete(w.waiters, waiting)
+			waiting.Until = a.clock.Now()
+		}
+	}
+	if row := w.lane.rows[o.Program]; row != nil && row.account.Holds(o.Hold) {
+		w.lane.AddFirst(&o)
+	}
+	w.signal()
+	return Done{}, nil
+}
+
 // answerReserve reserves a turn for another host.
 func (a *Archive) answerReserve(ctx context.Context, order Placement, send func(Placed) error) error {
 	a.worker(order.Program).learn(a.clock.Now(), order.Program, order.Seen)
