cmd/sapphiredrum: tests of two processes take other ports

Ports were counted from 15000 in each test process, and the soak took any from the range of outgoing connections: two soaks at once could take one another's between the choice and the use. Each process now starts elsewhere in the range below that of outgoing connections.

--- a/cmd/sapphiredrum/process_test.go
+++ b/cmd/sapphiredrum/process_test.go
@@ -32,6 +32,8 @@
 		panic(err)
 	}
 	binaries = folder
+	// Tests of other processes take other ports.
+	ports.Store(int64(os.Getpid()) * portsOfProcess)
 	build := exec.Command("go", "build", "-o", folder, "sapphiredrum.example/sapphiredrum/cmd/...")
 	if text, err := build.CombinedOutput(); err != nil {
 		panic(string(text))
@@ -200,11 +202,20 @@
 // ports counts the ports given to hosts.
 var ports atomic.Int64
 
+const (
+	// portsFirst and portsMost bound the ports below the range of outgoing connections,
+	// which begins at 32768 on Linux.
+	portsFirst, portsMost = 15000, 17000
+	// portsOfProcess is about the number of ports of all tests here.
+	portsOfProcess = 200
+)
+
 func free(t *testing.T) sd.Address {
 	t.Helper()
 	// Ports below the range from which outgoing connections get theirs: none of
 	// these takes the port between this check and its use.
-	for port := 15000 + int(ports.Add(1)); port < 32000; port = 15000 + int(ports.Add(1)) {
+	for range portsMost {
+		port := portsFirst + ports.Add(1)%portsMost
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			_ = listener.Close()
