--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -10,6 +10,9 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
 
 	sd "sapphiredrum.example/sapphiredrum"
 )
@@ -47,9 +50,17 @@
 	idleLeast = 500 * sd.Millisecond
 	// strays bounds the answers to earlier requests that are skipped.
 	strays = 3
-	// strayBytes bounds the body of a skipped answer.
+	// strayBytes bounds the body of a skipped answer; a new connection costs less than
+	// to read more.
 	strayBytes = 1 << 20
+	// dropTime is how long Drop waits for a body: a round trip and some.
+	dropTime = 20 * sd.Millisecond
+	// dropBytes bounds what Drop reads: less than a new connection costs.
+	dropBytes  = 16 << 10
 	bufferSize = 4 << 10
+	// headBytes bounds the head of an answer: what plans usually let callers send in
+	// one, and many times what targets send.
+	headBytes = 16 << 10
 )
 
 // Call is a request to a target.
@@ -83,11 +94,32 @@
 	net.Conn
 	reader  *bufio.Reader
 	address sd.Address
+	// heading tells that a head is being read, of which headLeft bytes may still come.
+	heading  bool
+	headLeft int
 	// since is when the connection was last used, until when it may no longer be.
 	since, until sd.Instant
 	used         bool
 }
 
+// Read reads what the target sent. It fails at the end of a head that is too long.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.heading && c.headLeft <= 0 {
+		return 0, sd.BrokenAnswer.New("head of an answer longer than %d bytes", headBytes)
+	}
+	n, err := c.Conn.Read(p)
+	c.headLeft -= n
+	return n, err
+}
+
+// readHead reads the head of the next answer.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.heading, c.headLeft = true, headBytes-c.reader.Buffered()
+	response, err := http.ReadResponse(c.reader, request)
+	c.heading = false
+	return response, err
+}
+
 // New returns an Exchanger without connections.
 func New(settings Settings) *Exchanger {
 	if settings.Connect == 0 {
@@ -109,6 +141,8 @@
 	Body   io.Reader
 	// Framed answers tell where they end; others end with their connection.
 	Framed bool
+	// Length is the length of the body, or -1 if the head does not tell it.
+	Length int64
 
 	exchanger *Exchanger
 	conn      *connection
@@ -178,9 +212,9 @@
 	request := &http.Request{Method: call.Method}
 	skipped := false
 	for range strays + 1 {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := conn.readHead(request)
 		if err != nil {
-			if conn.used && !skipped && ctx.Err() == nil {
+			if conn.used && !skipped && ctx.Err() == nil && !errorx.IsOfType(err, sd.BrokenAnswer) {
 				x.doubt(conn, sent)
 			}
 			return fail(err)
@@ -191,13 +225,18 @@
 		if !call.Belongs(response.StatusCode, response.Header) {
 			skipped = true
 			framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-			if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes)); err != nil || !framed {
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes+1))
+			if err != nil || !framed || n > strayBytes {
 				return fail(sd.BrokenAnswer.New("answer belongs to another request"))
 			}
 			continue
 		}
+		length := response.ContentLength
+		if call.Method == http.MethodHead {
+			length = 0
+		}
 		return &Answer{
-			Status: response.StatusCode, Header: response.Header, Body: response.Body,
+			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: length,
 			Framed:    response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 			exchanger: x, conn: conn, response: response, stop: stop, written: written, skipped: skipped,
 		}, false, nil
@@ -222,6 +261,20 @@
 	a.exchanger.keep(a.conn, a.Header.Get("Keep-Alive"))
 }
 
+// Drop ends the exchange without the body. The connection is kept only if the rest
+// of the answer is short and comes at once.
+func (a *Answer) Drop() {
+	n := int64(0)
+	err := a.conn.SetReadDeadline(time.Now().Add(dropTime.Duration()))
+	if err == nil && a.Length <= dropBytes {
+		n, err = io.Copy(io.Discard, io.LimitReader(a.Body, dropBytes+1))
+	}
+	if err == nil {
+		err = a.conn.SetReadDeadline(time.Time{})
+	}
+	a.Close(err == nil && a.Length <= dropBytes && n <= dropBytes)
+}
+
 // Close drops all idle connections; later exchanges keep none.
 func (x *Exchanger) Close() {
 	x.lock.Lock()
@@ -340,7 +393,9 @@
 	if x.Opened != nil {
 		x.Opened(address)
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), address: address}, nil
+	conn := &connection{Conn: raw, address: address}
+	conn.reader = bufio.NewReaderSize(conn, bufferSize)
+	return conn, nil
 }
 
 func (x *Exchanger) take(address sd.Address) *connection {
--- a/starter/host.go
+++ b/starter/host.go
@@ -69,6 +69,9 @@
 	// toldFor is the number of rounds in which a changed count is told: datagrams may
 	// be lost.
 	toldFor = 5
+	// longRun is how long another host must have run to tell that this one did not start
+	// together with all others: longer than what a cold target has got counts.
+	longRun = 1500 * sd.Millisecond
 	// tellEvery is how often the counters are logged.
 	tellEvery = 10 * sd.Second
 	// storePause is the pause after a failed write of this host's row.
@@ -104,6 +107,11 @@
 	// rows holds the versions of the hosts' rows.
 	rows map[sd.HostID]sd.Record
 
+	planLock sync.Mutex
+	// table is that of the newest plan; it is in force once the other hosts are known.
+	table *receiver.Table
+	known bool
+
 	draining atomic.Bool
 	targets  atomic.Bool
 	// alone tells that the host was cut off when it last looked.
@@ -141,6 +149,7 @@
 	}, h.clock, log)
 	h.receiver = receiver.New(receiver.Parts{
 		Clock: h.clock, Log: log, Meter: h.meter, Gate: h.gate, Archive: h.archive, Exchanger: h.exchanger, Measures: h.measures,
+		Memory: settings.Memory,
 	})
 	h.idle.clock = h.clock
 	h.count()
@@ -197,19 +206,28 @@
 	}
 	silent := h.gossiper.Silent()
 	hosts, reach := h.gossiper.Hosts(), h.gossiper.Reach(silent)
+	known := h.knows()
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
 		s.Silent(silent)
 		beat.Inflight, beat.Sent = s.Beat(now)
 	})
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
-		s.Hosts(now, hosts, reach)
+		if known {
+			s.Hosts(now, hosts, reach)
+		}
 		beat.Admitted = s.Beat(now, toldFor*h.gossiper.Interval())
 	})
 }
 
 // heard takes another host's beat.
 func (h *Host) heard(beat gossiper.Beat) {
-	h.gate.Update(func(s *balancer.State, now sd.Instant) { s.Heard(now, beat.Host, beat.Inflight, beat.Sent) })
+	ran := sd.Millis(beat.Number) * h.gossiper.Interval()
+	h.gate.Update(func(s *balancer.State, now sd.Instant) {
+		s.Heard(now, beat.Host, beat.Inflight, beat.Sent)
+		if ran >= longRun {
+			s.Join()
+		}
+	})
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
 		s.Heard(now, beat.Host, beat.Incarnation, beat.Number, beat.Admitted)
 	})
