--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -111,76 +110,25 @@
 	return &Relay{direct: direct, peers: peers, zone: zone, client: client, clock: clock, log: log, found: make(chan struct{}), parts: []string{""}}
 }
 
-// Reaches reports whether this host reaches the store itself.
-func (r *Relay) Reaches() bool {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return !r.lost
-}
-
-// Settled returns how long this host has reached the store without a break.
-func (r *Relay) Settled() sd.Millis {
+// Know names parts of the store that probes may read. Those that calls are made to are
+// known as well.
+func (r *Relay) Know(parts ...string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.lost {
-		return 0
-	}
-	return r.clock.Now().Since(r.backAt)
-}
-
-// Order is a call in the form in which peers pass it on.
-type Order struct {
-	Update *sd.Update `json:"update,omitempty"`
-	List   *listOrder `json:"list,omitempty"`
-	Watch  *watch     `json:"watch,omitempty"`
-}
-
-type listOrder struct {
-	Table, Part, From, To string
-}
-
-type watch struct {
-	Table string
-	After uint64
-	Wait  sd.Millis
-}
-
-// part returns the part that a call concerns; tables that are watched lie in the unnamed one.
-func (o Order) part() string {
-	switch {
-	case o.List != nil:
-		return o.List.Part
-	case o.Update == nil:
-		return ""
-	}
-	for _, list := range [][]sd.Record{o.Update.Expect, o.Update.Put} {
-		if len(list) > 0 {
-			return list[0].Part
+	for _, part := range parts {
+		if len(r.parts) < partsKept && !slices.Contains(r.parts, part) {
+			r.parts = append(r.parts, part)
 		}
 	}
-	if len(o.Update.Remove) > 0 {
-		return o.Update.Remove[0].Part
-	}
-	return ""
 }
 
-// Result is what a peer returns. A conflict comes with its page, so errors are
-// told by their kind.
-type Result struct {
-	Page    sd.Page
-	Kind    string
-	Message string
+// Reaches reports whether this host reaches the store itself.
+func (r *Relay) Reaches() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return !r.lost
 }
 
-// The kinds of errors on the wire between hosts.
-const (
-	kindUnavailable = "unavailable"
-	kindCrowded     = "crowded"
-	kindUncertain   = "uncertain"
-	kindConflict    = "conflict"
-	kindAbsent      = "absent"
-)
-
 // Commit implements sd.Store.
 func (r *Relay) Commit(ctx context.Context, update sd.Update) (sd.Page, error) {
 	return r.do(ctx, Order{Update: &update}, true)
@@ -196,30 +144,12 @@
 	return r.do(ctx, Order{Watch: &watch{table, after, wait}}, true)
 }
 
-// perform makes a call at a store.
-func perform(ctx context.Context, store sd.Store, o Order) (sd.Page, error) {
-	switch {
-	case o.Update != nil:
-		return store.Commit(ctx, *o.Update)
-	case o.List != nil:
-		return store.List(ctx, o.List.Table, o.List.Part, o.List.From, o.List.To)
-	case o.Watch != nil:
-		return store.Watch(ctx, o.Watch.Table, o.Watch.After, o.Watch.Wait)
-	}
-	return sd.Page{}, sd.Unavailable.New("empty order")
-}
-
 type outcome struct {
 	page   sd.Page
 	err    error
 	direct bool
 }
 
-// definite reports whether an error is the store's own word.
-func definite(err error) bool {
-	return err == nil || errorx.IsOfType(err, sd.Conflict) || errorx.IsOfType(err, sd.Absent)
-}
-
 // do makes a call directly, and, if it may be relayed, by way of a peer if that fails,
 // takes long, or has failed lately.
 func (r *Relay) do(parent context.Context, o Order, relay bool) (sd.Page, error) {
@@ -324,13 +254,11 @@
 // found again.
 func (r *Relay) begin(part string) (sd.Instant, <-chan struct{}) {
 	now := r.clock.Now()
+	r.Know(part)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.open++
 	r.lastCall = now
-	if len(r.parts) < partsKept && !slices.Contains(r.parts, part) {
-		r.parts = append(r.parts, part)
-	}
 	return now, r.found
 }
 
@@ -389,261 +317,8 @@
 	return !reached
 }
 
-// doubt has a probe look whether the store answers in good time.
-func (r *Relay) doubt() {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.look(r.clock.Now())
-}
-
-func (r *Relay) look(now sd.Instant) {
-	if r.probing || now.Since(r.probed) < probeEvery {
-		return
-	}
-	r.probing, r.probed = true, now
-	go r.probe(0)
-}
-
-// Suspect looks at once whether this host reaches the store: a peer has just lost
-// it, or the store has refused a call.
-func (r *Relay) Suspect() {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if !r.lost {
-		r.look(r.clock.Now())
-	}
-}
-
-// probe reads no row from the store itself until it is told an answer or has lost the
-// store, and then until the store is found again. Its word alone decides. It begins
-// after a pause.
-func (r *Relay) probe(pause sd.Millis) {
-	for again := true; again; pause, again = r.next() {
-		time.Sleep(pause.Duration())
-		for range refusedCalls {
-			err := r.ping()
-			if !errorx.IsOfType(err, sd.Crowded) || !r.Reaches() {
-				break
-			}
-			time.Sleep(probeAgain.Duration())
-		}
-	}
-}
-
-// ping reads no row from the store itself, and from a second part if the first does not
-// answer quickly: one part alone may be away. Reads that are overdue count as failed; if one
-// is answered all the same, the store is slow and not lost.
-func (r *Relay) ping() error {
-	start := r.clock.Now()
-	parts := r.pingParts()
-	ends := make(chan error, len(parts))
-	open := 0
-	read := func() {
-		if open == len(parts) {
-			return
-		}
-		part := parts[open]
-		open++
-		go func() { ends <- r.pingPart(part) }()
-	}
-	read()
-	hedge, overdue := time.NewTimer(quickAnswer.Duration()), time.NewTimer(r.patience().Duration())
-	defer hedge.Stop()
-	defer overdue.Stop()
-	for ended := 0; ; {
-		select {
-		case err := <-ends:
-			ended++
-			if definite(err) {
-				return nil
-			}
-			if !errorx.IsOfType(err, sd.Crowded) {
-				read()
-			}
-			if ended == open {
-				r.note(err, start, lostAfter)
-				return err
-			}
-		case <-hedge.C:
-			read()
-		case <-overdue.C:
-			err := sd.Uncertain.New("store did not answer a probe")
-			r.note(err, start, lostAfter)
-			return err
-		}
-	}
-}
-
-// pingParts returns the parts that the next probe reads. Those of a lost store take turns;
-// one part alone is asked, as all that answer will do.
-func (r *Relay) pingParts() []string {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if r.lost {
-		r.well = (r.well + 1) % len(r.parts)
-		return []string{r.parts[r.well]}
-	}
-	parts := []string{r.parts[r.well]}
-	if len(r.parts) > 1 {
-		parts = append(parts, r.parts[(r.well+1)%len(r.parts)])
-	}
-	return parts
-}
-
-// pingPart reads no row from a part, and notes an answer.
-func (r *Relay) pingPart(part string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), slowest.Duration())
-	defer cancel()
-	start := r.clock.Now()
-	_, err := r.direct.List(ctx, probeTable, part, "~", "~~")
-	if definite(err) {
-		r.note(err, start, lostAfter)
-		r.lock.Lock()
-		r.well = max(0, slices.Index(r.parts, part))
-		r.lock.Unlock()
-	}
-	return err
-}
-
-// next returns the pause before the next probe, or false if none is due: the store is
-// reached, or nobody calls it.
-func (r *Relay) next() (sd.Millis, bool) {
-	now := r.clock.Now()
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if !r.lost || (r.open == 0 && now.Since(r.lastCall) > idleAfter) {
-		r.probing = false
-		return 0, false
-	}
-	due := max(r.probed.Add(probeEvery), now)
-	r.probed = due
-	return due.Since(now), true
-}
-
 // Away reports whether neither this host nor a peer that it hears reaches the
 // store in good time.
 func (r *Relay) Away() bool {
 	return !r.Reaches() && len(r.peers(true)) == 0
 }
-
-func (r *Relay) changed() {
-	if r.Changed != nil {
-		r.Changed()
-	}
-}
-
-// note takes the outcome of a direct call, when that was sent, and as how many failures
-// one counts.
-func (r *Relay) note(err error, sent sd.Instant, weight int) {
-	now := r.clock.Now()
-	took := now.Since(sent)
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if definite(err) {
-		if took < quickAnswer {
-			r.quickAt = max(r.quickAt, sent)
-		}
-		if sent >= r.quickAt {
-			r.usual = took
-		}
-		r.failures, r.refused = 0, 0
-		if r.lost {
-			r.lost, r.backAt = false, now
-			close(r.found)
-			r.found = make(chan struct{})
-			r.changed()
-			r.log.Info("store is reached again", zap.Int("event", eventStoreBack), zap.Int64("lost_ms", int64(now.Since(r.lostAt))))
-		}
-		return
-	}
-	if sent < r.quickAt {
-		// Only this call failed, or only its part of the store.
-		return
-	}
-	if errorx.IsOfType(err, sd.Crowded) {
-		// The store refuses some calls of all hosts when there are too many, and all
-		// calls of some hosts when it turns those away.
-		if r.refused == 0 {
-			r.refusedAt = now
-		}
-		r.refused++
-		if !r.lost {
-			r.look(now)
-		}
-		if r.refused < refusedCalls || now.Since(r.refusedAt) < refusedFor {
-			return
-		}
-	}
-	r.failures += weight
-	if !r.lost && r.failures >= lostAfter {
-		r.lost, r.lostAt, r.probed = true, now, now
-		if !r.probing {
-			r.probing = true
-			go r.probe(probeEvery)
-		}
-		r.changed()
-		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures),
-			zap.Int64("took_ms", int64(took)), zap.Error(err))
-	}
-}
-
-// ask has a peer make the call, one of the own zone if there is one.
-func (r *Relay) ask(ctx context.Context, o Order) (sd.Page, error) {
-	peers := r.peers(true)
-	if len(peers) == 0 {
-		return sd.Page{}, sd.Unavailable.New("no peer reaches the store")
-	}
-	var near []gossiper.Peer
-	for _, p := range peers {
-		if p.Zone == r.zone {
-			near = append(near, p)
-		}
-	}
-	if len(near) > 0 {
-		peers = near
-	}
-	peer := peers[rand.IntN(len(peers))]
-	if r.Relayed != nil {
-		r.Relayed()
-	}
-	got, err := messenger.Ask[Order, Result](ctx, r.client, peer.Address, Message, o)
-	if err != nil {
-		return sd.Page{}, sd.Uncertain.Wrap(err, "peer %s did not answer", peer.Host)
-	}
-	switch got.Kind {
-	case "":
-		return got.Page, nil
-	case kindConflict:
-		return got.Page, sd.Conflict.New("%s", got.Message)
-	case kindAbsent:
-		return got.Page, sd.Absent.New("%s", got.Message)
-	case kindCrowded:
-		return got.Page, sd.Crowded.New("%s", got.Message)
-	case kindUnavailable:
-		return got.Page, sd.Unavailable.New("%s", got.Message)
-	}
-	return got.Page, sd.Uncertain.New("%s", got.Message)
-}
-
-// Message is the name under which hosts send orders to one another.
-const Message = "store"
-
-// Answer makes another host's call, directly only.
-func (r *Relay) Answer(ctx context.Context, o Order) (Result, error) {
-	page, err := r.do(ctx, o, false)
-	got := Result{Page: page}
-	if err != nil {
-		got.Message, got.Kind = err.Error(), kindUncertain
-		switch {
-		case errorx.IsOfType(err, sd.Conflict):
-			got.Kind = kindConflict
-		case errorx.IsOfType(err, sd.Absent):
-			got.Kind = kindAbsent
-		case errorx.IsOfType(err, sd.Crowded):
-			got.Kind = kindCrowded
-		case errorx.IsOfType(err, sd.Unavailable):
-			got.Kind = kindUnavailable
-		}
-	}
-	return got, nil
-}
