--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -114,16 +114,6 @@
 
 func (a *Archive) worker(program Key) *worker { return a.lanes[program[0]%Parts] }
 
-// lane returns the worker of a part, or nil.
-func (a *Archive) lane(part string) *worker {
-	for _, w := range a.lanes {
-		if w.lane.Part == part {
-			return w
-		}
-	}
-	return nil
-}
-
 // Reserve takes a turn's most from its program's budget. It returns the key of the
 // reservation once the store has it: one that only hosts know of would be spent again after a
 // power loss of all. Errors are Exhausted and Unavailable; after the latter a
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -103,9 +103,6 @@
 	return n
 }
 
-// Knows reports whether the lane has seen the program's account.
-func (l *Lane) Knows(program Key) bool { return l.rows[program] != nil }
-
 // See takes an account row that was read; an older version than the one known
 // changes nothing.
 func (l *Lane) See(now sd.Instant, program Key, account Account, version uint64) {
