--- a/cmd/sapphiredrum/soakfaults_test.go
+++ b/cmd/sapphiredrum/soakfaults_test.go
@@ -84,6 +84,7 @@
 func (s *soak) well() {
 	s.tell("store: well")
 	s.rows.Trouble(faker.RowsTrouble{})
+	s.calm(true)
 }
 
 // trouble draws what is wrong with the store.
@@ -110,6 +111,7 @@
 		s.rows.Forget()
 	}
 	s.tell("store: %+v", trouble)
+	s.calm(false)
 	s.rows.Trouble(trouble)
 }
 
@@ -118,15 +120,20 @@
 func (s *soak) herd(random *rand.Rand) {
 	off, trouble := upTo(random, 200, 1000), upTo(random, 1, 2500)
 	s.power.Lock()
+	s.calm(false)
 	powerOff(s.hosts)
 	s.tell("all hosts: off")
 	time.Sleep(min(off, trouble))
 	if trouble < off {
 		s.well()
+		s.calm(false)
 		time.Sleep(off - trouble)
 	}
 	s.tell("all hosts: on")
 	powerOn(s.hosts)
+	if trouble < off {
+		s.calm(true)
+	}
 	s.power.Unlock()
 	time.Sleep(max(0, trouble-off))
 }
