receiver: every turn of a program has an account; resumable streams go on elsewhere

Cause: the receiver took a request for a turn of a program only where its rule keeps turns, so reservation, account, pool and admission were tied to kept history.

A streamed request with a program or a budget is a turn now. The target begins while the store takes the reservation, if the store took others lately and the account as last seen holds the turn beside those under way; no token is passed on before the store has it. Streams without history were held until their end; they are passed on as they arrive. A resumable stream that breaks off goes on at another target after the last event, under the first one's head; a run that does not go on there is not joined.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -46,6 +47,8 @@
 	cache     Cache
 
 	suspects suspects
+	// tookAt is when the store last took a reservation, in milliseconds; zero is never.
+	tookAt atomic.Int64
 }
 
 // worker runs one Lane.
@@ -56,6 +59,17 @@
 	wake    chan struct{}
 	// placed are reservations that another host has made for this one.
 	placed map[Key]sd.Address
+	// asked is when the reservations under way were asked for, by turn; took tells that the
+	// last one to end was made.
+	asked map[Key]asked
+	took  bool
+}
+
+// asked is a reservation under way.
+type asked struct {
+	program Key
+	limit   sd.Tokens
+	at      sd.Instant
 }
 
 // New returns an Archive; Run must be running for its operations to end.
@@ -67,7 +81,7 @@
 	for i, part := range AllParts() {
 		a.lanes[i] = &worker{
 			lane: Lane{Part: part}, waiters: map[*Operation]chan error{}, wake: make(chan struct{}, 1),
-			placed: map[Key]sd.Address{},
+			placed: map[Key]sd.Address{}, asked: map[Key]asked{}, took: true,
 		}
 	}
 	return a
@@ -122,10 +136,24 @@
 // The host that sequences the program's part does it, or the next one if that does
 // not answer.
 func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens) (Key, error) {
-	order := Placement{Program: program, Limit: limit, Budget: budget}
+	w := a.worker(program)
+	w.lock.Lock()
+	w.asked[turn] = asked{program, limit, a.clock.Now()}
+	w.lock.Unlock()
+	hold, err := a.reserveAnywhere(ctx, Placement{Program: program, Limit: limit, Budget: budget}, turn)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	delete(w.asked, turn)
+	if w.took = err == nil || errorx.IsOfType(err, Exhausted); w.took {
+		a.tookAt.Store(int64(a.clock.Now()))
+	}
+	return hold, err
+}
+
+func (a *Archive) reserveAnywhere(ctx context.Context, order Placement, turn Key) (Key, error) {
 	for try := 0; ; try++ {
 		order.Hold = holdKey(turn, strconv.Itoa(try))
-		at := a.sequencer(program)
+		at := a.sequencer(order.Program)
 		if at == "" {
 			return order.Hold, a.reserve(ctx, order)
 		}
@@ -141,6 +169,43 @@
 	}
 }
 
+// expectWithin is how long reservations of a part may take for the next one to be expected:
+// some thirty usual answers of the store. expectFor is how long one that was made tells of
+// the store at all: a host of a large fleet has a turn every few seconds.
+const (
+	expectWithin = 300 * sd.Millisecond
+	expectFor    = 10 * sd.Second
+)
+
+// Expects reports whether a turn will hardly be refused a reservation: the store takes those
+// of its part in good time, and the account as last seen holds the turn. Begins tells that
+// the turn begins a program, which needs no account yet.
+func (a *Archive) Expects(program Key, limit, budget sd.Tokens, begins bool) bool {
+	now, took := a.clock.Now(), sd.Instant(a.tookAt.Load())
+	if a.away() || took == 0 || now.Since(took) > expectFor {
+		return false
+	}
+	w := a.worker(program)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if !w.took {
+		return false
+	}
+	taken := limit
+	for _, other := range w.asked {
+		if now.Since(other.at) > expectWithin {
+			return false
+		}
+		if other.program == program {
+			taken += other.limit
+		}
+	}
+	if row := w.lane.rows[program]; row != nil && row.version > 0 {
+		return row.account.Spent+row.account.Reserved()+taken <= budget
+	}
+	return begins && taken <= budget
+}
+
 // giveBack cancels reservations that a sequencer may have made before it was lost.
 func (a *Archive) giveBack(order Placement) {
 	w := a.worker(order.Program)
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -184,6 +184,7 @@
 		}
 		return false, sd.Unavailable.Wrap(err, "sequencer %s did not reserve", at)
 	case placed.Exhausted != "":
+		a.worker(order.Program).learn(a.clock.Now(), order.Program, placed.Snapshot)
 		return true, Exhausted.New("%s", placed.Exhausted)
 	}
 	w := a.worker(order.Program)
@@ -231,7 +232,7 @@
 	return tell(send, Placed{Pending: true}, func() (Placed, error) {
 		err := a.reserve(ctx, order)
 		if errorx.IsOfType(err, Exhausted) {
-			return Placed{Exhausted: err.Error()}, nil
+			return Placed{Exhausted: err.Error(), Snapshot: a.snapshot(order.Program)}, nil
 		}
 		return Placed{Snapshot: a.snapshot(order.Program)}, err
 	})
--- a/plan.go
+++ b/plan.go
@@ -35,6 +35,8 @@
 	// Retained rules keep each turn for Retention, so that later ones go on from it.
 	Retained  bool
 	Retention Millis
+	// Resumable streams may go on at another target after the last event that came.
+	Resumable bool
 	// Sticky requests are faster at a target that has seen their prefix.
 	Sticky bool
 	Shares []PoolShare
--- a/receiver/events.go
+++ b/receiver/events.go
@@ -68,3 +68,14 @@
 	}
 	return data
 }
+
+// eventID returns the value of an event's id field, or nothing.
+func eventID(raw []byte) string {
+	id := ""
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
--- a/receiver/measures.go
+++ b/receiver/measures.go
@@ -41,7 +41,7 @@
 	if q.rule != nil {
 		rule = string(q.rule.Name)
 		switch {
-		case q.rule.Retained:
+		case q.isTurn():
 			kind = "turn"
 		case q.rule.Streaming:
 			kind = "stream"
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -44,6 +44,7 @@
 type Receiver struct {
 	Parts
 	buffers  *buffers
+	lately   lately
 	table    atomic.Pointer[Table]
 	isolated atomic.Bool
 }
@@ -104,6 +105,10 @@
 	// chain is what a turn's target gets before the body.
 	chain  []*archiver.Turn
 	prefer sd.TargetID
+	// stream is what is passed on of a streamed answer; nil for a plain one.
+	stream *stream
+	// program is that of a turn.
+	program archiver.Key
 	// sent counts the targets that may have run the request.
 	sent int
 	// tried counts the targets that it was sent to.
@@ -149,13 +154,23 @@
 		q.refuse(http.StatusTooManyRequests, "rate used up", v.Wait)
 		return
 	}
-	if q.rule.Retained {
+	switch {
+	case q.isTurn():
 		q.turn(ctx)
-	} else {
-		q.serve(ctx, nil)
+	case q.rule.Streaming:
+		q.stream = &stream{finish: func() bool { return true }}
+		q.serve(ctx)
+	default:
+		q.serve(ctx)
 	}
 }
 
+// isTurn reports whether the request is a turn of a program: it has an account there,
+// whether or not the rule keeps what is said.
+func (q *request) isTurn() bool {
+	return q.rule.Retained || (q.rule.Streaming && (q.ask.Budgeted || q.ask.Program != ""))
+}
+
 // identify finds the request's rule, workspace and pool, or answers it.
 func (q *request) identify() bool {
 	q.rule = q.table.Rule(q.http.Host, q.http.URL.Path)
@@ -174,8 +189,12 @@
 		q.tier += w.Tier * tierStep
 	}
 	draw := xxhash.Sum64String(string(q.ask.Program) + string(q.ask.Request))
-	if q.rule.Retained {
+	if q.isTurn() {
 		draw = xxhash.Sum64String(string(q.ask.Program))
+		q.program = archiver.ProgramKey(q.workspace, q.ask.Program)
+		if q.ask.Program == "" {
+			q.program = archiver.ProgramKey(q.workspace, sd.ProgramID("request:"+string(q.ask.Request)))
+		}
 	}
 	q.pool = Pool(q.rule, draw)
 	return true
@@ -211,8 +230,14 @@
 	return true
 }
 
-// begins reports whether the request begins a program.
-func (q *request) begins() bool { return q.rule.Retained && q.ask.Previous == "" }
+// begins reports whether the request begins a program. Where turns do not name the one
+// before, a program is under way if this host has served a turn of it.
+func (q *request) begins() bool {
+	if q.rule.Retained {
+		return q.ask.Previous == ""
+	}
+	return q.isTurn() && q.lately.target(q.program) == ""
+}
 
 // left returns the time until the request's deadline.
 func (q *request) left() sd.Millis { return q.deadline.Since(q.Clock.Now()) }
@@ -238,6 +263,8 @@
 	case q.http.Context().Err() != nil:
 		q.note(0, "caller left")
 		panic(http.ErrAbortHandler)
+	case q.stream != nil && q.stream.begun:
+		q.breakOff(reason)
 	case q.sent == 0 && q.isolated.Load():
 		q.refuse(http.StatusServiceUnavailable, reason, leadElsewhere)
 	case q.sent == 0:
@@ -264,9 +291,8 @@
 	over
 )
 
-// serve finds targets for the request until one has answered. Stream, if set, is
-// told of each event passed on.
-func (q *request) serve(ctx context.Context, s *stream) {
+// serve finds targets for the request until one has answered.
+func (q *request) serve(ctx context.Context) {
 	var avoid []sd.TargetID
 	for {
 		if q.tried >= refusals+q.rule.Attempts {
@@ -293,9 +319,16 @@
 			q.fail(ctx, reason, min(max(ticket.Wait, comeBack), longestComeBack))
 			return
 		}
+		if q.stream != nil && q.stream.grant != nil && q.stream.grant.ended() {
+			if err := q.granted(ctx); err != nil {
+				q.Gate.Release(ticket, balancer.Abandoned, 0)
+				q.denied(ctx, err)
+				return
+			}
+		}
 		q.tried++
 		q.target = ticket.Target
-		end := q.send(ctx, ticket, s)
+		end := q.send(ctx, ticket)
 		if end == answered {
 			return
 		}
@@ -308,7 +341,7 @@
 }
 
 // send sends the request to the ticket's target and passes the answer on.
-func (q *request) send(ctx context.Context, ticket *balancer.Ticket, s *stream) ended {
+func (q *request) send(ctx context.Context, ticket *balancer.Ticket) ended {
 	start := q.Clock.Now()
 	release := func(result balancer.Result) { q.Gate.Release(ticket, result, q.Clock.Now().Since(start)) }
 	call := exchanger.Call{
@@ -320,6 +353,9 @@
 			return id == q.ask.Request || (id == "" && status >= 300)
 		},
 	}
+	if q.stream != nil && q.stream.last != "" {
+		platform.ResumeAfter(call.Header, q.stream.last)
+	}
 	answer, err := q.Exchanger.Exchange(ctx, ticket.Address, call)
 	q.measure(stageFirst, start)
 	if err != nil {
@@ -356,15 +392,15 @@
 		return again
 	}
 	q.sent++
-	if s != nil && answer.Status < 300 {
-		return q.relay(ctx, answer, s, release)
+	if q.stream != nil && (answer.Status < 300 || q.stream.begun) {
+		return q.relay(ctx, answer, release)
 	}
 	return q.pass(ctx, answer, release)
 }
 
 // repeat tells whether a request that may have run may be sent again.
 func (q *request) repeat() ended {
-	if q.rule.Idempotent && q.sent < q.rule.Attempts {
+	if (q.rule.Idempotent || q.rule.Resumable) && q.sent < q.rule.Attempts {
 		return again
 	}
 	return over
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -14,117 +15,159 @@
 	"sapphiredrum.example/sapphiredrum/platform"
 )
 
-// stream is what a relayed stream leaves behind.
+// stream is what a relayed stream leaves behind, from one target or, if it is resumed,
+// from several.
 type stream struct {
-	// output is the data of each event and a line feed, of which room bytes are left.
+	// output is the data of each event and a line feed, of which room bytes are left; keeps
+	// tells that it is needed.
+	keeps  bool
 	output buffer
 	room   int
 	events int
 	// most bounds events: what the caller's limit on tokens allows; zero does not.
 	most int
-	// whole tells that the target's stream came to its end.
-	whole bool
+	// last is the id of the last event that the caller has, or empty.
+	last string
+	// begun tells that the caller has the head of the answer.
+	begun bool
+	// grant is the turn's reservation; nil if it needs none.
+	grant *grant
 	// finish is called after the last event, before the caller sees the end; false
 	// breaks the answer off.
 	finish func() bool
 }
 
 // add takes an event that is to be passed on. Errors are BrokenAnswer for one that is
-// beyond the stream's bounds.
-func (s *stream) add(data []byte) error {
+// beyond the stream's bounds, or does not follow the last one.
+func (s *stream) add(raw, data []byte, first bool) error {
 	if s.most > 0 && s.events >= s.most {
 		return sd.BrokenAnswer.New("more than the %d events that the turn's limit allows", s.most)
 	}
-	if s.room -= len(data) + 1; s.room < 0 {
-		return sd.BrokenAnswer.New("turn longer than %d bytes", turnBytes)
+	id := eventID(raw)
+	if first && s.last != "" && !follows(s.last, id) {
+		return sd.BrokenAnswer.New("stream goes on with event %q after event %q", id, s.last)
 	}
-	if !s.output.write(data) || !s.output.write([]byte{'\n'}) {
-		return sd.BrokenAnswer.New("no memory to hold the turn after %d bytes", s.output.size)
+	if s.keeps {
+		if s.room -= len(data) + 1; s.room < 0 {
+			return sd.BrokenAnswer.New("turn longer than %d bytes", turnBytes)
+		}
+		if !s.output.write(data) || !s.output.write([]byte{'\n'}) {
+			return sd.BrokenAnswer.New("no memory to hold the turn after %d bytes", s.output.size)
+		}
 	}
 	s.events++
+	if id != "" {
+		s.last = id
+	}
 	return nil
 }
 
+// follows reports whether an event may come right after the one with the id last.
+func follows(last, id string) bool {
+	before, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return id != last
+	}
+	now, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && now == before+1
+}
+
+// resumable reports whether another target may go on where the stream broke off.
+func (q *request) resumable() bool {
+	return q.rule.Resumable && (q.stream.events == 0 || q.stream.last != "")
+}
+
 // relay passes a stream's events on as they arrive.
-func (q *request) relay(ctx context.Context, answer *exchanger.Answer, s *stream, release func(balancer.Result)) ended {
+func (q *request) relay(ctx context.Context, answer *exchanger.Answer, release func(balancer.Result)) ended {
+	s := q.stream
 	if !own(answer) {
 		answer.Close(false)
 		release(balancer.Failed)
 		q.Log.Warn("answer broken", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(q.target)), zap.Int("status", answer.Status))
-		return over
+		return q.repeat()
 	}
-	reader := bufio.NewReader(answer.Body)
-	controller := http.NewResponseController(q.w)
-	begun := false
-	begin := func() {
-		if !begun {
-			begun = true
-			h := q.w.Header()
-			platform.CallerHeader(answer.Header, h)
-			platform.MarkReply(h, q.ask.Request)
-			q.w.WriteHeader(answer.Status)
+	end, failure := q.forward(ctx, answer)
+	answer.Close(end == answered)
+	if end == answered {
+		release(balancer.Served)
+		q.begin(answer)
+		if !s.finish() {
+			q.breakOff("turn not kept")
 		}
+		q.note(answer.Status, "")
+		return answered
+	}
+	if ctx.Err() != nil || end == over {
+		release(balancer.Abandoned)
+	} else {
+		release(balancer.Failed)
 	}
-	var failure error
-	filler := 0
+	q.Log.Warn("stream broke off", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(q.target)),
+		zap.Int("events", s.events), zap.String("last", s.last), zap.Error(failure))
+	if end == again && ctx.Err() == nil && q.resumable() {
+		return q.repeat()
+	}
+	return over
+}
+
+// forward passes the events of one target on: answered is the clean end of its stream,
+// again a failure of the target, over any other.
+func (q *request) forward(ctx context.Context, answer *exchanger.Answer) (ended, error) {
+	reader := bufio.NewReader(answer.Body)
+	controller := http.NewResponseController(q.w)
+	filler, first := 0, true
 	for {
 		raw, data, err := readEvent(reader)
 		if err != nil && err != io.EOF {
-			failure = err
-			break
+			return again, err
 		}
 		if err == nil {
 			if isFiller(raw) {
 				filler += max(len(raw), fillerLeast)
 			} else {
-				filler = 0
-				failure = s.add(data)
+				if failure := q.stream.add(raw, data, first); failure != nil {
+					return again, failure
+				}
+				filler, first = 0, false
 			}
 			if filler > fillerBytes {
-				failure = sd.BrokenAnswer.New("over %d bytes without an event", fillerBytes)
-			}
-			if failure != nil {
-				break
+				return again, sd.BrokenAnswer.New("over %d bytes without an event", fillerBytes)
 			}
 		}
+		if failure := q.granted(ctx); failure != nil {
+			q.stream.events = 0
+			return over, failure
+		}
 		if len(raw) > 0 {
-			begin()
-			_, writeErr := q.w.Write(raw)
-			if writeErr == nil {
-				writeErr = controller.Flush()
+			q.begin(answer)
+			_, failure := q.w.Write(raw)
+			if failure == nil {
+				failure = controller.Flush()
 			}
-			if writeErr != nil {
-				failure = writeErr
-				break
+			if failure != nil {
+				return over, failure
 			}
 		}
 		if err == io.EOF {
-			s.whole = true
-			break
+			return answered, nil
 		}
 	}
-	answer.Close(s.whole)
-	if s.whole {
-		release(balancer.Served)
-		begin()
-		if !s.finish() {
-			q.note(answer.Status, "turn not kept")
-			panic(http.ErrAbortHandler)
-		}
-		q.note(answer.Status, "")
-		return answered
-	}
-	if ctx.Err() != nil {
-		release(balancer.Abandoned)
-	} else {
-		release(balancer.Failed)
-	}
-	q.Log.Warn("stream broke off", zap.Int("event", eventAttempt), q.id(), zap.String("target", string(q.target)),
-		zap.Int("events", s.events), zap.Error(failure))
-	if begun {
-		s.finish()
-		q.note(answer.Status, "stream broke off")
-		panic(http.ErrAbortHandler)
+}
+
+// begin sends the head of the answer, that of the first target.
+func (q *request) begin(answer *exchanger.Answer) {
+	if q.stream.begun {
+		return
 	}
-	return over
+	q.stream.begun = true
+	h := q.w.Header()
+	platform.CallerHeader(answer.Header, h)
+	platform.MarkReply(h, q.ask.Request)
+	q.w.WriteHeader(answer.Status)
+}
+
+// breakOff ends an answer whose head the caller has, so that it does not look whole.
+func (q *request) breakOff(reason string) {
+	q.note(http.StatusOK, reason)
+	panic(http.ErrAbortHandler)
 }
