receiver: a host ends only once accounts behind answers are written

What a turn without history used is written behind its answer; a host that ended meanwhile left the whole reservation open, and the program was refused too early. A drain waits for it within the grace. Test: TestAccountsAreWrittenBeforeAHostEnds.

--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -14,7 +15,30 @@
 
 // settled waits until what turns used is written, which may be after their end.
 func (b *bench) settled() {
-	time.Sleep(50 * time.Millisecond)
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(b.t.Context(), 2*time.Second)
+	defer cancel()
+	if !b.receiver.Settled(ctx) {
+		b.t.Fatal("an account is not written")
+	}
+}
+
+// Planned stop: a host ends only once the accounts of turns that ended before are written.
+func TestAccountsAreWrittenBeforeAHostEnds(t *testing.T) {
+	b := newBench(t)
+	if status, _, _ := b.turn("first", "", "x"); status != 200 {
+		t.Fatal(status)
+	}
+	b.rows.Trouble(faker.RowsTrouble{Delay: 200})
+	if status, _, _, _ := b.ask("POST", "/ask/x", "a1", "x", "Program-Id", "q", "Token-Budget", "300", "Token-Usage", "1,56"); status != 200 {
+		t.Fatal(status)
+	}
+	soon, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if b.receiver.Settled(soon) {
+		t.Fatal("written before the store could have it")
+	}
+	b.settled()
 }
 
 // A budget binds the turns of a rule that keeps none of them as well.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,8 @@
 	Parts
 	buffers  *buffers
 	lately   lately
+	// settling counts the accounts that are written behind an answer.
+	settling sync.WaitGroup
 	table    atomic.Pointer[Table]
 	isolated atomic.Bool
 }
@@ -63,6 +66,22 @@
 // to another one.
 func (r *Receiver) Isolate(isolated bool) { r.isolated.Store(isolated) }
 
+// Settled waits until the accounts of all answered turns are written, or ctx ends. It
+// reports whether they are.
+func (r *Receiver) Settled(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		r.settling.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Table returns the plan in force, or nil.
 func (r *Receiver) Table() *Table { return r.table.Load() }
 
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -120,7 +120,7 @@
 func (q *request) settle(ctx context.Context, g *grant, used sd.Tokens) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
 	g.cancel()
-	go func() {
+	q.settling.Go(func() {
 		defer cancel()
 		<-g.done
 		if g.err != nil {
@@ -129,7 +129,7 @@
 		if err := q.Archive.Settle(ctx, q.program, g.hold, used, nil); err != nil {
 			q.Log.Info("account of a turn is not written yet", zap.Int("event", eventTurn), q.id(), zap.Error(err))
 		}
-	}()
+	})
 }
 
 // settleTimeout bounds the wait for such a turn's account; it is written later all the
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -98,7 +98,7 @@
 	err := callers.Shutdown(limited)
 	cancel()
 	limited, cancel = context.WithTimeout(ctx, left(flushReserve))
-	flushed := h.archive.Flush(limited)
+	flushed := h.receiver.Settled(limited) && h.archive.Flush(limited)
 	cell := sd.Cell{Table: platform.PeerTable, Key: string(h.settings.Host)}
 	_, gone := h.relay.Commit(limited, sd.Update{Remove: []sd.Cell{cell}})
 	cancel()
