gossiper: a read that fails does not end the host

A datagram that could not be received ended the beats, and with them the whole process (similar systems: one unexpected error took a process down). It is logged, and the socket read again. Test: TestFailedReadsEndNothing, which fails before (hearing ended: connection refused).

--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -246,6 +247,49 @@
 	}
 }
 
+// failing is a socket whose first reads fail.
+type failing struct {
+	net.PacketConn
+	failures atomic.Int64
+}
+
+func (f *failing) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	if f.failures.Add(-1) >= 0 {
+		return 0, nil, syscall.ECONNREFUSED
+	}
+	return f.PacketConn.ReadFrom(buffer)
+}
+
+// A read that fails ends neither the host nor its hearing.
+func TestFailedReadsEndNothing(t *testing.T) {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := &failing{PacketConn: conn}
+	socket.failures.Store(3)
+	heard := make(chan Beat, 1)
+	g := &Gossiper{Self: Peer{Host: "self"}, Clock: sd.NewClock(), Log: zap.NewNop(), Heard: func(b Beat) { heard <- b }}
+	g.Set(Peer{Host: "other", Incarnation: 1, Address: "127.0.0.1:1"})
+	ended := make(chan error, 1)
+	go func() { ended <- g.receive(socket, make(chan struct{}, 1)) }()
+	beat := Beat{Host: "other", Incarnation: 1, Number: 1}
+	if _, err := conn.WriteTo(beat.Encode(), conn.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-heard:
+	case err := <-ended:
+		t.Fatalf("hearing ended: %v", err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("nothing heard")
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	<-ended
+}
+
 // Outage of the store at a large fleet: what a host has found out is told at once,
 // not with the next beat a second later.
 func TestNewsAreToldAtOnce(t *testing.T) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -18,6 +19,7 @@
 	eventPeerFound = 620
 	eventPeerLost  = 621
 	eventPeerGone  = 622
+	eventUnheard   = 623
 )
 
 const (
@@ -49,6 +51,8 @@
 	passWithin = 0.5
 	// datagramBytes bounds a datagram, passedBytes one of several beats.
 	datagramBytes = 32 << 10
+	// unheardPause bounds how often a socket that fails is read: as rarely as rounds come.
+	unheardPause = 50 * sd.Millisecond
 	passedBytes   = 8 << 10
 )
 
@@ -409,9 +413,15 @@
 	buffer := make([]byte, datagramBytes)
 	for {
 		n, _, err := conn.ReadFrom(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return sd.Unavailable.Wrap(err, "beats cannot be received")
 		}
+		if err != nil {
+			// One datagram failed; the host serves on without it.
+			g.Log.Warn("beat cannot be received", zap.Int("event", eventUnheard), zap.Error(err))
+			time.Sleep(unheardPause.Duration())
+			continue
+		}
 		for _, body := range split(buffer[:n]) {
 			beat, ok := DecodeBeat(body)
 			if !ok || !g.take(beat) {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -44,8 +44,8 @@
 // Receiver is the handler of callers' requests.
 type Receiver struct {
 	Parts
-	buffers  *buffers
-	lately   lately
+	buffers *buffers
+	lately  lately
 	// settling counts the accounts that are written behind an answer.
 	settling sync.WaitGroup
 	table    atomic.Pointer[Table]
