receiver: a caller's connection has the request's time

Cause: nothing bounded how long a caller took to send its body or to read its answer. One that stalled in its body held a handler for ever; one that did not read held the answer in the host's common buffer, up to 16 MB of 16.8 on the smallest host, until its connection was found dead.

The body has the request's time and is answered 408 after it, which promises that it has not run; the answer has a second more, as one that is ready is delivered late too. Tests: TestCallerThatDoesNotSend and TestCallerThatDoesNotReadHoldsNothing fail before; TestConnectionOutlivesTheTimeOfARequest holds that a kept connection is not cut by the bound of an earlier request.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -53,7 +53,7 @@
 	datagramBytes = 32 << 10
 	// unheardPause bounds how often a socket that fails is read: as rarely as rounds come.
 	unheardPause = 50 * sd.Millisecond
-	passedBytes   = 8 << 10
+	passedBytes  = 8 << 10
 )
 
 // Peer is another host.
--- a/receiver/measures.go
+++ b/receiver/measures.go
@@ -17,6 +17,7 @@
 	eventTurn    = 643
 	eventRate    = 644
 	eventTarget  = 645
+	eventUnbound = 646
 )
 
 // Measures are the counters and histograms of a host.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
@@ -102,6 +105,9 @@
 	// others will then serve: connections are led away from a host after it was found
 	// not ready twice, in one or two seconds.
 	leadElsewhere = sd.Second
+	// writeGrace is how long after a request's deadline its caller may still take the answer:
+	// one that is ready is delivered, also late.
+	writeGrace = sd.Second
 	// turnBytes bounds a turn that is kept: it must fit one transaction of a megabyte
 	// in base64.
 	turnBytes = 512 << 10
@@ -163,7 +169,9 @@
 	q.deadline = q.arrived.Add(limit)
 	ctx, cancel := context.WithTimeout(req.Context(), limit.Duration())
 	defer cancel()
-	if !q.read() {
+	// A caller that neither reads nor leaves holds up no target for longer.
+	q.bound("write", q.connection().SetWriteDeadline(time.Now().Add((limit + writeGrace).Duration())))
+	if !q.read(limit) {
 		return
 	}
 	if v := r.Meter.Admit(q.workspace, q.begins()); !v.Admitted {
@@ -222,8 +230,18 @@
 // tierStep lets a workspace's tier go before any rule's.
 const tierStep = 1000
 
-// read reads the request's body, or answers it.
-func (q *request) read() bool {
+// connection returns the caller's connection.
+func (q *request) connection() *http.ResponseController { return http.NewResponseController(q.w) }
+
+// bound notes that the time of a caller's connection could not be bounded, if so.
+func (q *request) bound(what string, err error) {
+	if err != nil {
+		q.Log.Warn("caller's connection has no bound", zap.Int("event", eventUnbound), q.id(), zap.String("what", what), zap.Error(err))
+	}
+}
+
+// read reads the request's body, or answers it: a caller has the request's time to send it.
+func (q *request) read(within sd.Millis) bool {
 	limit := q.table.Plan.Bounds.BodyBytes
 	if limit <= 0 {
 		limit = answerBytes
@@ -235,7 +253,14 @@
 	if q.http.ContentLength == 0 || q.http.Body == nil {
 		return true
 	}
+	q.bound("read", q.connection().SetReadDeadline(time.Now().Add(within.Duration())))
 	body, err := io.ReadAll(io.LimitReader(q.http.Body, limit+1))
+	q.bound("read", q.connection().SetReadDeadline(time.Time{}))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.w.Header().Set("Connection", "close")
+		q.refuse(http.StatusRequestTimeout, "body not sent in time", 0)
+		return false
+	}
 	if err != nil {
 		// The caller broke off, nobody waits for an answer.
 		q.refuse(http.StatusBadRequest, "body broke off", 0)
--- /dev/null
+++ b/receiver/stall_test.go
@@ -0,0 +1,130 @@
+package receiver_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/balancer"
+)
+
+// dial opens a connection and sends text.
+func (b *bench) dial(text string) net.Conn {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, text); err != nil {
+		b.t.Fatal(err)
+	}
+	return conn
+}
+
+// A caller that stops reading holds memory and target until the request's time is over, not
+// for ever.
+func TestCallerThatDoesNotReadHoldsNothing(t *testing.T) {
+	b := newBench(t)
+	const chunk, chunks = 64 << 10, 200
+	left := make(chan struct{}, 1)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Stamp", "stamp")
+		w.Header().Set("Content-Length", fmt.Sprint(chunk*chunks))
+		piece := []byte(strings.Repeat("x", chunk))
+		for range chunks {
+			if _, err := w.Write(piece); err != nil {
+				break
+			}
+		}
+		left <- struct{}{}
+	}))
+	t.Cleanup(target.Close)
+	b.gate.Update(func(s *balancer.State, _ sd.Instant) {
+		s.Remove("d1")
+		s.Remove("d2")
+		s.Register(sd.Registration{ID: "long", Pool: "desk", Address: sd.Address(strings.TrimPrefix(target.URL, "http://")), Zone: "z", Slots: 1})
+	})
+	conn := b.dial("GET /look/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nKey: k1\r\nDeadline-Ms: 300\r\n\r\n")
+	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	// The caller does not read; the time is the request's, and what a late answer is given.
+	select {
+	case <-left:
+	case <-time.After(300*time.Millisecond + 2*time.Second):
+		t.Fatal("the target still sends")
+	}
+	for range 100 {
+		var page strings.Builder
+		b.measures.Set.WritePrometheus(&page)
+		if strings.Contains(page.String(), "answer_buffer_bytes 0\n") {
+			return
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	t.Fatal("the host still holds the answer")
+}
+
+// A caller that stops in the middle of its request is told when its time is over: nothing has
+// run. One that is slow and sound is served.
+func TestCallerThatDoesNotSend(t *testing.T) {
+	b := newBench(t)
+	head := "POST /pay/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nKey: k1\r\nDeadline-Ms: %d\r\nContent-Length: 4\r\n\r\nab"
+	stalled := b.dial(fmt.Sprintf(head, "stalled", 300))
+	if err := stalled.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_ = answer.Body.Close()
+	if n, _ := b.ran("stalled"); answer.StatusCode != 408 || n != 0 {
+		t.Fatalf("status %d, ran %d times", answer.StatusCode, n)
+	}
+	slow := b.dial(fmt.Sprintf(head, "slow", 2000))
+	time.Sleep(400 * time.Millisecond)
+	if _, err := io.WriteString(slow, "cd"); err != nil {
+		t.Fatal(err)
+	}
+	answer, err = http.ReadResponse(bufio.NewReader(slow), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	if n, body := b.ran("slow"); answer.StatusCode != 200 || n != 1 || body != "abcd" {
+		t.Fatalf("status %d, ran %d times with %q", answer.StatusCode, n, body)
+	}
+}
+
+// The time of a request's body does not bound what follows on its connection.
+func TestConnectionOutlivesTheTimeOfARequest(t *testing.T) {
+	b := newBench(t)
+	text := "POST /pay/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nKey: k1\r\nDeadline-Ms: 200\r\nContent-Length: 1\r\n\r\na"
+	conn := b.dial(fmt.Sprintf(text, "one"))
+	reader := bufio.NewReader(conn)
+	for _, id := range []string{"two", ""} {
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil || answer.StatusCode != 200 {
+			t.Fatal(answer, err)
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			t.Fatal(err)
+		}
+		if id != "" {
+			time.Sleep(1500 * time.Millisecond)
+			if _, err := fmt.Fprintf(conn, text, id); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
