starter: hundreds of hosts write their rows once

The relay gives a call up after 0.4 s where later ones are answered quickly, the host wrote its row again each 0.3 s, and the writes that were given up were done all the same. So the queue never ended (11 hosts: 277 failed writes by 11.7 s after the start of traffic), and each write woke the watches of all 295 hosts: 31 store calls a second from each.

A host now waits longer after each failed write and stops once it has read its own row, and the watch of the hosts' rows is read four times a second at most.

Ruled out: probes of the store (TestProbesOfALargeFleetEnd).

--- a/starter/host.go
+++ b/starter/host.go
@@ -59,8 +59,10 @@
 	// targetPace is the part of the drain time that may pass between two reads of
 	// the targets, which change many times a second.
 	targetPace = 0.35
-	// peerWait is how long the watch of the hosts waits.
+	// peerWait is how long the watch of the hosts waits; peerPace the least time between two
+	// reads, as hundreds of hosts may start together.
 	peerWait = 3 * sd.Second
+	peerPace = 250 * sd.Millisecond
 	// sweepEvery is how often hosts that are gone are looked for.
 	sweepEvery = 5 * sd.Second
 	// goneAfter is the silence after which a host counts as gone for good; it is
@@ -74,8 +76,10 @@
 	longRun = 1500 * sd.Millisecond
 	// tellEvery is how often the counters are logged.
 	tellEvery = 10 * sd.Second
-	// storePause is the pause after a failed write of this host's row.
-	storePause = 300 * sd.Millisecond
+	// storePause is the first pause after a failed write of this host's row, longestPause the
+	// last, at which hundreds of hosts stay below half of what a part of the store bears.
+	storePause   = 300 * sd.Millisecond
+	longestPause = 4 * sd.Second
 	// returnGrace is how long after the store's return lapsed registrations still
 	// count: targets that live are registered again within two seconds.
 	returnGrace = 2100 * sd.Millisecond
@@ -112,6 +116,10 @@
 	table *receiver.Table
 	known bool
 
+	// published is closed once this host has read its own row.
+	published     chan struct{}
+	publishedOnce sync.Once
+
 	draining atomic.Bool
 	targets  atomic.Bool
 	// alone tells that the host was cut off when it last looked.
@@ -123,6 +131,7 @@
 	h := &Host{
 		settings: settings, path: path, clock: sd.NewClock(), log: log, incarnation: sd.NewIncarnation(),
 		measures: receiver.NewMeasures(), rows: map[sd.HostID]sd.Record{},
+		published: make(chan struct{}),
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	h.client = platform.NewClient(settings.Store)
@@ -178,7 +187,7 @@
 	add(h.reload)
 	add(h.follow(platform.OperatorTable, planWait, 0, h.operatorChanged))
 	add(h.follow(platform.TargetTable, targetWait, sd.Millis(targetPace*float64(h.settings.Drain)), h.targetsChanged))
-	add(h.follow(platform.PeerTable, peerWait, 0, h.peersChanged))
+	add(h.follow(platform.PeerTable, peerWait, peerPace, h.peersChanged))
 	add(h.lapse)
 	add(h.tell)
 	add(func(inner context.Context) error { return h.serve(inner, ctx) })
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -116,6 +116,9 @@
 			h.log.Warn("row of a host cannot be used", zap.Int("event", eventPublish), zap.String("host", record.Key), zap.Error(err))
 			continue
 		}
+		if row.Host == h.settings.Host && row.Incarnation == h.incarnation {
+			h.publishedOnce.Do(func() { close(h.published) })
+		}
 		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation, Power: row.Power})
 	}
 	hosts, reach := h.gossiper.Hosts(), h.gossiper.Reach(nil)
@@ -136,13 +139,7 @@
 	if err != nil {
 		return sd.Unavailable.Wrap(err, "row of this host")
 	}
-	for ctx.Err() == nil {
-		if _, err = h.relay.Commit(ctx, sd.Update{Put: []sd.Record{{Cell: cell, Value: value}}}); err == nil {
-			break
-		}
-		h.log.Warn("row of this host is not written", zap.Int("event", eventPublish), zap.Error(err))
-		pause(ctx, storePause)
-	}
+	(&publisher{store: h.relay, record: sd.Record{Cell: cell, Value: value}, seen: h.published, log: h.log}).run(ctx)
 	for pause(ctx, sweepEvery) {
 		h.sweepPeers(ctx)
 	}
