--- a/receiver/grant.go
+++ b/receiver/grant.go
@@ -49,10 +49,13 @@
 // granted waits until the store has the turn's reservation. Errors are Exhausted,
 // Unavailable, and that of ctx.
 func (q *request) granted(ctx context.Context) error {
-	if q.stream.grant == nil || q.stream.grant.known {
+	g := q.stream.grant
+	if g == nil {
 		return nil
 	}
-	g := q.stream.grant
+	if g.known {
+		return g.err
+	}
 	select {
 	case <-g.done:
 	case <-ctx.Done():
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -135,6 +135,7 @@
 			}
 		}
 		if failure := q.granted(ctx); failure != nil {
+			// Nothing was handed out.
 			q.stream.events = 0
 			return over, failure
 		}
