--- a/meterer/state.go
+++ b/meterer/state.go
@@ -147,10 +147,15 @@
 // of one, and half as much again until it is passed on from another zone.
 const tellLag = 0.75
 
+// borne is the part of the allowed slack that admissions not yet told may take. A workspace of
+// a low rate would be refused what its bucket holds for a handful of them.
+const borne = 0.3
+
 // unseen estimates what the others have admitted and not yet told.
 func (s *State) unseen(now sd.Instant, b *bucket, part float64) float64 {
 	flow := b.flow * math.Exp(-float64(now.Since(b.flowAt))/float64(flowSpan))
-	return min(flow*s.gap*tellLag/float64(sd.Second), b.capacity()*part*unseenMost)
+	estimate := min(flow*s.gap*tellLag/float64(sd.Second), b.capacity()*part*unseenMost)
+	return max(0, estimate-borne*s.settings.Slack*part)
 }
 
 // add notes what another host admitted.
