--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -428,7 +428,10 @@
 				continue
 			}
 			if beat.relay && g.gather(body) {
-				gathered <- struct{}{}
+				select {
+				case gathered <- struct{}{}:
+				default:
+				}
 			}
 			g.Heard(beat)
 		}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -169,8 +169,7 @@
 	q.deadline = q.arrived.Add(limit)
 	ctx, cancel := context.WithTimeout(req.Context(), limit.Duration())
 	defer cancel()
-	// A caller that neither reads nor leaves holds up no target for longer.
-	q.bound("write", q.connection().SetWriteDeadline(time.Now().Add((limit + writeGrace).Duration())))
+	q.boundWrite(limit)
 	if !q.read(limit) {
 		return
 	}
@@ -233,6 +232,12 @@
 // connection returns the caller's connection.
 func (q *request) connection() *http.ResponseController { return http.NewResponseController(q.w) }
 
+// boundWrite bounds the time in which the caller takes the answer: one that neither reads
+// nor leaves holds nothing for longer.
+func (q *request) boundWrite(within sd.Millis) {
+	q.bound("write", q.connection().SetWriteDeadline(time.Now().Add((within + writeGrace).Duration())))
+}
+
 // bound notes that the time of a caller's connection could not be bounded, if so.
 func (q *request) bound(what string, err error) {
 	if err != nil {
--- a/receiver/stall_test.go
+++ b/receiver/stall_test.go
@@ -106,25 +106,29 @@
 	}
 }
 
-// The time of a request's body does not bound what follows on its connection.
+// The time of a request does not bound what follows on its connection, be that served or
+// refused.
 func TestConnectionOutlivesTheTimeOfARequest(t *testing.T) {
 	b := newBench(t)
-	text := "POST /pay/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nKey: k1\r\nDeadline-Ms: 200\r\nContent-Length: 1\r\n\r\na"
-	conn := b.dial(fmt.Sprintf(text, "one"))
+	text := "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nKey: k1\r\nDeadline-Ms: 200\r\nContent-Length: 1\r\n\r\na"
+	conn := b.dial(fmt.Sprintf(text, "/pay/x", "one"))
 	reader := bufio.NewReader(conn)
-	for _, id := range []string{"two", ""} {
+	for i, next := range []struct {
+		path   string
+		status int
+	}{{"/pay/x", 200}, {"/unknown/x", 404}, {"/pay/x", 200}} {
+		if i > 0 {
+			time.Sleep(1500 * time.Millisecond)
+			if _, err := fmt.Fprintf(conn, text, next.path, fmt.Sprint("later", i)); err != nil {
+				t.Fatal(err)
+			}
+		}
 		answer, err := http.ReadResponse(reader, nil)
-		if err != nil || answer.StatusCode != 200 {
-			t.Fatal(answer, err)
+		if err != nil || answer.StatusCode != next.status {
+			t.Fatal(next.path, answer, err)
 		}
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			t.Fatal(err)
 		}
-		if id != "" {
-			time.Sleep(1500 * time.Millisecond)
-			if _, err := fmt.Fprintf(conn, text, id); err != nil {
-				t.Fatal(err)
-			}
-		}
 	}
 }
