--- a/receiver/doc.go
+++ b/receiver/doc.go
@@ -4,8 +4,12 @@
 // workspace's rate admits it; a turn's chain is collected and its budget
 // reserved; Gate finds a target, or has the request wait for one; the exchange
 // runs, again on another target where the first certainly did not run it or the
-// rule allows it; the answer goes to the caller. A turn's last byte is held back
-// until the store has the turn.
+// rule allows it; the answer goes to the caller.
+//
+// Every streamed request that names a program or a budget is a turn. Its target may
+// begin while the store takes the reservation, but no token is passed on before; the
+// last byte of one that is kept is held back until the store has the turn. A stream
+// that breaks off goes on at another target where the rule allows it.
 //
 // Whatever a target sends is bounded, and so is what all answers take of the host's
 // memory together: see buffer.
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -31,7 +31,7 @@
 	quickAnswer = 60 * sd.Millisecond
 	// giveUpAfter is how long a call waits while calls sent after it are answered quickly:
 	// 40 times the store's usual answer. A part has a second's transactions waiting at most,
-	// and hardly ever 0.4 s of them, as each host has one under way.
+	// and hardly ever 0.4 s of them, but as hundreds of hosts start together.
 	giveUpAfter = 400 * sd.Millisecond
 	// callTimeout bounds a call to a store that is well: a part has a second's transactions
 	// waiting at most.
