--- a/receiver/allotment_test.go
+++ b/receiver/allotment_test.go
@@ -168,3 +168,33 @@
 		t.Fatalf("status %d after %v, ran %d times", status, took, n)
 	}
 }
+
+// A host that is cut off with the grantor serves brief programs. The end of a kept turn
+// could not be stored there, so that its caller is sent elsewhere at once.
+func TestCutOffHostServesBriefPrograms(t *testing.T) {
+	b, f := newAllottedBench(t, 1000)
+	if status, _, _ := b.turn("t1", "", "x"); status != 200 {
+		t.Fatal(status)
+	}
+	b.rows.Trouble(faker.RowsTrouble{Down: true})
+	b.receiver.SetIsolated(true)
+	if status, events, whole, _ := b.brief("p", "a"); status != 200 || events != 4 || !whole {
+		t.Fatalf("status %d, %d events, whole %v", status, events, whole)
+	}
+	refusedAtOnce := func(what string, turn func() int) {
+		t.Helper()
+		began := time.Now()
+		if status := turn(); status != 503 || time.Since(began) > 100*time.Millisecond {
+			t.Fatalf("%s: status %d after %v", what, status, time.Since(began))
+		}
+	}
+	refusedAtOnce("kept turn", func() int {
+		status, _, _ := b.turn("t2", "t1", "y")
+		return status
+	})
+	f.unreached = true
+	refusedAtOnce("turn without a grantor", func() int {
+		status, _, _, _ := b.brief("q", "b")
+		return status
+	})
+}
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -28,7 +28,7 @@
 		q.refuse(http.StatusRequestEntityTooLarge, "turn too long to keep", 0)
 		return
 	}
-	if q.isolated.Load() && !q.allottable() {
+	if q.isolated.Load() && (q.rule.RetainTurns || !q.allottable()) {
 		q.Log.Info("host is isolated; cannot reserve the budget of the turn", zap.Int("event", eventTurn), q.idField())
 		q.fail(ctx, "cut off from the store", isolatedRetryDelay)
 		return
