balancer: in a zone cut the cold bound goes to the hosts that reach the targets

Cause: in each zone cut requests were refused as waiting too long with few slots taken: each host left the shares of all hosts that it does not hear unused, two thirds of a target's cold bound inside the zone that is cut off. Hosts of a zone that does not hear a target's zone do not send there while they have other targets, so that only their guaranteed part has to be left.

Also: allotments of kept turns are returned when the turn ends.

TestZoneThatIsCutOffServesItsCallers fails on the code before: 11 to 28 of about 100 requests refused.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -113,21 +113,28 @@
 			unheard--
 		}
 	}
-	others += float64(max(unheard, 0)) * limit / float64(s.hosts)
+	unheard = max(unheard, 0)
+	// Hosts of a zone that does not hear this one do not send to its targets while they have
+	// others.
+	absent := 0
+	if t.Zone == s.settings.Zone {
+		absent = min(unheard, s.unreachableHosts)
+	}
+	others += float64(unheard-absent)*limit/float64(s.hosts) + float64(absent)*guaranteed
 	announced := max(float64(t.announcedSent), guaranteed)
 	if sent+others+1 > limit*(1-coldReserveFraction) {
 		return false
 	}
-	return sent+1 <= announced || sent+1-announced <= s.extraAllowance(t, limit*(1-coldReserveFraction)-others-announced)
+	return sent+1 <= announced || sent+1-announced <= s.extraAllowance(t, s.hosts-absent, limit*(1-coldReserveFraction)-others-announced)
 }
 
 // extraAllowance returns how many of a target's unused requests a host may take before the
-// others learn of it: an even share, plus one of the remainder if its rank among the hosts is
-// low enough.
-func (s *State) extraAllowance(t *target, unused float64) float64 {
+// others learn of it: an even share among the given number of hosts, plus one of the
+// remainder if its rank among them is low enough.
+func (s *State) extraAllowance(t *target, hosts int, unused float64) float64 {
 	n := math.Floor(max(unused, 0))
-	even := math.Floor(n / float64(s.hosts))
-	if float64(t.hostsBefore) < n-even*float64(s.hosts) {
+	even := math.Floor(n / float64(hosts))
+	if float64(t.hostsBefore) < n-even*float64(hosts) {
 		even++
 	}
 	return even
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -85,6 +85,8 @@
 	evacuated map[sd.ZoneName]bool
 	// unreachableZones are probably partitioned from this host.
 	unreachableZones []sd.ZoneName
+	// unreachableHosts is the number of hosts in these zones.
+	unreachableHosts int
 	// hosts is the number of hosts that share the cold limit; zero until it is known.
 	hosts int
 	// countingSince is when this host began to count the requests it sends. fleetRunning is set
@@ -218,7 +220,10 @@
 
 // SetUnreachableZones sets the zones that are probably partitioned: none of their hosts is
 // heard from. Their targets get requests only if the pool has no usable target elsewhere.
-func (s *State) SetUnreachableZones(zones []sd.ZoneName) { s.unreachableZones = zones }
+// hosts is the number of hosts in these zones.
+func (s *State) SetUnreachableZones(zones []sd.ZoneName, hosts int) {
+	s.unreachableZones, s.unreachableHosts = zones, hosts
+}
 
 // Register adds or updates a target. It reports whether this is a new instance of the target:
 // one with another incarnation, address or pool than the known one.
--- a/balancer/state_test.go
+++ b/balancer/state_test.go
@@ -89,7 +89,7 @@
 // target in another zone.
 func TestLostZoneIsAvoided(t *testing.T) {
 	s := newState(balancer.Settings{}, 4, "z1", "z2", "z2")
-	s.SetUnreachableZones([]sd.ZoneName{"z2"})
+	s.SetUnreachableZones([]sd.ZoneName{"z2"}, 1)
 	for range 4 {
 		req := ticket()
 		if !s.Submit(1, req) || req.Target != "ta" {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -148,6 +148,19 @@
 	return reach
 }
 
+// HostsOf returns the number of known hosts in the given zones.
+func (g *Gossiper) HostsOf(zones []sd.ZoneName) int {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	n := 0
+	for _, p := range g.peers {
+		if slices.Contains(zones, p.Zone) {
+			n++
+		}
+	}
+	return n
+}
+
 // SilentPeers returns the peers that have not been heard for at least the given time.
 func (g *Gossiper) SilentPeers(silent sd.Millis) []sd.HostID {
 	now := g.Clock.Now()
--- a/receiver/allotment.go
+++ b/receiver/allotment.go
@@ -101,12 +101,24 @@
 	return true
 }
 
-// giveBack returns what was allotted beyond the used tokens.
-func (a allotment) giveBack(ctx context.Context, q *request, used sd.Tokens) {
-	rest := max(a.tokens-used, 0)
-	for i := len(a.parts) - 1; i >= 0 && rest > 0; i-- {
-		n := min(rest, a.parts[i].Tokens)
-		q.Allotter.Return(ctx, q.program, a.parts[i], n)
-		rest -= n
+// returnAllotment returns what was allotted and not delivered, in the background. Once the
+// turn has its reservation, that covers all that was delivered. The reservation must have
+// finished.
+func (q *request) returnAllotment(ctx context.Context) {
+	allotted := q.stream.allotted
+	rest := allotted.tokens
+	if q.stream.reservation.err != nil {
+		rest -= q.usedTokens()
 	}
+	if rest <= 0 {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	q.settling.Go(func() {
+		for i := len(allotted.parts) - 1; i >= 0 && rest > 0; i-- {
+			n := min(rest, allotted.parts[i].Tokens)
+			q.Allotter.Return(ctx, q.program, allotted.parts[i], n)
+			rest -= n
+		}
+	})
 }
--- a/receiver/allotment_test.go
+++ b/receiver/allotment_test.go
@@ -136,7 +136,7 @@
 // A kept turn may run while the store is away; its end is forwarded only once the store
 // has the turn.
 func TestKeptTurnEndsOnceTheStoreHasIt(t *testing.T) {
-	b, _ := newAllottedBench(t, 1000)
+	b, f := newAllottedBench(t, 1000)
 	if status, _, _ := b.turn("t1", "", "x"); status != 200 {
 		t.Fatal(status)
 	}
@@ -152,6 +152,10 @@
 	if status, _, _ := b.turn("t3", "t2", "z"); status != 200 {
 		t.Fatalf("cannot go on from a turn that has ended: status %d", status)
 	}
+	b.waitSettled()
+	if got := f.outstanding(); got != 56 {
+		t.Fatalf("%d tokens are allotted, 56 were delivered without a reservation", got)
+	}
 	b.rows.Trouble(faker.RowsTrouble{Down: true})
 	if _, _, whole := b.turn("t4", "t3", "z"); whole {
 		t.Fatal("turn ended although the store does not have it")
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -69,7 +69,9 @@
 		settled = true
 		turn.Target, turn.Output = q.target, s.output.contents()
 		settleStart := q.Clock.Now()
-		err := q.Archive.Settle(ctx, q.program, s.reservation.end(), q.usedTokens(), turn)
+		hold := s.reservation.end()
+		q.returnAllotment(ctx)
+		err := q.Archive.Settle(ctx, q.program, hold, q.usedTokens(), turn)
 		q.recordStage(stageSettle, settleStart)
 		if err != nil {
 			q.Log.Warn("cannot store the turn", zap.Int("event", eventTurn), q.idField(), zap.Error(err))
@@ -120,16 +122,13 @@
 func (q *request) settle(ctx context.Context, g *reservation, used sd.Tokens) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout.Duration())
 	g.cancel()
-	allotted := q.stream.allotted
 	q.settling.Go(func() {
 		defer cancel()
 		<-g.done
+		q.returnAllotment(ctx)
 		if g.err != nil {
-			allotted.giveBack(ctx, q, used)
 			return
 		}
-		// The reservation covers what was delivered before it was made.
-		allotted.giveBack(ctx, q, 0)
 		if err := q.Archive.Settle(ctx, q.program, g.hold, used, nil); err != nil {
 			q.Log.Info("token usage of the turn not recorded yet", zap.Int("event", eventTurn), q.idField(), zap.Error(err))
 		}
--- a/starter/host.go
+++ b/starter/host.go
@@ -231,10 +231,11 @@
 		beat.Revision = t.FleetConfig.Revision
 	}
 	silent := h.gossiper.SilentZones()
+	silentHosts := h.gossiper.HostsOf(silent)
 	hosts, reach := h.gossiper.Hosts(), h.gossiper.ReachableHosts(silent)
 	known := h.knows()
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
-		s.SetUnreachableZones(silent)
+		s.SetUnreachableZones(silent, silentHosts)
 		beat.Inflight, beat.Sent = s.LocalLoad(now)
 	})
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
