--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -96,7 +96,8 @@
 	defer a.lock.Unlock()
 	now := a.config.Clock.Now()
 	for _, record := range records {
-		if !Owns(record.Key) {
+		if !Owns(record.Key) || record.Version < a.rows[record.Key].Version {
+			// A watch may return what was so before this host's own write.
 			continue
 		}
 		if record.Removed {
@@ -208,13 +209,15 @@
 	}
 }
 
-// sweep removes the entries of hosts that have been gone and the rows of programs that
-// have been closed for sweepAge. The first of the hosts alive does it.
+// sweep drops what is of no more use: in memory, and the entries of hosts that have been gone and
+// the rows of programs that have been closed for sweepAge. The first of the hosts alive
+// removes these.
 func (a *Allotter) sweep(ctx context.Context) {
 	alive := a.config.Alive()
 	now := a.config.Clock.Now()
 	var old []sd.Record
 	a.lock.Lock()
+	a.state.Forget(now)
 	a.seenAt[grantorPrefix+string(a.config.Host)] = now
 	first := true
 	for _, p := range alive {
--- a/allotter/state.go
+++ b/allotter/state.go
@@ -72,17 +72,25 @@
 	// startedAt is when this host first saw its entry, phaseAt when it saw it in its
 	// present phase. settledAt is when it has become settled in this start, or zero.
 	startedAt, phaseAt, settledAt sd.Instant
-	allotted                      map[archiver.Key]sd.Tokens
-	closed                        map[archiver.Key]bool
+	// allotted is what this start has allotted to each program.
+	allotted map[archiver.Key]allotted
+	// closed holds the programs to which nobody allots.
+	closed map[archiver.Key]bool
 	// left is set once the host stops.
 	left bool
 }
 
+// allotted is what a program has been allotted, and when it last was.
+type allotted struct {
+	tokens sd.Tokens
+	at     sd.Instant
+}
+
 // NewState returns the state of a host that has read nothing.
 func NewState(host sd.HostID, incarnation sd.Incarnation) *State {
 	return &State{
 		host: host, incarnation: incarnation, entries: map[sd.HostID]Entry{},
-		allotted: map[archiver.Key]sd.Tokens{}, closed: map[archiver.Key]bool{},
+		allotted: map[archiver.Key]allotted{}, closed: map[archiver.Key]bool{},
 	}
 }
 
@@ -207,19 +215,30 @@
 	if !s.grants(now, program) || s.entries[s.host].Starts > maxStarts || s.closed[program] {
 		return 0
 	}
-	tokens := min(wanted, Share(budget)-s.allotted[program])
+	before := s.allotted[program].tokens
+	tokens := min(wanted, Share(budget)-before)
 	if tokens <= 0 || tokens < atLeast {
 		return 0
 	}
-	s.allotted[program] += tokens
+	s.allotted[program] = allotted{before + tokens, now}
 	return tokens
 }
 
 // Return takes back tokens that the given incarnation of this host has allotted and that
 // were not delivered.
 func (s *State) Return(program archiver.Key, incarnation sd.Incarnation, tokens sd.Tokens) {
-	if incarnation == s.incarnation && tokens > 0 {
-		s.allotted[program] = max(s.allotted[program]-tokens, 0)
+	if known, ok := s.allotted[program]; ok && incarnation == s.incarnation && tokens > 0 {
+		known.tokens = max(known.tokens-tokens, 0)
+		s.allotted[program] = known
+	}
+}
+
+// Forget drops what was allotted to programs that have ended long ago.
+func (s *State) Forget(now sd.Instant) {
+	for program, known := range s.allotted {
+		if now.Since(known.at) >= 2*programLife {
+			delete(s.allotted, program)
+		}
 	}
 }
 
@@ -232,5 +251,5 @@
 	}
 	s.closed[program] = true
 	earlier := sd.Tokens(min(s.entries[s.host].Starts-1, maxStarts))
-	return s.allotted[program] + earlier*Share(budget), true
+	return s.allotted[program].tokens + earlier*Share(budget), true
 }
