--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -209,9 +209,9 @@
 	}
 }
 
-// sweep drops what is of no more use: in memory, and the entries of hosts that have been gone and
-// the rows of programs that have been closed for sweepAge. The first of the hosts alive
-// removes these.
+// sweep forgets programs that have ended long ago, and removes the entries of hosts that
+// have been gone, and the rows of programs that have been closed, for sweepAge. The first
+// of the hosts alive removes rows.
 func (a *Allotter) sweep(ctx context.Context) {
 	alive := a.config.Alive()
 	now := a.config.Clock.Now()
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -114,8 +114,8 @@
 		}
 	}
 	unheard = max(unheard, 0)
-	// Hosts of a zone that does not hear this one do not send to its targets while they have
-	// others.
+	// Hosts of a zone that does not hear this one use other targets than its own, except for
+	// a few requests.
 	absent := 0
 	if t.Zone == s.settings.Zone {
 		absent = min(unheard, s.unreachableHosts)
--- a/receiver/reservation.go
+++ b/receiver/reservation.go
@@ -13,7 +13,7 @@
 )
 
 // reservation is the budget reservation of a turn, which may still be pending in the
-// store. No token is forwarded before the store has it.
+// store. Until the store has it, only tokens that an allotment covers are forwarded.
 type reservation struct {
 	cancel context.CancelFunc
 	done   chan struct{}
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -21,13 +21,15 @@
 // serveTurn serves a turn of a program: it loads the earlier turns, reserves the
 // turn's maximum number of tokens from the program's budget, and stores the turn before
 // the end of the response is forwarded. Under rules that do not retain turns, it only
-// applies the budget.
+// applies the budget. While the store cannot take the reservation, the turn runs on
+// allotments.
 func (q *request) serveTurn(ctx context.Context) {
 	if q.rule.RetainTurns && len(q.body) > maxTurnBytes {
 		q.RateLimiter.Return(q.workspace)
 		q.refuse(http.StatusRequestEntityTooLarge, "turn too long to keep", 0)
 		return
 	}
+	// The end of a retained turn could not be stored.
 	if q.isolated.Load() && (q.rule.RetainTurns || !q.allottable()) {
 		q.Log.Info("host is isolated; cannot reserve the budget of the turn", zap.Int("event", eventTurn), q.idField())
 		q.fail(ctx, "cut off from the store", isolatedRetryDelay)
