receiver: log and count how a target's stream ended

It now says how the end was marked, by a frame or by the connection alone, how many events came, and how many bytes were left behind the last whole event; the counter stream_ends_total has the same two properties. No logic changes.

--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -65,6 +65,7 @@
 		zap.Int("tried", q.attempts), zap.Int("sent", q.possibleRuns),
 	}
 	fields = append(fields, q.stageFields()...)
+	fields = append(fields, q.endFields()...)
 	if reason == "" {
 		q.Log.Info("answered", fields...)
 		return
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -32,6 +32,8 @@
 	lastID string
 	// headSent is set once the response header was sent to the caller.
 	headSent bool
+	// targetEnd describes how the last target's response ended; empty until it did.
+	targetEnd streamEnd
 	// reservation is the turn's budget reservation; nil if none is needed.
 	reservation *reservation
 	// allotted is what the turn may deliver before it has its reservation.
@@ -41,6 +43,33 @@
 	finish func() bool
 }
 
+// streamEnd is how a target ended its response.
+type streamEnd struct {
+	// framing tells how the response marks its end.
+	framing string
+	// unfinished is the number of bytes after the last complete event.
+	unfinished int
+}
+
+// recordEnd notes and counts the end of a target's response.
+func (q *request) recordEnd(response *exchanger.Answer, unfinished int) {
+	end := streamEnd{framing: "connection", unfinished: unfinished}
+	if response.Framed {
+		end.framing = "frame"
+	}
+	q.stream.targetEnd = end
+	q.Metrics.Set.GetOrCreateCounter(`stream_ends_total{framing="` + end.framing + `",unfinished="` + strconv.FormatBool(unfinished > 0) + `"}`).Inc()
+}
+
+// endFields returns log fields that describe how the target's stream ended.
+func (q *request) endFields() []zap.Field {
+	if q.stream == nil || q.stream.targetEnd.framing == "" {
+		return nil
+	}
+	end := q.stream.targetEnd
+	return []zap.Field{zap.Int("events", q.stream.events), zap.String("framing", end.framing), zap.Int("unfinished_bytes", end.unfinished)}
+}
+
 // accept adds an event that is about to be forwarded. The error is BrokenResponse if
 // the event exceeds a limit of the stream or does not follow the last one.
 func (s *stream) accept(raw, data []byte, first bool) error {
@@ -124,6 +153,9 @@
 	keepAliveBytes, first := 0, true
 	for {
 		raw, data, err := readEvent(reader)
+		if err == io.EOF {
+			q.recordEnd(response, len(raw))
+		}
 		if err != nil && err != io.EOF {
 			return attemptRetry, err
 		}
