receiver: failing test of a failure that ends a resumed stream as complete

All 8 cases fail on this code: the caller has the first event of a stream whose target broke off; the next target answers 500, 504, 404 or 302 to the resumed run, and its body ends the caller's stream as if it were complete.

--- a/receiver/brokenstream_test.go
+++ b/receiver/brokenstream_test.go
@@ -134,3 +134,30 @@
 		}
 	}
 }
+
+// Guards against the failure of a second target that ends a resumed stream as if it were
+// complete.
+func TestFailureDoesNotEndAResumedStream(t *testing.T) {
+	for _, status := range []string{"500 Internal Server Error", "504 Gateway Timeout", "404 Not Found", "302 Found"} {
+		for _, body := range []string{"", event(2, "two")} {
+			t.Run(fmt.Sprintf("%.3s/%d bytes", status, len(body)), func(t *testing.T) {
+				b := newBench(t)
+				var runs atomic.Int32
+				b.replaceTargets("engines", 2, func(w *bufio.Writer, id string) bool {
+					if runs.Add(1) == 1 {
+						_, _ = w.WriteString(streamHead(id))
+						writeChunk(w, event(1, "one"))
+						return false
+					}
+					head := strings.Replace(responseHead(id, "Content-Length: "+strconv.Itoa(len(body))), "200 OK", status, 1)
+					_, _ = fmt.Fprint(w, head, "\r\n", body)
+					return true
+				})
+				_, _, text, complete := b.ask("POST", "/ask/x", "a1", "x")
+				if complete || text != event(1, "one") {
+					t.Errorf("caller got %q, complete %t", text, complete)
+				}
+			})
+		}
+	}
+}
