receiver: a stream that ends inside an event is broken off

The turn was kept as if it were whole.

Cause: forwardEvents took the end of a target's response for the end of the stream wherever it fell, and passed the bytes behind the last whole event on. With a length or chunks the frame's reader reports a cut, so this only hid cuts of answers that end with their connection; nothing in the path asked whether the last event was complete, whatever marks the end.

Why it works: the events themselves tell where they end. Only whole comments and blank lines may follow the last one; anything else is the start of an event that did not come, is not passed on, and the stream goes on at another target where its rule allows that, or ends without its own end.

--- a/receiver/events.go
+++ b/receiver/events.go
@@ -30,9 +30,15 @@
 	return true
 }
 
+// endsBetweenEvents reports whether a stream that ends with rest after its last event
+// is complete. Only whole comment lines and blank lines may follow.
+func endsBetweenEvents(rest []byte) bool {
+	return len(rest) == 0 || (isKeepAlive(rest) && rest[len(rest)-1] == '\n')
+}
+
 // readEvent returns the next event of a stream as received, including its blank
 // line, and its data. At the end of the stream, the error is io.EOF and raw holds any
-// bytes after the last event. The error is BrokenResponse if the event is too long.
+// bytes after the last event, which may be the start of a broken one. The error is BrokenResponse if the event is too long.
 func readEvent(r *bufio.Reader) (raw, data []byte, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -153,24 +153,23 @@
 	keepAliveBytes, first := 0, true
 	for {
 		raw, data, err := readEvent(reader)
-		if err == io.EOF {
+		switch {
+		case err == io.EOF:
 			q.recordEnd(response, len(raw))
-		}
-		if err != nil && err != io.EOF {
-			return attemptRetry, err
-		}
-		if err == nil {
-			if isKeepAlive(raw) {
-				keepAliveBytes += max(len(raw), minKeepAliveBytes)
-			} else {
-				if failure := q.stream.accept(raw, data, first); failure != nil {
-					return attemptRetry, failure
-				}
-				keepAliveBytes, first = 0, false
+			if !endsBetweenEvents(raw) {
+				return attemptRetry, sd.BrokenResponse.New("stream ends inside an event, after %d bytes of it", len(raw))
 			}
-			if keepAliveBytes > maxKeepAliveBytes {
+		case err != nil:
+			return attemptRetry, err
+		case isKeepAlive(raw):
+			if keepAliveBytes += max(len(raw), minKeepAliveBytes); keepAliveBytes > maxKeepAliveBytes {
 				return attemptRetry, sd.BrokenResponse.New("more than %d bytes without an event", maxKeepAliveBytes)
 			}
+		default:
+			if failure := q.stream.accept(raw, data, first); failure != nil {
+				return attemptRetry, failure
+			}
+			keepAliveBytes, first = 0, false
 		}
 		if failure := q.waitBacked(ctx, q.usedTokens()); failure != nil {
 			q.stream.events = q.stream.delivered
