receiver: a stream without a frame is not complete before its first event

Callers could see: a 200 with no event, framed as complete and kept as a turn, from a target that closed its connection after the head.

Evidence: TestStreamThatEndsBeforeItsFirstEventIsNotWhole fails in both cases before and passes now.

Why it works: an end of the connection alone says nothing about an answer of which nothing came, so it no longer counts; a frame still proves an empty one. What remains: an answer without a frame that is closed in order between two events can't be told from a complete one by any byte of it.

--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -159,6 +159,11 @@
 			if !endsBetweenEvents(raw) {
 				return attemptRetry, sd.BrokenResponse.New("stream ends inside an event, after %d bytes of it", len(raw))
 			}
+			if first && !response.Framed {
+				// Without a frame, a target that failed before its first event looks the same as
+				// one that had none to send.
+				return attemptRetry, sd.BrokenResponse.New("stream without a frame ends before its first event")
+			}
 		case err != nil:
 			return attemptRetry, err
 		case isKeepAlive(raw):
