receiver: the failure of a resumed run does not end the stream

Callers could see: a stream that broke off at one target, followed by the body of another target's 500 (or 504, 404, 302) as if it were events, and framed as complete.

Cause: once a head has been passed on, every answer goes to forwardStream, which accepted any status from 300 on as the target's own answer; its body was read as events, and an empty one as a regular end.

Why it works: only a success can go on with a stream. A failure counts as an attempt that may have run, and the next target is tried while the rule allows.

--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -114,7 +114,8 @@
 // forwardStream forwards the events of a stream as they arrive.
 func (q *request) forwardStream(ctx context.Context, response *exchanger.Answer, release func(balancer.Result)) attemptResult {
 	s := q.stream
-	if !isTargetResponse(response) {
+	// A resumed run that fails says nothing about the stream's end.
+	if response.Status >= 300 || !isTargetResponse(response) {
 		response.Close(false)
 		release(balancer.Failed)
 		q.Log.Warn("invalid response from target", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(q.target)), zap.Int("status", response.Status))
