exchanger: a reset that the sender notices breaks an answer without a frame

Callers could see: half of an answer, framed as complete, where the target had reset the connection while the host was still sending a body of more than 16 KB.

Cause: a socket reports a reset once, to whichever of its reader and writer asks first, and the end of the connection to all after that. With the body sent in the background, the writer often came first, and the reader took what followed for the end of an answer that ends with its connection.

TestAnswerBeforeTheRequestIsReadIsWhole holds the other side: an orderly end is one, also while the sender is blocked.

Why it works: at the end of an answer without a frame the sender is stopped and asked what it saw. Where the connection ended in order, a later write fails in another way (EPIPE), so a complete early answer stays complete.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -148,7 +148,7 @@
 	conn      *connection
 	response  *http.Response
 	stop      func() bool
-	written   chan error
+	sending   *sending
 	skipped   bool
 }
 
@@ -173,7 +173,7 @@
 // connection turned out to be closed before any byte was sent.
 func (x *Exchanger) send(ctx context.Context, conn *connection, call Call) (answer *Answer, stale bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	sent := x.settings.Clock.Now()
+	sentAt := x.settings.Clock.Now()
 	fail := func(err error) (*Answer, bool, error) {
 		stop()
 		_ = conn.Close()
@@ -184,7 +184,7 @@
 		size += len(part)
 	}
 	head := encodeHead(call, size)
-	written := make(chan error, 1)
+	body := &sending{ended: make(chan struct{})}
 	if size <= inlineBody {
 		for _, part := range call.Body {
 			head = append(head, part...)
@@ -201,12 +201,12 @@
 			}
 			return fail(err)
 		}
-		written <- nil
+		close(body.ended)
 	} else {
 		go func() {
+			defer close(body.ended)
 			buffers := append(net.Buffers{head}, call.Body...)
-			_, err := buffers.WriteTo(conn.Conn)
-			written <- err
+			_, body.err = buffers.WriteTo(conn.Conn)
 		}()
 	}
 	request := &http.Request{Method: call.Method}
@@ -215,7 +215,7 @@
 		response, err := conn.readHead(request)
 		if err != nil {
 			if conn.used && !skipped && ctx.Err() == nil && !errorx.IsOfType(err, sd.BrokenResponse) {
-				x.doubt(conn, sent)
+				x.doubt(conn, sentAt)
 			}
 			return fail(err)
 		}
@@ -235,11 +235,15 @@
 		if call.Method == http.MethodHead {
 			length = 0
 		}
-		return &Answer{
+		answer := &Answer{
 			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: length,
 			Framed:    response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-			exchanger: x, conn: conn, response: response, stop: stop, written: written, skipped: skipped,
-		}, false, nil
+			exchanger: x, conn: conn, response: response, stop: stop, sending: body, skipped: skipped,
+		}
+		if !answer.Framed {
+			answer.Body = &unframedBody{Reader: response.Body, conn: conn, sending: body}
+		}
+		return answer, false, nil
 	}
 	return fail(sd.BrokenResponse.New("no answer belongs to the request"))
 }
@@ -248,13 +252,7 @@
 // then may the connection be kept.
 func (a *Answer) Close(whole bool) {
 	cancelled := !a.stop()
-	sent := false
-	select {
-	case err := <-a.written:
-		sent = err == nil
-	default:
-	}
-	if !whole || cancelled || !sent || !a.Framed || a.skipped || a.response.Close || a.conn.reader.Buffered() > 0 {
+	if !whole || cancelled || !a.sending.succeeded() || !a.Framed || a.skipped || a.response.Close || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
 	}
--- a/exchanger/reset_test.go
+++ b/exchanger/reset_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	sd "sapphiredrum.example/sapphiredrum"
 )
@@ -43,3 +44,22 @@
 		}
 	}
 }
+
+// An answer without a frame is whole once its target closes the connection in order,
+// though the request has not been read to its end.
+func TestAnswerBeforeTheRequestIsReadIsWhole(t *testing.T) {
+	at := target(t, func(conn net.Conn, _ int) {
+		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nanswer"); err != nil {
+			t.Error(err)
+		}
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Error(err)
+		}
+		// The exchange must end while its sender is blocked.
+		time.Sleep(2 * patience)
+	})
+	x, _ := newExchanger(t)
+	if text, err := fetch(t, x, at, call("a", make([]byte, 32<<20))); err != nil || text != "answer" {
+		t.Fatalf("%q, %v", text, err)
+	}
+}
--- /dev/null
+++ b/exchanger/unframed.go
@@ -0,0 +1,54 @@
+package exchanger
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	sd "sapphiredrum.example/sapphiredrum"
+)
+
+// sending is the transfer of a request, which may go on while its answer is read.
+type sending struct {
+	ended chan struct{}
+	// err is set before ended is closed.
+	err error
+}
+
+// succeeded reports whether the whole request has been sent.
+func (s *sending) succeeded() bool {
+	select {
+	case <-s.ended:
+		return s.err == nil
+	default:
+		return false
+	}
+}
+
+// unframedBody is the body of an answer that ends with its connection.
+//
+// A connection reports a reset once, to whichever of its reader and writer asks first;
+// after that, the reader sees the end of the answer.
+type unframedBody struct {
+	io.Reader
+	conn    *connection
+	sending *sending
+}
+
+// Read implements io.Reader. The error is BrokenResponse if the connection was reset.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	// The target reads no more of the request once it has closed the connection.
+	if err := b.conn.SetWriteDeadline(time.Now()); err != nil {
+		return n, sd.BrokenResponse.Wrap(err, "connection closed")
+	}
+	<-b.sending.ended
+	if errors.Is(b.sending.err, syscall.ECONNRESET) {
+		return n, sd.BrokenResponse.Wrap(b.sending.err, "connection reset while the request was sent")
+	}
+	return n, io.EOF
+}
