--- a/receiver/brokenstream_test.go
+++ b/receiver/brokenstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -161,3 +162,20 @@
 		}
 	}
 }
+
+// Guards against a broken stream that an HTTP/1.0 caller takes for complete: the end of
+// the connection is the only end that it knows.
+func TestBrokenStreamIsResetForCallersWithoutChunks(t *testing.T) {
+	b := newBench(t)
+	b.replaceTargets("engines", 2, func(w *bufio.Writer, id string) bool {
+		_, _ = w.WriteString(streamHead(id))
+		writeChunk(w, event(1, "one"))
+		return false
+	})
+	for n := range 20 {
+		conn := b.dial(fmt.Sprintf("POST /talk/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: t%d\r\nKey: k1\r\nProgram-Id: p%d\r\nToken-Usage: 1,56\r\nContent-Length: 1\r\n\r\nx", n, n))
+		if text, err := io.ReadAll(conn); err == nil {
+			t.Fatalf("try %d: interrupted stream looks complete: %q", n, text)
+		}
+	}
+}
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -18,6 +18,7 @@
 	eventRate           = 644
 	eventTarget         = 645
 	eventDeadlineNotSet = 646
+	eventResetFailed    = 647
 )
 
 // Metrics holds the counters and histograms of a host.
