screener: requests that crash their targets are refused

Cause: what a request did to its target was forgotten with the attempt. Each resend, retry and resumed run went to the next sound target, and no host told another.

Why it works: the request's workspace, method, address and body stay the same. Hosts count crashes by them in a table of the store that all of them follow, and refuse the request with 503 after the third in a row.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -36,6 +37,9 @@
 	DefaultIdle = 4 * sd.Second
 	// DefaultKept covers the requests that one host has at one target at once.
 	DefaultKept = 16
+	// refusalTimeout is many times what a target in another zone takes to refuse a
+	// connection.
+	refusalTimeout = 50 * sd.Millisecond
 	// idleMargin is kept from an idle timeout that a target names.
 	idleMargin = 700 * sd.Millisecond
 	// inlineBody is the size up to which a body is sent before the answer is read;
@@ -383,7 +387,22 @@
 		}
 		_ = conn.Close()
 	}
-	dialer := net.Dialer{Timeout: x.settings.Connect.Duration(), KeepAlive: -1}
+	return x.dial(ctx, address, x.settings.Connect)
+}
+
+// Refuses reports whether the target refuses connections, as it does while its process
+// is down. A connection that it accepts is kept.
+func (x *Exchanger) Refuses(ctx context.Context, address sd.Address) bool {
+	conn, err := x.dial(ctx, address, refusalTimeout)
+	if err == nil {
+		x.keep(conn, "")
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// dial opens a connection.
+func (x *Exchanger) dial(ctx context.Context, address sd.Address, timeout sd.Millis) (*connection, error) {
+	dialer := net.Dialer{Timeout: timeout.Duration(), KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp4", string(address))
 	if err != nil {
 		return nil, err
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -289,3 +289,36 @@
 		t.Fatalf("%d connections", *opened)
 	}
 }
+
+// Refuses tells a target whose process is down from one that runs, and keeps the
+// connection that it opened to find out.
+func TestRefusesTellsWhetherATargetIsDown(t *testing.T) {
+	at := target(t, func(conn net.Conn, _ int) {
+		r := bufio.NewReader(conn)
+		for id, ok := next(r); ok; id, ok = next(r) {
+			_, _ = io.WriteString(conn, reply(id, "body"))
+		}
+	})
+	x, opened := newExchanger(t)
+	if x.Refuses(t.Context(), at) {
+		t.Error("a target that runs counts as down")
+	}
+	if body, err := fetch(t, x, at, call("a")); err != nil || body != "body" || *opened != 1 {
+		t.Errorf("%q, %v, %d connections, want the one that was kept", body, err, *opened)
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !x.Refuses(t.Context(), sd.Address(listener.Addr().String())) {
+		t.Error("a target that is down counts as running")
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if x.Refuses(ended, at) {
+		t.Error("a check that was given up says that the target is down")
+	}
+}
--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -30,8 +30,9 @@
 
 // rawTarget is a target whose responses a test writes byte by byte.
 type rawTarget struct {
-	address sd.Address
-	lock    sync.Mutex
+	address  sd.Address
+	listener net.Listener
+	lock     sync.Mutex
 	// ran counts the requests by ID, connections those accepted.
 	ran         map[string]int
 	connections int
@@ -63,7 +64,7 @@
 		if err != nil {
 			b.t.Fatal(err)
 		}
-		g := &rawTarget{address: sd.Address(listener.Addr().String()), ran: map[string]int{}, bodies: map[string]string{}}
+		g := &rawTarget{address: sd.Address(listener.Addr().String()), listener: listener, ran: map[string]int{}, bodies: map[string]string{}}
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -19,6 +19,7 @@
 	eventTarget         = 645
 	eventDeadlineNotSet = 646
 	eventResetFailed    = 647
+	eventCrash          = 648
 )
 
 // Metrics holds the counters and histograms of a host.
@@ -72,5 +73,8 @@
 		return
 	}
 	fields[0] = zap.Int("event", eventRefusal)
+	if reason == reasonCrashes {
+		fields = append(fields, zap.Stringer("fingerprint", q.signature().Whole), zap.Stringer("start", q.signature().Start))
+	}
 	q.Log.Warn("not served", append(fields, zap.String("reason", reason))...)
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -21,6 +21,7 @@
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/meterer"
 	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/screener"
 )
 
 // RateLimiter limits the request rate of each workspace.
@@ -40,7 +41,9 @@
 	TargetQueue *TargetQueue
 	Archive     *archiver.Archive
 	// Allotter, if set, lets turns run while their reservation is pending.
-	Allotter  Allotter
+	Allotter Allotter
+	// Screener, if set, refuses requests that crash their targets.
+	Screener  *screener.Screener
 	Exchanger *exchanger.Exchanger
 	Metrics   *Metrics
 	// Memory is the memory size of the host; zero selects that of the smallest
@@ -135,6 +138,9 @@
 	arrived   sd.Instant
 	deadline  sd.Instant
 	body      []byte
+	// sign is the request's signature if signed is set.
+	sign   screener.Signature
+	signed bool
 	// history holds the earlier turns, which are sent to the target before the body.
 	history   []*archiver.Turn
 	preferred sd.TargetID
@@ -145,9 +151,13 @@
 	// possibleRuns counts the attempts in which a target may have run the request.
 	possibleRuns int
 	// attempts counts the targets to which the request was sent.
-	attempts   int
-	target     sd.TargetID
-	stageTimes [stageCount]sd.Millis
+	attempts int
+	// target and address are those of the last attempt; crashesKnown is the request's count
+	// at the Screener when it was sent.
+	target       sd.TargetID
+	address      sd.Address
+	crashesKnown screener.Crashes
+	stageTimes   [stageCount]sd.Millis
 }
 
 // ServeHTTP implements http.Handler.
@@ -182,6 +192,10 @@
 	if !q.readBody(limit) {
 		return
 	}
+	if wait := q.refusedFor(); wait > 0 {
+		q.refuse(http.StatusServiceUnavailable, reasonCrashes, wait)
+		return
+	}
 	if v := r.RateLimiter.Admit(q.workspace, q.startsProgram()); !v.Admitted {
 		q.Log.Info("rate used up", zap.Int("event", eventRate), q.idField(), zap.String("workspace", string(q.workspace)),
 			zap.Float64("tokens", v.Tokens), zap.Float64("need", v.Required), zap.Float64("rate", float64(v.Rate)),
@@ -382,6 +396,11 @@
 			q.fail(ctx, reason, min(max(ticket.ExpectedWait, retryDelay), maxRetryDelay))
 			return
 		}
+		if wait := q.refusedFor(); wait > 0 {
+			q.TargetQueue.Release(ticket, balancer.Abandoned, 0)
+			q.fail(ctx, reasonCrashes, wait)
+			return
+		}
 		if q.stream != nil && q.stream.reservation != nil && q.stream.reservation.finished() {
 			if err := q.waitReservation(ctx); err != nil {
 				q.TargetQueue.Release(ticket, balancer.Abandoned, 0)
@@ -390,7 +409,7 @@
 			}
 		}
 		q.attempts++
-		q.target = ticket.Target
+		q.target, q.address, q.crashesKnown = ticket.Target, ticket.Address, q.knownCrashes()
 		end := q.send(ctx, ticket)
 		if end == attemptAnswered {
 			return
@@ -438,6 +457,7 @@
 			return attemptGiveUp
 		}
 		release(balancer.Failed)
+		q.reportBroken(ctx)
 		return q.retryResult()
 	}
 	reply := platform.DecodeReply(response.Status, response.Header)
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -51,8 +51,14 @@
 			return attemptGiveUp
 		}
 		release(balancer.Failed)
+		if err != nil {
+			q.reportBroken(ctx)
+		}
 		return q.retryResult()
 	}
+	if complete {
+		q.reportSurvived()
+	}
 	if response.Status >= 500 && q.retryResult() == attemptRetry && ctx.Err() == nil {
 		response.Close(complete)
 		release(balancer.Failed)
@@ -112,6 +118,7 @@
 		if err == io.EOF && failure == nil {
 			response.Close(true)
 			release(resultOf(response))
+			q.reportSurvived()
 			q.recordOutcome(response.Status, "")
 			return attemptAnswered
 		}
@@ -124,6 +131,7 @@
 		release(balancer.Abandoned)
 	} else {
 		release(balancer.Failed)
+		q.reportBroken(ctx)
 	}
 	q.Log.Warn("invalid or incomplete response from target", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(q.target)),
 		zap.Int("status", response.Status), zap.Int("bytes", size), zap.Error(failure))
--- /dev/null
+++ b/receiver/screen.go
@@ -0,0 +1,60 @@
+package receiver
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/screener"
+)
+
+// reasonCrashes is the reason given for refusing a request that crashes its targets.
+const reasonCrashes = "request crashes its targets"
+
+// signature returns the request's signature.
+func (q *request) signature() screener.Signature {
+	if !q.signed {
+		q.signed, q.sign = true, screener.NewSignature(q.workspace, q.http.Method, q.http.Host+q.uri(), q.body)
+	}
+	return q.sign
+}
+
+// screened reports whether a Screener is set that suspects any request.
+func (q *request) screened() bool { return q.Screener != nil && !q.Screener.Idle() }
+
+// refusedFor returns how long the Screener refuses the request; zero if it does not.
+func (q *request) refusedFor() sd.Millis {
+	if !q.screened() {
+		return 0
+	}
+	return q.Screener.RefusedFor(q.signature())
+}
+
+// knownCrashes returns the request's count of crashes.
+func (q *request) knownCrashes() screener.Crashes {
+	if !q.screened() {
+		return screener.Crashes{}
+	}
+	return q.Screener.Crashes(q.signature())
+}
+
+// reportBroken takes an attempt that its target broke off. If the target's process is
+// down, it counts as a crash.
+func (q *request) reportBroken(ctx context.Context) {
+	if q.Screener == nil || ctx.Err() != nil || !q.Exchanger.Refuses(ctx, q.address) {
+		return
+	}
+	crashes := q.Screener.ReportCrash(q.signature(), q.crashesKnown)
+	q.Metrics.Set.GetOrCreateCounter("target_crashes_total").Inc()
+	q.Log.Warn("target crashed while it ran the request", zap.Int("event", eventCrash), q.idField(), zap.String("target", string(q.target)),
+		zap.Stringer("fingerprint", q.signature().Whole), zap.Stringer("start", q.signature().Start),
+		zap.Int("crashes", crashes.Whole), zap.Int("start_crashes", crashes.Start))
+}
+
+// reportSurvived takes an attempt that its target has answered whole.
+func (q *request) reportSurvived() {
+	if q.screened() {
+		q.Screener.ReportSurvived(q.signature())
+	}
+}
--- /dev/null
+++ b/receiver/screen_test.go
@@ -0,0 +1,111 @@
+package receiver_test
+
+import (
+	"bufio"
+	"fmt"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/platform/emulator"
+	"sapphiredrum.example/sapphiredrum/receiver"
+	"sapphiredrum.example/sapphiredrum/screener"
+)
+
+// screened returns an option that sets a Screener without a running writer, and the
+// Screener.
+func screened() (func(*receiver.Config), *screener.Screener) {
+	s := screener.New(screener.Config{Clock: sd.NewClock(), Log: zap.NewNop()})
+	return func(c *receiver.Config) { c.Screener = s }, s
+}
+
+// Guards against a target that breaks its answers off, or resets connections, but goes on:
+// no request is refused for it.
+func TestBrokenAnswersAreNoCrashes(t *testing.T) {
+	for _, how := range []emulator.Spoil{emulator.Cut, emulator.Lose, emulator.Fail, emulator.Unsigned} {
+		for _, path := range []string{"/talk/x", "/ask/x", "/look/x", "/pay/x"} {
+			option, s := screened()
+			b := newBench(t, option)
+			for _, target := range append(b.engines, b.desks...) {
+				target.Spoil(func(string) emulator.Spoil { return how })
+			}
+			for n := range 6 {
+				id := fmt.Sprint("r", n)
+				if status, _, _, _ := b.ask("POST", path, id, "same body", "Program-Id", id); status == 503 {
+					t.Fatalf("%s, fault %d: request %d answered 503", path, how, n)
+				}
+				if times, _ := b.ran(id); times == 0 {
+					t.Fatalf("%s, fault %d: request %d did not run", path, how, n)
+				}
+			}
+			if !s.Idle() {
+				t.Errorf("%s, fault %d: crashes are counted", path, how)
+			}
+		}
+	}
+}
+
+// A request is refused once three targets have refused connections after they broke off
+// its runs; it runs no more, and others run.
+func TestCrashesOfTargetsRefuseTheRequest(t *testing.T) {
+	option, s := screened()
+	b := newBench(t, option)
+	for n := range 5 {
+		var targets []*rawTarget
+		targets = b.replaceTargets("desk", 1, func(*bufio.Writer, string) bool {
+			if err := targets[0].listener.Close(); err != nil {
+				t.Error(err)
+			}
+			return false
+		})
+		id := fmt.Sprint("r", n)
+		status, h, _, _ := b.ask("POST", "/pay/x", id, "body")
+		runs, _ := countRuns(targets, id)
+		if n < 3 && (status != 502 || runs != 1) {
+			t.Fatalf("request %d: answered %d after %d runs, want 502 after one", n, status, runs)
+		}
+		if n >= 3 && (status != 503 || runs != 0 || h.Get("Retry-After") == "") {
+			t.Fatalf("request %d: answered %d after %d runs, Retry-After %q, want 503 and none", n, status, runs, h.Get("Retry-After"))
+		}
+	}
+	b.replaceTargets("desk", 1, func(w *bufio.Writer, id string) bool {
+		_, _ = fmt.Fprint(w, responseHead(id, "Content-Length: 2"), "\r\nok")
+		return true
+	})
+	if status, _, text, _ := b.ask("POST", "/pay/x", "other", "another body"); status != 200 || text != "ok" {
+		t.Errorf("another request: %d %q", status, text)
+	}
+	if s.Idle() {
+		t.Error("nothing is counted")
+	}
+}
+
+// A request that may be repeated is not sent again once its last run has had it refused, and
+// a refused request is not charged to its workspace.
+func TestRefusedRequestIsNotRepeatedOrCharged(t *testing.T) {
+	option, _ := screened()
+	b := newBench(t, option)
+	for n, want := range []struct{ status, runs int }{{502, 2}, {502, 1}, {503, 0}} {
+		// Each run crashes its target; the route allows two.
+		var targets []*rawTarget
+		var stops sync.Mutex
+		targets = b.replaceTargets("desk", 2, func(_ *bufio.Writer, id string) bool {
+			stops.Lock()
+			defer stops.Unlock()
+			for _, target := range targets {
+				if target.body(id) != "" {
+					_ = target.listener.Close()
+				}
+			}
+			return false
+		})
+		b.meter.refuse = want.status == 503
+		id := fmt.Sprint("r", n)
+		status, _, _, _ := b.ask("POST", "/look/x", id, "body")
+		if runs, _ := countRuns(targets, id); status != want.status || runs != want.runs {
+			t.Errorf("request %d: answered %d after %d runs, want %d after %d", n, status, runs, want.status, want.runs)
+		}
+	}
+}
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -127,6 +127,7 @@
 	response.Close(end == attemptAnswered)
 	if end == attemptAnswered {
 		release(balancer.Served)
+		q.reportSurvived()
 		q.sendHead(response)
 		if !s.finish() {
 			q.abort("turn not kept")
@@ -141,7 +142,11 @@
 	}
 	q.Log.Warn("stream from target interrupted", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(q.target)),
 		zap.Int("events", s.events), zap.String("last", s.lastID), zap.Error(failure))
-	if end == attemptRetry && ctx.Err() == nil && q.resumable() {
+	if end != attemptRetry || ctx.Err() != nil {
+		return attemptGiveUp
+	}
+	q.reportBroken(ctx)
+	if q.resumable() {
 		return q.retryResult()
 	}
 	return attemptGiveUp
--- /dev/null
+++ b/screener/state.go
@@ -0,0 +1,291 @@
+package screener
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	sd "sapphiredrum.example/sapphiredrum"
+)
+
+const (
+	// maxCrashes is the number of targets that a request may crash before it is refused. One
+	// crash, or two, may have another cause.
+	maxCrashes = 3
+	// maxSameBody limits what one body adds to the count of its start: requests that only
+	// start like a single faulty one are not refused for it.
+	maxSameBody = 2
+	// suspectTime is how long crashes below maxCrashes count. Callers repeat a failed request
+	// within seconds, and programs within a minute.
+	suspectTime = 5 * sd.Minute
+	// refusalTime is how long a request is refused after maxCrashes, many times what it takes
+	// to replace a faulty target. Each further crash doubles it, up to maxDoublings times.
+	refusalTime  = 10 * sd.Minute
+	maxDoublings = 6
+	// maxPending limits the fingerprints whose counts are not written yet: more than run on
+	// all targets of a large zone for one host.
+	maxPending = 1024
+	// maxWrites limits the rows of one transaction to half of what a store takes.
+	maxWrites = 50
+	// startBytes is the length of a body's start: enough to tell requests to the same address
+	// apart, less than the usual length.
+	startBytes = 256
+
+	fingerprintSize = 16
+)
+
+// Fingerprint is a digest of a request, or of its start.
+type Fingerprint [fingerprintSize]byte
+
+// Signature identifies requests that are the same to a target, and those that only differ
+// behind the start of their body. The two are equal if the body has no more than a start.
+type Signature struct {
+	Whole, Start Fingerprint
+}
+
+// NewSignature returns the signature of a request: address is its host and target URI.
+func NewSignature(workspace sd.WorkspaceID, method, address string, body []byte) Signature {
+	h := sha256.New()
+	for _, part := range []string{string(workspace), method, address} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	start := min(len(body), startBytes)
+	h.Write(body[:start])
+	s := Signature{Start: Fingerprint(h.Sum(nil)[:fingerprintSize])}
+	h.Write(body[start:])
+	s.Whole = Fingerprint(h.Sum(nil)[:fingerprintSize])
+	return s
+}
+
+// parts returns the signature's fingerprints, the whole one first.
+func (s Signature) parts() []Fingerprint {
+	if s.Start == s.Whole {
+		return []Fingerprint{s.Whole}
+	}
+	return []Fingerprint{s.Whole, s.Start}
+}
+
+// Crashes counts targets that crashed one after another: on a request, and on those that
+// start like it.
+type Crashes struct {
+	Whole, Start int
+}
+
+// String returns the fingerprint's hexadecimal digits, which are the key of its row.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+func parseFingerprint(text string) (f Fingerprint, ok bool) {
+	if len(text) != 2*fingerprintSize {
+		return f, false
+	}
+	_, err := hex.Decode(f[:], []byte(text))
+	return f, err == nil
+}
+
+// countWire is the value of a row.
+type countWire struct {
+	Crashes int `json:"crashes"`
+}
+
+// count is a row as last seen.
+type count struct {
+	crashes int
+	version uint64
+	// changedAt is when this host saw the count change.
+	changedAt sd.Instant
+}
+
+// refusalTime returns how long requests with this count are refused.
+func (c count) refusalTime() sd.Millis {
+	if c.crashes < maxCrashes {
+		return 0
+	}
+	return refusalTime << min(c.crashes-maxCrashes, maxDoublings)
+}
+
+// expiresAt returns when the count is forgotten. After a refusal, the next crash still
+// raises the count for as long as the request was refused.
+func (c count) expiresAt() sd.Instant { return c.changedAt.Add(max(2*c.refusalTime(), suspectTime)) }
+
+// State holds the counts of all fingerprints. It is pure: it neither reads a clock nor
+// calls the store.
+type State struct {
+	table  string
+	stored map[Fingerprint]count
+	// pending holds counts that are to be written; zero removes the row.
+	pending map[Fingerprint]count
+}
+
+// NewState returns a State without counts, for rows of the given table.
+func NewState(table string) *State {
+	return &State{table: table, stored: map[Fingerprint]count{}, pending: map[Fingerprint]count{}}
+}
+
+// Empty reports whether there is no count at all.
+func (s *State) Empty() bool { return len(s.stored) == 0 && len(s.pending) == 0 }
+
+// current returns a fingerprint's count, which is zero if it has expired.
+func (s *State) current(now sd.Instant, f Fingerprint) count {
+	c, ok := s.pending[f]
+	if !ok {
+		c = s.stored[f]
+	}
+	if now >= c.expiresAt() {
+		return count{}
+	}
+	return c
+}
+
+// Crashes returns the counts of a request.
+func (s *State) Crashes(now sd.Instant, q Signature) Crashes {
+	return Crashes{Whole: s.current(now, q.Whole).crashes, Start: s.current(now, q.Start).crashes}
+}
+
+// refusedFor returns how long requests with a fingerprint are refused.
+func (s *State) refusedFor(now sd.Instant, f Fingerprint) sd.Millis {
+	c := s.current(now, f)
+	return max(c.changedAt.Add(c.refusalTime()).Since(now), 0)
+}
+
+// RefusedFor returns how long a request is refused; zero if it is not.
+func (s *State) RefusedFor(now sd.Instant, q Signature) sd.Millis {
+	return max(s.refusedFor(now, q.Whole), s.refusedFor(now, q.Start))
+}
+
+// Refused returns the number of fingerprints that are refused.
+func (s *State) Refused(now sd.Instant) int {
+	refused := 0
+	for f := range s.stored {
+		if s.refusedFor(now, f) > 0 {
+			refused++
+		}
+	}
+	return refused
+}
+
+// ReportCrash takes a crash of a target that ran a request. Known is the request's count
+// when it was sent. It returns the new count.
+func (s *State) ReportCrash(now sd.Instant, q Signature, known Crashes) Crashes {
+	s.raise(now, q.Whole, known.Whole)
+	if q.Start != q.Whole && s.current(now, q.Whole).crashes <= maxSameBody {
+		s.raise(now, q.Start, known.Start)
+	}
+	return s.Crashes(now, q)
+}
+
+// raise counts a crash under a run that was sent when known crashes were known. Runs that
+// were sent since do not count: the same crash may have ended them.
+func (s *State) raise(now sd.Instant, f Fingerprint, known int) {
+	old := s.current(now, f).crashes
+	crashes := min(known, old) + 1
+	if _, replaces := s.pending[f]; crashes <= old || (!replaces && len(s.pending) >= maxPending) {
+		return
+	}
+	s.pending[f] = count{crashes: crashes, changedAt: now}
+}
+
+// ReportSurvived takes a run of a request that its target survived. It reports whether
+// that cleared a count.
+func (s *State) ReportSurvived(now sd.Instant, q Signature) bool {
+	if s.Crashes(now, q) == (Crashes{}) {
+		return false
+	}
+	for _, f := range q.parts() {
+		s.remove(f)
+	}
+	return true
+}
+
+// remove has a fingerprint's row removed. There may be one if a count is still pending: its
+// write may have taken effect without an answer.
+func (s *State) remove(f Fingerprint) {
+	_, pending := s.pending[f]
+	_, stored := s.stored[f]
+	if pending || stored {
+		s.pending[f] = count{}
+	}
+}
+
+// Expire has the rows of expired counts removed and returns their number.
+func (s *State) Expire(now sd.Instant) int {
+	expired := 0
+	for f, c := range s.stored {
+		if _, pending := s.pending[f]; !pending && now >= c.expiresAt() {
+			s.remove(f)
+			expired++
+		}
+	}
+	return expired
+}
+
+// Change takes a row that was read or written. Its error is BrokenResponse if the row is
+// of no use.
+func (s *State) Change(now sd.Instant, record sd.Record) error {
+	f, ok := parseFingerprint(record.Key)
+	if !ok {
+		return sd.BrokenResponse.New("key %q is no fingerprint", record.Key)
+	}
+	old := s.stored[f]
+	if record.Version < old.version {
+		// A read may return what was so before this host's own write.
+		return nil
+	}
+	c := count{version: record.Version, changedAt: now}
+	if !record.Removed {
+		var w countWire
+		if err := json.Unmarshal(record.Value, &w); err != nil || w.Crashes <= 0 {
+			return sd.BrokenResponse.New("count of crashes cannot be used: %q", record.Value)
+		}
+		c.crashes = w.Crashes
+	}
+	if c.crashes == old.crashes {
+		c.changedAt = old.changedAt
+	}
+	s.rebase(f, c.crashes)
+	if record.Removed {
+		delete(s.stored, f)
+	} else {
+		s.stored[f] = c
+	}
+	return nil
+}
+
+// rebase fits a pending count to what the store has. Another host may have cleared the
+// count from which it was raised.
+func (s *State) rebase(f Fingerprint, stored int) {
+	wanted, pending := s.pending[f]
+	switch {
+	case !pending:
+	case wanted.crashes == 0 && stored > 0:
+	case wanted.crashes <= stored:
+		delete(s.pending, f)
+	default:
+		wanted.crashes = min(wanted.crashes, stored+1)
+		s.pending[f] = wanted
+	}
+}
+
+// NextUpdate returns a transaction that writes pending counts; it is empty if there is
+// none. Change must be told of the rows that the store takes or finds in its way.
+func (s *State) NextUpdate() (sd.Update, error) {
+	var update sd.Update
+	order := slices.SortedFunc(maps.Keys(s.pending), func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	for _, f := range order[:min(len(order), maxWrites)] {
+		key := sd.RecordKey{Table: s.table, Key: f.String()}
+		update.Expect = append(update.Expect, sd.Record{RecordKey: key, Version: s.stored[f].version})
+		crashes := s.pending[f].crashes
+		if crashes == 0 {
+			update.Remove = append(update.Remove, key)
+			continue
+		}
+		value, err := json.Marshal(countWire{Crashes: crashes})
+		if err != nil {
+			return sd.Update{}, sd.Unavailable.Wrap(err, "count cannot be encoded")
+		}
+		update.Put = append(update.Put, sd.Record{RecordKey: key, Value: value})
+	}
+	return update, nil
+}
--- a/starter/host.go
+++ b/starter/host.go
@@ -25,6 +25,7 @@
 	"sapphiredrum.example/sapphiredrum/platform"
 	"sapphiredrum.example/sapphiredrum/receiver"
 	"sapphiredrum.example/sapphiredrum/relayer"
+	"sapphiredrum.example/sapphiredrum/screener"
 )
 
 // Events of this package; docs/EVENTS.md lists them.
@@ -53,9 +54,10 @@
 	// keepTurns is how long turns and accounts stay in memory; as long as callers
 	// usually may go on from a turn.
 	keepTurns = 60 * sd.Second
-	// planWait and targetWait are how long watches wait: under the time in which a
-	// change must be in force, as a connection may fall silent.
+	// planWait, crashWait and targetWait are how long watches wait: under the time in which
+	// a change must be in force, as a connection may fall silent.
 	planWait   = 1300 * sd.Millisecond
+	crashWait  = 1300 * sd.Millisecond
 	targetWait = sd.Second
 	// targetPace is the part of the drain time that may pass between two reads of
 	// the targets, which change many times a second.
@@ -102,6 +104,7 @@
 	meter     *meter
 	archive   *archiver.Archive
 	allotter  *allotter.Allotter
+	screener  *screener.Screener
 	exchanger *exchanger.Exchanger
 	receiver  *receiver.Receiver
 	measures  *receiver.Metrics
@@ -157,6 +160,7 @@
 		Host: settings.Host, Incarnation: h.incarnation, Store: h.relay, Table: platform.PeerTable,
 		Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Client: h.peers, Clock: h.clock, Log: log,
 	})
+	h.screener = screener.New(screener.Config{Store: h.relay, Table: platform.CrashTable, Sweeps: h.sweeps, Clock: h.clock, Log: log})
 	h.archive = archiver.New(archiver.Settings{
 		CacheCapacity: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
 	}, h.relay, archiver.Peers{
@@ -164,8 +168,8 @@
 		StoreUnreachable: h.relay.Away, Client: h.peers, Budgets: h.allotter,
 	}, h.clock, log)
 	h.receiver = receiver.New(receiver.Config{
-		Clock: h.clock, Log: log, RateLimiter: h.meter, TargetQueue: h.gate, Archive: h.archive, Allotter: h.allotter, Exchanger: h.exchanger, Metrics: h.measures,
-		Memory: settings.Memory,
+		Clock: h.clock, Log: log, RateLimiter: h.meter, TargetQueue: h.gate, Archive: h.archive, Allotter: h.allotter, Screener: h.screener, Exchanger: h.exchanger,
+		Metrics: h.measures, Memory: settings.Memory,
 	})
 	h.idle.clock = h.clock
 	h.count()
@@ -189,11 +193,13 @@
 	add(h.gate.Run)
 	add(h.archive.Run)
 	add(h.allotter.Run)
+	add(h.screener.Run)
 	add(h.idle.run)
 	add(h.publish)
 	add(h.reload)
 	add(h.follow(platform.OperatorTable, planWait, 0, h.operatorChanged))
 	add(h.follow(platform.TargetTable, targetWait, sd.Millis(targetPace*float64(h.settings.Drain)), h.targetsChanged))
+	add(h.follow(platform.CrashTable, crashWait, 0, h.screener.Change))
 	add(h.followPeers)
 	add(h.lapse)
 	add(h.tell)
@@ -320,6 +326,7 @@
 	}
 	set.NewGauge("peers", func() float64 { return float64(len(h.gossiper.Alive(false))) })
 	set.NewGauge("target_connections_idle", func() float64 { return float64(h.exchanger.Idle()) })
+	set.NewGauge("requests_refused_for_crashes", func() float64 { return float64(h.screener.Refused()) })
 	set.NewGauge("accounts_waiting", func() float64 { return float64(h.archive.Waiting()) })
 	set.NewGauge("turns_cached_bytes", func() float64 {
 		_, bytes := h.archive.CacheUsage()
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -151,14 +151,21 @@
 	return ctx.Err()
 }
 
-// sweepPeers removes the rows of hosts that are gone for good; the first of the
-// hosts alive does it.
-func (h *Host) sweepPeers(ctx context.Context) {
+// sweeps reports whether this host removes old rows: it is the first of the hosts alive.
+func (h *Host) sweeps() bool {
 	for _, p := range h.gossiper.Alive(false) {
 		if p.Host < h.settings.Host {
-			return
+			return false
 		}
 	}
+	return true
+}
+
+// sweepPeers removes the rows of hosts that are gone for good.
+func (h *Host) sweepPeers(ctx context.Context) {
+	if !h.sweeps() {
+		return
+	}
 	for _, host := range h.gossiper.SilentPeers(goneAfter) {
 		h.rowLock.Lock()
 		row := h.rows[host]
