screener: removing an old count spares a newer one

Found by reading: a host that removes an expired row retried the removal against whatever the row held by then, so a count that another host had raised in the meantime, also to a refusal, went with it. After an outage of the store that meantime is as long as the outage.

A run that its target survived still clears any count: the same restriction there fails the model (a survival that a host reports before it has read the last crash would be lost).

--- a/screener/state.go
+++ b/screener/state.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -115,13 +116,20 @@
 type State struct {
 	table  string
 	stored map[Fingerprint]count
-	// pending holds counts that are to be written; zero removes the row.
-	pending map[Fingerprint]count
+	// pending holds what is to be written.
+	pending map[Fingerprint]change
+}
+
+// change is a pending write of a count; its zero count removes the row.
+type change struct {
+	count
+	// removes is the highest count that a removal applies to.
+	removes int
 }
 
 // NewState returns a State without counts, for rows of the given table.
 func NewState(table string) *State {
-	return &State{table: table, stored: map[Fingerprint]count{}, pending: map[Fingerprint]count{}}
+	return &State{table: table, stored: map[Fingerprint]count{}, pending: map[Fingerprint]change{}}
 }
 
 // Empty reports whether there is no count at all.
@@ -129,9 +137,9 @@
 
 // current returns a fingerprint's count, which is zero if it has expired.
 func (s *State) current(now sd.Instant, f Fingerprint) count {
-	c, ok := s.pending[f]
-	if !ok {
-		c = s.stored[f]
+	c := s.stored[f]
+	if wanted, pending := s.pending[f]; pending {
+		c = wanted.count
 	}
 	if now >= c.expiresAt() {
 		return count{}
@@ -176,15 +184,15 @@
 	return s.Crashes(now, q)
 }
 
-// raise counts a crash under a run that was sent when known crashes were known. Runs that
-// were sent since do not count: the same crash may have ended them.
+// raise counts a crash under a run that was sent when known crashes were known. If the
+// count has risen since, the run adds nothing: the same crash may have ended it.
 func (s *State) raise(now sd.Instant, f Fingerprint, known int) {
 	old := s.current(now, f).crashes
 	crashes := min(known, old) + 1
 	if _, replaces := s.pending[f]; crashes <= old || (!replaces && len(s.pending) >= maxPending) {
 		return
 	}
-	s.pending[f] = count{crashes: crashes, changedAt: now}
+	s.pending[f] = change{count: count{crashes: crashes, changedAt: now}}
 }
 
 // ReportSurvived takes a run of a request that its target survived. It reports whether
@@ -194,27 +202,23 @@
 		return false
 	}
 	for _, f := range q.parts() {
-		s.remove(f)
+		_, pending := s.pending[f]
+		_, stored := s.stored[f]
+		if pending || stored {
+			// The write of a pending count may have taken effect without an answer.
+			s.pending[f] = change{removes: math.MaxInt}
+		}
 	}
 	return true
 }
 
-// remove has a fingerprint's row removed. There may be one if a count is still pending: its
-// write may have taken effect without an answer.
-func (s *State) remove(f Fingerprint) {
-	_, pending := s.pending[f]
-	_, stored := s.stored[f]
-	if pending || stored {
-		s.pending[f] = count{}
-	}
-}
-
 // Expire has the rows of expired counts removed and returns their number.
 func (s *State) Expire(now sd.Instant) int {
 	expired := 0
 	for f, c := range s.stored {
 		if _, pending := s.pending[f]; !pending && now >= c.expiresAt() {
-			s.remove(f)
+			// A higher count stays: a host that read this one later has raised it.
+			s.pending[f] = change{removes: c.crashes}
 			expired++
 		}
 	}
@@ -253,13 +257,13 @@
 	return nil
 }
 
-// rebase fits a pending count to what the store has. Another host may have cleared the
-// count from which it was raised.
+// rebase fits a pending change to what the store has. Another host may have cleared the
+// count from which it was raised, or raised the one that was to be removed.
 func (s *State) rebase(f Fingerprint, stored int) {
 	wanted, pending := s.pending[f]
 	switch {
 	case !pending:
-	case wanted.crashes == 0 && stored > 0:
+	case wanted.crashes == 0 && stored > 0 && stored <= wanted.removes:
 	case wanted.crashes <= stored:
 		delete(s.pending, f)
 	default:
--- a/screener/state_test.go
+++ b/screener/state_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// The removal of an old count must not take a newer one with it, which another host has
+// written meanwhile.
+func TestRemovalSparesANewerCount(t *testing.T) {
+	s, q := NewState("t"), signature("a", "end")
+	s.ReportCrash(0, q, s.Crashes(0, q))
+	store(t, s, 0, 1)
+	old := sd.Instant(0).Add(suspectTime)
+	if s.Expire(old) != 2 {
+		t.Fatal("an old count does not expire")
+	}
+	raised := sd.Record{RecordKey: sd.RecordKey{Table: "t", Key: q.Whole.String()}, Value: []byte(`{"crashes":3}`), Version: 2}
+	if err := s.Change(old, raised); err != nil {
+		t.Fatal(err)
+	}
+	store(t, s, old, 3)
+	if s.RefusedFor(old, q) == 0 {
+		t.Error("the newer count was removed")
+	}
+}
+
 // One faulty body must not have all refused that start like it; two do.
 func TestStartIsRefusedAfterCrashesOfTwoBodies(t *testing.T) {
 	s, one, two, third := NewState("t"), signature("a", "one"), signature("a", "two"), signature("a", "three")
