screener, exchanger: comments say what a signature is and when an answer has ended

Read as a newcomer: the package page spoke of a fingerprint where a signature has two, and left out the start of a body and the doubling of refusals.

--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -7,5 +7,6 @@
 // Unavailable only if no byte was sent; every other failure is Uncertain. Answers
 // to earlier requests that arrive late are recognised by the request's id and
 // skipped. A connection is kept only after a framed answer was read to its end
-// with nothing behind it.
+// with nothing behind it. An answer without a frame is whole if its connection was closed
+// in order, and broken if it was reset.
 package exchanger
--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -42,7 +42,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	// The target reads no more of the request once it has closed the connection.
+	// The answer has ended, so what is left of the request is not sent.
 	if err := b.conn.SetWriteDeadline(time.Now()); err != nil {
 		return n, sd.BrokenResponse.Wrap(err, "connection closed")
 	}
--- a/receiver/events.go
+++ b/receiver/events.go
@@ -38,7 +38,8 @@
 
 // readEvent returns the next event of a stream as received, including its blank
 // line, and its data. At the end of the stream, the error is io.EOF and raw holds any
-// bytes after the last event, which may be the start of a broken one. The error is BrokenResponse if the event is too long.
+// bytes after the last event, which may be the start of a broken one. The error is
+// BrokenResponse if the event is too long.
 func readEvent(r *bufio.Reader) (raw, data []byte, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
--- a/screener/doc.go
+++ b/screener/doc.go
@@ -1,9 +1,9 @@
 // Package screener refuses requests that crash the targets that run them.
 //
 // Such a request comes again with another id, in another program and at any host. Its
-// workspace, method, address and body stay the same: they are its fingerprint. Hosts
-// count crashes by fingerprint in a table of the store that all of them follow, and
-// refuse a request after maxCrashes.
+// workspace, method, address and body stay the same, or at least the start of its body:
+// they are its signature. Hosts count crashes by both parts of the signature in a table of
+// the store that all of them follow, and refuse a request after maxCrashes.
 //
 // # Counting
 //
@@ -13,14 +13,19 @@
 // survives clears it. Targets that crash at the same moment count once, whatever ran on
 // them.
 //
+// Requests that share the start of their body, such as a long prompt, are counted together
+// too. A single faulty body must not have the others refused, so it adds at most
+// maxSameBody to their count.
+//
 // # Limits
 //
-// A count that stays under maxCrashes is forgotten after suspectTime, and a request is
-// refused for refusalTime, so that it crashes at most maxCrashes targets in that time,
-// beside those that run it before the hosts have heard of the last crash. Targets that a
-// release made crash on every request are the other side: requests that came three times
-// are refused for that long although the next release would serve them, unless their rows
-// are removed.
+// A request is refused for refusalTime after maxCrashes, and for twice as long after each
+// further crash. Until the hosts have heard of a crash, they go on sending the request. A
+// count that stays under maxCrashes is forgotten after suspectTime.
+//
+// If targets crash on every request, as after a faulty release, requests that came three
+// times are refused although the next release would serve them, until refusalTime has
+// passed or their rows are removed.
 //
 // A host that the store is away from counts for itself alone.
 package screener
