--- a/starter/crash_test.go
+++ b/starter/crash_test.go
@@ -61,6 +61,11 @@
 // start opens the target's port; port 0 selects a free one.
 func (c *crashingTarget) start() {
 	listener, err := net.Listen("tcp4", c.address)
+	for try := 0; err != nil && try < 100; try++ {
+		// Another connection may have the port for a moment.
+		time.Sleep(20 * time.Millisecond)
+		listener, err = net.Listen("tcp4", c.address)
+	}
 	if err != nil {
 		c.t.Error(err)
 		return
