observer: removed rows are forgotten in the end

A View remembered each row that was ever removed, so that a late answer does not bring it back. The table of crashes gets rows for whatever ran on a target that crashed, and loses them again: on a host that runs for weeks the memory of removed rows would only grow. It now keeps the last 4,096 or so.

--- a/observer/view.go
+++ b/observer/view.go
@@ -1,13 +1,21 @@
 package observer
 
 import (
+	"slices"
+
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
+// maxRemoved limits the removed rows that a View remembers: many times what is removed
+// while an answer is under way.
+const maxRemoved = 4096
+
 // View is a table as last seen. The zero View has seen nothing. It is pure.
 type View struct {
-	// rows holds removed rows too, so that a late answer does not bring them back.
+	// rows holds the last maxRemoved removed rows too, so that a late answer does not bring
+	// them back.
 	rows    map[string]sd.Record
+	removed int
 	version uint64
 	listed  bool
 }
@@ -39,10 +47,12 @@
 		if !present[key] && !old.Removed {
 			gone := sd.Record{RecordKey: old.RecordKey, Version: version, Removed: true}
 			v.rows[key] = gone
+			v.removed++
 			changed = append(changed, gone)
 		}
 	}
 	v.version, v.listed = version, true
+	v.forget()
 	return changed, true
 }
 
@@ -55,16 +65,46 @@
 		}
 	}
 	v.version = max(v.version, version)
+	v.forget()
 	return changed
 }
 
+// forget drops at least the older half of the removed rows if there are more than
+// maxRemoved.
+func (v *View) forget() {
+	if v.removed <= maxRemoved {
+		return
+	}
+	var versions []uint64
+	for _, r := range v.rows {
+		if r.Removed {
+			versions = append(versions, r.Version)
+		}
+	}
+	slices.Sort(versions)
+	middle := versions[len(versions)/2]
+	for key, r := range v.rows {
+		if r.Removed && r.Version <= middle {
+			delete(v.rows, key)
+			v.removed--
+		}
+	}
+}
+
 func (v *View) take(r sd.Record) bool {
 	if v.rows == nil {
 		v.rows = map[string]sd.Record{}
 	}
-	if old, known := v.rows[r.Key]; known && old.Version >= r.Version {
+	old, known := v.rows[r.Key]
+	if known && old.Version >= r.Version {
 		return false
 	}
+	if old.Removed {
+		v.removed--
+	}
+	if r.Removed {
+		v.removed++
+	}
 	v.rows[r.Key] = r
 	return true
 }
--- a/observer/view_test.go
+++ b/observer/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -42,6 +43,38 @@
 	}
 }
 
+// Guards against a View that grows with every row that was ever removed. The rows that are
+// still there, and those removed last, must not be forgotten.
+func TestRemovedRowsAreForgotten(t *testing.T) {
+	const rounds = 20_000
+	var v observer.View
+	if _, ok := v.List([]sd.Record{row("kept", 1, false)}, 1); !ok {
+		t.Fatal("first list refused")
+	}
+	key := func(n int) string { return "k" + strconv.Itoa(n) }
+	version := uint64(1)
+	for n := range rounds {
+		version += 2
+		v.Change([]sd.Record{row(key(n), version-1, false)}, version-1)
+		v.Change([]sd.Record{row(key(n), version, true)}, version)
+	}
+	remembered := 0
+	for n := range rounds {
+		if len(v.Change([]sd.Record{row(key(n), uint64(2*n+2), false)}, version)) == 0 {
+			remembered++
+		}
+	}
+	if remembered < 1000 || remembered > 5000 {
+		t.Errorf("%d of %d removed rows are remembered", remembered, rounds)
+	}
+	if got := v.Change([]sd.Record{row(key(rounds-1), version-1, false)}, version); len(got) != 0 {
+		t.Error("the row that was removed last came back")
+	}
+	if got := v.Change([]sd.Record{row("kept", 1, false)}, version); len(got) != 0 {
+		t.Error("a row that is there was forgotten")
+	}
+}
+
 // A follower goes on through lost history, outages and silence, and misses nothing.
 func TestFollowerMissesNothing(t *testing.T) {
 	store := faker.NewRows(1)
