--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -12,12 +12,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/archiver"
-	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/meterer"
 	"sapphiredrum.example/sapphiredrum/platform"
@@ -355,143 +353,6 @@
 	}
 }
 
-// attemptResult is the result of sending a request to one target.
-type attemptResult int
-
-const (
-	// attemptAnswered: the caller has the response.
-	attemptAnswered attemptResult = iota
-	// attemptRetry: the request may be sent to another target.
-	attemptRetry
-	// attemptGiveUp: the request must not be sent again.
-	attemptGiveUp
-)
-
-// serve sends the request to targets until one of them answers or the attempts are
-// used up.
-func (q *request) serve(ctx context.Context) {
-	var avoid []sd.TargetID
-	for {
-		if q.attempts >= maxRefusals+q.rule.MaxAttempts {
-			q.fail(ctx, "refused by all targets tried", retryDelay)
-			return
-		}
-		ticket := &balancer.Request{
-			Pool: q.pool, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
-			StartsProgram: q.startsProgram(),
-		}
-		if q.params.ProgramLeft > 0 {
-			ticket.ProgramDeadline = q.arrived.Add(q.params.ProgramLeft)
-		}
-		queuedAt := q.Clock.Now()
-		err := q.TargetQueue.Acquire(ctx, ticket)
-		q.recordStage(stageWait, queuedAt)
-		if err != nil || ticket.RefusalReason != "" {
-			reason := string(ticket.RefusalReason)
-			if err != nil {
-				reason = "no target in time"
-			}
-			q.Log.Info("no target", zap.Int("event", eventTarget), q.idField(), zap.String("pool", string(q.pool)), zap.String("reason", reason),
-				zap.Int64("wait_ms", int64(ticket.ExpectedWait)), zap.Int("running", ticket.PoolRunning), zap.Float64("bound", ticket.RunningLimit))
-			q.fail(ctx, reason, min(max(ticket.ExpectedWait, retryDelay), maxRetryDelay))
-			return
-		}
-		if wait := q.refusedFor(); wait > 0 {
-			q.TargetQueue.Release(ticket, balancer.Abandoned, 0)
-			q.fail(ctx, reasonCrashes, wait)
-			return
-		}
-		if q.stream != nil && q.stream.reservation != nil && q.stream.reservation.finished() {
-			if err := q.waitReservation(ctx); err != nil {
-				q.TargetQueue.Release(ticket, balancer.Abandoned, 0)
-				q.refuseUnreserved(ctx, err)
-				return
-			}
-		}
-		q.attempts++
-		q.target, q.address, q.crashesKnown = ticket.Target, ticket.Address, q.knownCrashes()
-		end := q.send(ctx, ticket)
-		if end == attemptAnswered {
-			return
-		}
-		if end == attemptGiveUp {
-			q.fail(ctx, "target failed", 0)
-			return
-		}
-		avoid = append(avoid, ticket.Target)
-	}
-}
-
-// send sends the request to the ticket's target and forwards the response.
-func (q *request) send(ctx context.Context, ticket *balancer.Request) attemptResult {
-	start := q.Clock.Now()
-	release := func(result balancer.Result) { q.TargetQueue.Release(ticket, result, q.Clock.Now().Since(start)) }
-	call := exchanger.Call{
-		Method: q.http.Method, URI: q.uri(), Host: q.http.Host,
-		Header: platform.TargetHeader(q.http.Header, q.workspace, ticket.Target, max(q.remaining(), 1)),
-		Body:   q.bodyParts(),
-		Belongs: func(status int, header http.Header) bool {
-			id := platform.DecodeReply(status, header).Request
-			return id == q.params.Request || (id == "" && status >= 300)
-		},
-	}
-	if q.stream != nil && q.stream.lastID != "" {
-		platform.ResumeAfter(call.Header, q.stream.lastID)
-	}
-	response, err := q.Exchanger.Exchange(ctx, ticket.Address, call)
-	q.recordStage(stageFirst, start)
-	if err != nil {
-		if errorx.IsOfType(err, sd.Unavailable) {
-			q.Log.Warn("target unreachable", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(ticket.Target)), zap.Error(err))
-			if ctx.Err() != nil {
-				release(balancer.Abandoned)
-				return attemptGiveUp
-			}
-			release(balancer.ConnectFailed)
-			return attemptRetry
-		}
-		q.possibleRuns++
-		q.Log.Warn("exchange failed", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(ticket.Target)), zap.Error(err))
-		if ctx.Err() != nil {
-			release(balancer.Abandoned)
-			return attemptGiveUp
-		}
-		release(balancer.Failed)
-		q.reportBroken(ctx)
-		return q.retryResult()
-	}
-	reply := platform.DecodeReply(response.Status, response.Header)
-	if reply.Loaded {
-		q.TargetQueue.Update(func(b *balancer.State, now sd.Instant) {
-			b.ReportTargetLoad(now, ticket.Target, reply.Running, reply.Waiting)
-		})
-	}
-	if reply.NotRun {
-		response.Drop()
-		q.Log.Info("target refused the request", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(ticket.Target)), zap.Int("status", response.Status))
-		if response.Status == http.StatusMisdirectedRequest {
-			release(balancer.ConnectFailed)
-		} else {
-			release(balancer.Rejected)
-		}
-		return attemptRetry
-	}
-	q.possibleRuns++
-	if q.stream != nil && (response.Status < 300 || q.stream.headSent) {
-		return q.forwardStream(ctx, response, release)
-	}
-	return q.forwardResponse(ctx, response, release)
-}
-
-// retryResult returns attemptRetry if a request that may have run may be sent again,
-// otherwise attemptGiveUp.
-func (q *request) retryResult() attemptResult {
-	if (q.rule.Idempotent || q.rule.Resumable) && q.possibleRuns < q.rule.MaxAttempts {
-		return attemptRetry
-	}
-	return attemptGiveUp
-}
-
 // uri returns the request target as sent by the caller.
 func (q *request) uri() string {
 	if uri := q.http.RequestURI; len(uri) > 0 && uri[0] == '/' {
