archiver, receiver: log how a turn was looked for in vain, and under which key it was kept

Line 606 says which turn of the chain is missing, what was read of the store and at which version, and how many hosts were asked; line 607 that a turn was stored before it was settled; the outcome of a turn names its key, and a turn that cannot be read the one before it. No logic changes.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -405,8 +405,10 @@
 			a.OnCommit(a.clock.Now().Since(start), err)
 		}
 		w.lock.Lock()
-		w.deliver(w.lane.Complete(a.clock.Now(), page, err))
+		ended := w.lane.Complete(a.clock.Now(), page, err)
+		w.deliver(ended)
 		w.lock.Unlock()
+		a.logDuplicates(ended)
 		if err == nil || errorx.IsOfType(err, sd.Conflict) {
 			pause = 0
 			continue
@@ -419,6 +421,16 @@
 	}
 }
 
+// logDuplicates logs the turns that the store had before they were settled.
+func (a *Archive) logDuplicates(ended []Completion) {
+	for _, end := range ended {
+		if end.Duplicate {
+			a.log.Info("turn was stored before", zap.Int("event", eventDuplicate), zap.Stringer("program", end.Operation.Program),
+				zap.Stringer("turn", end.Operation.Turn.Key), zap.Stringer("hold", end.Operation.Hold))
+		}
+	}
+}
+
 // deliver sends the results to the waiters. A reservation that nothing waits for
 // any more is cancelled.
 func (w *worker) deliver(ended []Completion) {
--- a/archiver/events.go
+++ b/archiver/events.go
@@ -5,4 +5,6 @@
 	eventMalformed = 601
 	eventSequencer = 604
 	eventCacher    = 605
+	eventMissing   = 606
+	eventDuplicate = 607
 )
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -47,6 +47,8 @@
 type Completion struct {
 	Operation *Operation
 	Err       error
+	// Duplicate is set for a Settle whose turn the store had already.
+	Duplicate bool
 }
 
 // Limits of a transaction, below the limits of the store: 100 entries and 1 MB.
@@ -145,7 +147,7 @@
 			kept = append(kept, o)
 			continue
 		}
-		ended = append(ended, Completion{o, sd.Unavailable.New("reservation not made in time")})
+		ended = append(ended, Completion{Operation: o, Err: sd.Unavailable.New("reservation not made in time")})
 		if o.maybeApplied {
 			kept = append(kept, &Operation{Kind: Cancel, Program: o.Program, Hold: o.Hold})
 		}
@@ -258,7 +260,7 @@
 			l.rows[program] = row
 		}
 		for i, o := range b.operations {
-			ended = append(ended, Completion{o, b.outcomes[i]})
+			ended = append(ended, Completion{Operation: o, Err: b.outcomes[i]})
 		}
 		return ended
 	}
@@ -308,7 +310,7 @@
 	l.pending = slices.DeleteFunc(l.pending, func(o *Operation) bool {
 		match := o.Kind == Settle && o.Turn != nil && turnRecordName(o.Turn) == key
 		if match {
-			ended = append(ended, Completion{o, nil})
+			ended = append(ended, Completion{Operation: o, Duplicate: true})
 		}
 		return match
 	})
@@ -320,7 +322,7 @@
 	var ended []Completion
 	l.pending = slices.DeleteFunc(l.pending, func(o *Operation) bool {
 		if o.Program == program {
-			ended = append(ended, Completion{o, err})
+			ended = append(ended, Completion{Operation: o, Err: err})
 		}
 		return o.Program == program
 	})
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -10,23 +10,38 @@
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
+// search records how a chain was looked for, for the log.
+type search struct {
+	// read holds the turns found, programs the programs whose rows were read.
+	read     map[Key]*Turn
+	programs map[Key]bool
+	// rows counts the turns read from the store, version is the newest version of the
+	// store that a read reported.
+	rows    int
+	version uint64
+	// indexed is set once the index of all parts was read.
+	indexed bool
+	// asked and answered count the hosts that were asked for a turn, and those that responded.
+	asked, answered int
+}
+
 // Chain returns the turns that lead to the turn last, oldest first. Errors are
 // NotFound (there is no such turn), Unavailable, and Malformed if the chain has more
 // than maxChainLength turns.
 func (a *Archive) Chain(ctx context.Context, program, last Key) ([]*Turn, error) {
 	var chain []*Turn
-	read := map[Key]*Turn{}
-	loaded := map[Key]bool{}
+	s := &search{read: map[Key]*Turn{}, programs: map[Key]bool{}}
 	for key, of := last, program; key != (Key{}); {
-		t := read[key]
+		t := s.read[key]
 		if t == nil {
 			t = a.cachedTurn(key)
 		}
 		if t == nil {
-			if err := a.loadTurn(ctx, of, key, loaded, read); err != nil {
+			if err := a.loadTurn(ctx, of, key, s); err != nil {
+				a.logMissing(key, of, len(chain), s, err)
 				return nil, err
 			}
-			t = read[key]
+			t = s.read[key]
 		}
 		if len(chain) >= maxChainLength {
 			return nil, Malformed.New("turn %s has more than %d turns before it", last, maxChainLength)
@@ -38,29 +53,38 @@
 	return chain, nil
 }
 
+// logMissing logs how a turn was looked for in vain. depth is the number of later turns
+// of its chain that were found.
+func (a *Archive) logMissing(turn, program Key, depth int, s *search, err error) {
+	a.log.Info("turn not found", zap.Int("event", eventMissing), zap.Stringer("turn", turn), zap.Stringer("program", program),
+		zap.Int("depth", depth), zap.Int("programs", len(s.programs)), zap.Int("rows", s.rows), zap.Uint64("version", s.version),
+		zap.Bool("indexed", s.indexed), zap.Int("asked", s.asked), zap.Int("answered", s.answered),
+		zap.Int64("up_ms", int64(a.clock.Now().Since(a.started))), zap.Error(err))
+}
+
 // loadTurn looks for a turn at the program's cacher in the zone, at its sequencer, in
 // the rows of the program, in the index of all parts, and at all other hosts, in this
 // order. If the store is unreachable, it asks all other hosts first. Errors are NotFound
 // and Unavailable.
-func (a *Archive) loadTurn(ctx context.Context, program, turn Key, loaded map[Key]bool, read map[Key]*Turn) error {
+func (a *Archive) loadTurn(ctx context.Context, program, turn Key, s *search) error {
 	if a.StoreUnreachable() {
-		if a.recallFromAll(ctx, turn, read); read[turn] != nil {
+		if a.recallFromAll(ctx, turn, s); s.read[turn] != nil {
 			return nil
 		}
 	}
-	if !loaded[program] {
-		loaded[program] = true
+	if !s.programs[program] {
+		s.programs[program] = true
 		for _, at := range []sd.Address{a.cacher(program), a.sequencer(program)} {
 			if at == "" {
 				continue
 			}
-			a.recallFrom(ctx, at, turn, read)
-			if read[turn] != nil {
-				loaded[program] = false
+			a.recallFrom(ctx, at, turn, s)
+			if s.read[turn] != nil {
+				s.programs[program] = false
 				return nil
 			}
 		}
-		if err := a.readProgram(ctx, program, read); err != nil || read[turn] != nil {
+		if err := a.readProgram(ctx, program, s); err != nil || s.read[turn] != nil {
 			return err
 		}
 	}
@@ -68,13 +92,14 @@
 	if err != nil {
 		return err
 	}
+	s.indexed = true
 	if !found {
-		return a.recallMissing(ctx, turn, read)
+		return a.recallMissing(ctx, turn, s)
 	}
-	if err := a.readProgram(ctx, other, read); err != nil {
+	if err := a.readProgram(ctx, other, s); err != nil {
 		return err
 	}
-	if read[turn] == nil {
+	if s.read[turn] == nil {
 		return sd.Unavailable.New("turn %s is indexed but missing from the rows of program %s", turn, other)
 	}
 	return nil
@@ -83,20 +108,19 @@
 // recallMissing handles a turn that is not in the store. A host may have it in memory
 // and not have written it yet, so the turn is reported as NotFound only if all hosts
 // responded.
-func (a *Archive) recallMissing(ctx context.Context, turn Key, read map[Key]*Turn) error {
-	answered := a.recallFromAll(ctx, turn, read)
-	if read[turn] != nil {
+func (a *Archive) recallMissing(ctx context.Context, turn Key, s *search) error {
+	answered := a.recallFromAll(ctx, turn, s)
+	if s.read[turn] != nil {
 		return nil
 	}
 	if a.peers.HostCount != nil && answered+1 < a.peers.HostCount() {
 		return sd.Unavailable.New("turn %s may be held by one of %d hosts that did not respond", turn, a.peers.HostCount()-1-answered)
 	}
-	return sd.NotFound.New("turn %s not found in the store or at any of %d hosts (this host is up for %d ms)",
-		turn, answered+1, a.clock.Now().Since(a.started))
+	return sd.NotFound.New("turn %s not found in the store or at any of %d hosts", turn, answered+1)
 }
 
-// readProgram reads a program's turns from the store and adds them to read.
-func (a *Archive) readProgram(ctx context.Context, program Key, read map[Key]*Turn) error {
+// readProgram reads a program's turns from the store and adds them to s.
+func (a *Archive) readProgram(ctx context.Context, program Key, s *search) error {
 	part, from, to := Part(program), program.String()+"/", program.String()+"0"
 	var pieces []byte
 	var current Key
@@ -109,7 +133,8 @@
 			a.log.Error("cannot decode stored turn", zap.Int("event", eventMalformed), zap.Stringer("program", program),
 				zap.Stringer("turn", current), zap.Error(err))
 		} else {
-			read[current] = t
+			s.read[current] = t
+			s.rows++
 			a.cacheTurn(t)
 		}
 		pieces = nil
@@ -119,6 +144,7 @@
 		if err != nil {
 			return sd.Unavailable.Wrap(err, "cannot read the program's rows")
 		}
+		s.version = max(s.version, page.Version)
 		for _, record := range page.Records {
 			if owner, ok := accountProgram(record.Key); ok {
 				a.observeRecord(owner, record)
--- a/archiver/recall.go
+++ b/archiver/recall.go
@@ -31,8 +31,8 @@
 }
 
 // recallFromAll asks all reachable hosts for a turn and adds the turns received to
-// read. It returns the number of hosts that responded.
-func (a *Archive) recallFromAll(ctx context.Context, turn Key, read map[Key]*Turn) int {
+// s. It returns the number of hosts that responded.
+func (a *Archive) recallFromAll(ctx context.Context, turn Key, s *search) int {
 	peers := a.alive()
 	type reply struct {
 		turns []*Turn
@@ -46,13 +46,15 @@
 		}()
 	}
 	answered := 0
+	s.asked, s.answered = len(peers), 0
 	for range peers {
 		r := <-replies
 		if r.err == nil {
 			answered++
 		}
-		a.addTurns(r.turns, read)
-		if read[turn] != nil {
+		s.answered = answered
+		a.addTurns(r.turns, s.read)
+		if s.read[turn] != nil {
 			break
 		}
 	}
@@ -100,14 +102,14 @@
 	return EmptyResponse{}, nil
 }
 
-// recallFrom asks one host for a turn and adds the turns received to read.
-func (a *Archive) recallFrom(ctx context.Context, at sd.Address, turn Key, read map[Key]*Turn) {
+// recallFrom asks one host for a turn and adds the turns received to s.
+func (a *Archive) recallFrom(ctx context.Context, at sd.Address, turn Key, s *search) {
 	turns, err := a.requestTurns(ctx, at, turn)
 	if err != nil {
 		a.suspects.add(a.clock.Now(), at)
 		return
 	}
-	a.addTurns(turns, read)
+	a.addTurns(turns, s.read)
 }
 
 func (a *Archive) requestTurns(ctx context.Context, at sd.Address, turn Key) ([]*Turn, error) {
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/archiver"
 )
 
 // Log event numbers of this package; see docs/EVENTS.md.
@@ -66,6 +67,9 @@
 		zap.Int("status", status), zap.Int64("took_ms", int64(took)), zap.String("target", string(q.target)),
 		zap.Int("tried", q.attempts), zap.Int("sent", q.possibleRuns),
 	}
+	if kind == "turn" {
+		fields = append(fields, zap.Stringer("turn", archiver.TurnKey(q.workspace, q.params.Request)))
+	}
 	fields = append(fields, q.stageFields()...)
 	fields = append(fields, q.endFields()...)
 	if reason == "" {
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	if err != nil {
-		q.Log.Warn("previous turn cannot be read", zap.Int("event", eventTurn), q.idField(), zap.Error(err))
+		q.Log.Warn("previous turn cannot be read", zap.Int("event", eventTurn), q.idField(), zap.String("previous", string(q.params.Previous)), zap.Error(err))
 		q.fail(ctx, "previous turn cannot be read", retryDelay)
 		return false
 	}
