archiver: turns that go on from one that was never stored are lost with all hosts

A caller that goes on from a turn whose end it was not given (its stream was broken off as the store did not take it) is served from the memory of hosts. The turn it gets ends whole and is stored; the one before may never be. After a loss of all hosts the next turn is answered 404, LOST.

--- a/archiver/fleet_test.go
+++ b/archiver/fleet_test.go
@@ -23,8 +23,10 @@
 
 // fleet is a set of archives that share one store and exchange messages over loopback.
 type fleet struct {
-	t     *testing.T
-	rows  *faker.Rows
+	t    *testing.T
+	rows *faker.Rows
+	// store is what hosts call; it leads to rows.
+	store sd.Store
 	hosts []*testHost
 	lock  sync.Mutex
 	away  bool
@@ -32,6 +34,8 @@
 	// started counts host starts; it gives each host its incarnation.
 	started int
 	client  *messenger.Client
+	// forgetful fleets do not count dead hosts.
+	forgetful bool
 }
 
 type testHost struct {
@@ -49,54 +53,70 @@
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{t: t, rows: faker.NewRows(1), clock: sd.NewClock(), client: messenger.NewClient(nil)}
+	f.store = f.rows
+	f.run(n)
+	return f
+}
+
+// run starts the first n hosts and stops all of them with the test.
+func (f *fleet) run(n int) {
 	f.start(n)
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		f.powerOff()
 		f.client.Close()
 	})
-	return f
 }
 
 // start adds n hosts with empty memory.
 func (f *fleet) start(n int) {
 	f.t.Helper()
 	for i := range n {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		f.started++
-		m := &testHost{ended: make(chan struct{})}
-		m.peer = gossiper.Peer{
-			Host: sd.HostID(string(rune('a' + i))), Zone: sd.ZoneName([]string{"z1", "z2"}[i%2]),
-			Address: sd.Address(listener.Addr().String()), Incarnation: sd.Incarnation(f.started), Cores: 1,
-		}
-		m.Archive = archiver.New(archiver.Settings{CacheCapacity: 1 << 20, Retention: sd.Minute}, f.rows, archiver.Peers{
-			Self: m.peer, Alive: func() []gossiper.Peer { return f.alive(m) }, HostCount: func() int { return n },
-			StoreUnreachable: f.isAway, Client: f.client,
-		}, f.clock, zap.NewNop())
-		e := echo.New()
-		e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
-			return func(c echo.Context) error {
-				if strings.HasSuffix(c.Path(), "/recall") {
-					m.recalls.Add(1)
-				}
-				return next(c)
+		f.boot(i, n)
+	}
+}
+
+// boot adds host i of n with empty memory, or replaces it.
+func (f *fleet) boot(i, n int) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.started++
+	m := &testHost{ended: make(chan struct{})}
+	m.peer = gossiper.Peer{
+		Host: sd.HostID(string(rune('a' + i))), Zone: sd.ZoneName([]string{"z1", "z2"}[i%2]),
+		Address: sd.Address(listener.Addr().String()), Incarnation: sd.Incarnation(f.started), Cores: 1,
+	}
+	m.Archive = archiver.New(archiver.Settings{CacheCapacity: 1 << 20, Retention: sd.Minute}, f.store, archiver.Peers{
+		Self: m.peer, Alive: func() []gossiper.Peer { return f.alive(m) }, HostCount: func() int { return f.known(m, n) },
+		StoreUnreachable: f.isAway, Client: f.client,
+	}, f.clock, zap.NewNop())
+	e := echo.New()
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if strings.HasSuffix(c.Path(), "/recall") {
+				m.recalls.Add(1)
 			}
-		})
-		m.RegisterHandlers(e)
-		m.server = &http.Server{Handler: e}
-		go func() { _ = m.server.Serve(listener) }()
-		ctx, stop := context.WithCancel(f.t.Context())
-		m.stop = stop
-		go func() {
-			_ = m.Run(ctx)
-			close(m.ended)
-		}()
-		f.lock.Lock()
+			return next(c)
+		}
+	})
+	m.RegisterHandlers(e)
+	m.server = &http.Server{Handler: e}
+	go func() { _ = m.server.Serve(listener) }()
+	ctx, stop := context.WithCancel(f.t.Context())
+	m.stop = stop
+	go func() {
+		_ = m.Run(ctx)
+		close(m.ended)
+	}()
+	f.lock.Lock()
+	if i < len(f.hosts) {
+		f.hosts[i] = m
+	} else {
 		f.hosts = append(f.hosts, m)
-		f.lock.Unlock()
 	}
+	f.lock.Unlock()
 }
 
 // powerOff kills all hosts at the same time.
@@ -137,6 +157,14 @@
 	return list
 }
 
+// known returns the number of hosts that a host of n knows.
+func (f *fleet) known(of *testHost, n int) int {
+	if f.forgetful {
+		return len(f.alive(of)) + 1
+	}
+	return n
+}
+
 func (f *fleet) isAway() bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
--- a/archiver/outage_test.go
+++ b/archiver/outage_test.go
@@ -10,6 +10,7 @@
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/archiver"
+	"sapphiredrum.example/sapphiredrum/faker"
 )
 
 // Guards against lost turns: a turn whose end was reported during a store outage was
@@ -76,3 +77,42 @@
 		t.Fatalf("delivered %d tokens of a budget of %d", handed, budget)
 	}
 }
+
+// Guards against lost turns: a turn that no host could store was continued from the memory of
+// a host, and the turns after it were unknown after all hosts lost power, although they had
+// ended.
+func TestChainsRestOnTurnsOfTheStore(t *testing.T) {
+	f := newFleet(t, 3)
+	broken, other := "p", "q"
+	for i := 0; archiver.Part(archiver.ProgramKey("w", sd.ProgramID(other))) == archiver.Part(archiver.ProgramKey("w", "p")); i++ {
+		other = fmt.Sprint("q", i)
+	}
+	f.must(f.turn(0, broken, "t1", ""))
+	program, turn := archiver.ProgramKey("w", sd.ProgramID(broken)), archiver.TurnKey("w", "t2")
+	hold, err := f.hosts[0].Reserve(t.Context(), program, turn, 100, 350)
+	f.must(err)
+	f.rows.Trouble(faker.RowsTrouble{Down: true, Parts: []string{archiver.Part(program)}})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	err = f.hosts[0].Settle(ctx, program, hold, 50, &archiver.Turn{Program: program, Key: turn, Previous: archiver.TurnKey("w", "t1"), Origin: program})
+	if !errorx.IsOfType(err, sd.Unavailable) {
+		t.Fatalf("turn that cannot be stored: got %v, want Unavailable", err)
+	}
+	var ended []string
+	for i := range f.hosts {
+		id := fmt.Sprint("u", i)
+		if err := f.turn(i, other, id, "t2"); err == nil {
+			ended = append(ended, id)
+		} else if !errorx.IsOfType(err, sd.Unavailable) {
+			t.Errorf("host %d: got %v, want Unavailable", i, err)
+		}
+	}
+	f.powerOff()
+	f.rows.Trouble(faker.RowsTrouble{})
+	f.powerOn()
+	for _, id := range ended {
+		if err := f.turn(1, other, "after-"+id, id); err != nil {
+			t.Errorf("cannot continue from turn %s, which had ended: %v", id, err)
+		}
+	}
+}
--- a/faker/rows.go
+++ b/faker/rows.go
@@ -38,6 +38,9 @@
 	// Lost is the share of commits that take effect and are not answered; Late of
 	// those, the share that takes effect only after Delay.
 	Lost, Late sd.Share
+	// Twice is the share of commits that are made twice, at once or with the second after
+	// Delay; the answer is that of the last one made at once.
+	Twice sd.Share
 	// Delay is how long each call takes.
 	Delay sd.Millis
 	// Parts limits the trouble to these parts; nil stands for all.
@@ -149,19 +152,31 @@
 	defer r.lock.Unlock()
 	if r.random != nil && r.trouble.strikes(part) && r.random.Float64() < float64(r.trouble.Lost) {
 		if r.random.Float64() < float64(r.trouble.Late) {
-			time.AfterFunc(max(r.trouble.Delay, lateLeast).Duration(), func() {
-				r.lock.Lock()
-				defer r.lock.Unlock()
-				_, _ = r.check(update)
-			})
+			r.checkLate(update)
 		} else {
 			_, _ = r.check(update)
 		}
 		return sd.Page{}, sd.Uncertain.New("answer lost")
 	}
+	if r.random != nil && r.trouble.strikes(part) && r.random.Float64() < float64(r.trouble.Twice) {
+		if r.random.Float64() < 0.5 {
+			r.checkLate(update)
+		} else {
+			_, _ = r.check(update)
+		}
+	}
 	return r.check(update)
 }
 
+// checkLate applies an update later if its conditions hold then.
+func (r *Rows) checkLate(update sd.Update) {
+	time.AfterFunc(max(r.trouble.Delay, lateLeast).Duration(), func() {
+		r.lock.Lock()
+		defer r.lock.Unlock()
+		_, _ = r.check(update)
+	})
+}
+
 // lateLeast is the least delay of a commit that takes effect late.
 const lateLeast = 30 * sd.Millisecond
 
