archiver: the test of kept turns checks what the store would refuse, and fills transactions

Each transaction is checked for entries, bytes, parts and rows named twice, as the platform's page says; with each fourth seed 60 callers share the parts instead of 10. No logic changes.

--- a/archiver/kept_test.go
+++ b/archiver/kept_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
@@ -108,16 +109,39 @@
 }
 
 // boundedStore is a store whose calls end in time, as those of a relay do.
-type boundedStore struct{ *faker.Rows }
+type boundedStore struct {
+	*faker.Rows
+	t *testing.T
+}
 
 const keptCallTimeout = 200 * time.Millisecond
 
 func (s boundedStore) Commit(ctx context.Context, update sd.Update) (sd.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, keptCallTimeout)
 	defer cancel()
+	s.check(update)
 	return s.Rows.Commit(ctx, update)
 }
 
+// check tells what the platform's store would refuse: too many entries or bytes, rows of
+// several parts, or a row named twice.
+func (s boundedStore) check(update sd.Update) {
+	size, part := 0, update.Expect[0].Part
+	for _, list := range [][]sd.Record{update.Expect, update.Put} {
+		seen := map[sd.RecordKey]bool{}
+		for _, record := range list {
+			size += len(record.Table) + len(record.Part) + len(record.Key) + base64.StdEncoding.EncodedLen(len(record.Value)) + 60
+			if seen[record.RecordKey] || record.Part != part {
+				s.t.Errorf("row %v is named twice or lies in another part", record.RecordKey)
+			}
+			seen[record.RecordKey] = true
+		}
+	}
+	if entries := len(update.Expect) + len(update.Put) + len(update.Remove); entries > 100 || size > 1_000_000 {
+		s.t.Errorf("transaction of %d entries, %d bytes", entries, size)
+	}
+}
+
 func (s boundedStore) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, keptCallTimeout)
 	defer cancel()
@@ -144,18 +168,24 @@
 func newKeptRun(t *testing.T, seed uint64) *keptRun {
 	k := &keptRun{seed: seed, fleet: &fleet{t: t, rows: faker.NewRows(seed), clock: sd.NewClock(), forgetful: true}}
 	k.client = messenger.NewClient(k)
-	k.store = boundedStore{k.rows}
+	k.store = boundedStore{k.rows, t}
 	k.run(4)
 	return k
 }
 
-const keptCallers = 10
+// keptCallers is the number of callers at once; with each fourth seed it is keptCrowd, so that
+// transactions are full.
+const keptCallers, keptCrowd = 10, 60
 
 // play lets callers and faults go on for a time, loses all hosts and looks for all turns.
 func (k *keptRun) play(length time.Duration) {
 	end := time.Now().Add(length)
 	var callers, faults sync.WaitGroup
-	for i := range keptCallers {
+	n := keptCallers
+	if k.seed%4 == 0 {
+		n = keptCrowd
+	}
+	for i := range n {
 		callers.Go(func() {
 			random := rand.New(rand.NewPCG(k.seed, uint64(i)))
 			for time.Now().Before(end) {
