archiver: hosts cache a turn once the store has it

Callers saw (in tests only): a turn that went on from one which had been broken off, as the store had not taken it, ended whole; after a loss of all hosts the next turn was answered 404.

Cause: Settle, the sequencer and the zone's cacher cached a turn before its transaction, and Chain takes what is cached for kept. The later turn was stored, in another part or by another host, the one before it died with the hosts.

Now a turn is cached where its transaction succeeded, and sent to the zone's cacher after that. While it is being stored, hosts answer a recall with that, and whoever asks gets Unavailable, not NotFound. So every cached turn is in the store, with its chain, by induction over the chain.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -45,6 +45,8 @@
 	workers   [Parts]*worker
 	cacheLock sync.Mutex
 	cache     Cache
+	// storing counts the calls of Settle that are storing a turn.
+	storing map[Key]int
 
 	suspects suspects
 	// lastReservedAt is when a reservation last got a decision from the store, in
@@ -79,7 +81,8 @@
 func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
 		settings: settings, store: store, peers: peers, clock: clock, log: log, started: clock.Now(),
-		cache: Cache{Capacity: int(settings.CacheCapacity), Retention: settings.Retention},
+		cache:   Cache{Capacity: int(settings.CacheCapacity), Retention: settings.Retention},
+		storing: map[Key]int{},
 	}
 	for i, part := range AllParts() {
 		a.workers[i] = &worker{
@@ -129,6 +132,26 @@
 	return n
 }
 
+// isStoring reports whether this host has yet to store a turn. A turn that it has stored is
+// cached before that changes.
+func (a *Archive) isStoring(turn Key) bool {
+	a.cacheLock.Lock()
+	settling := a.storing[turn] > 0
+	a.cacheLock.Unlock()
+	if settling {
+		return true
+	}
+	for _, w := range a.workers {
+		w.lock.Lock()
+		storing := w.lane.IsStoring(turn)
+		w.lock.Unlock()
+		if storing {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Archive) worker(program Key) *worker { return a.workers[program[0]%Parts] }
 
 // Reserve reserves a turn's token limit from its program's budget. It returns the
@@ -310,14 +333,37 @@
 // the turn to store, or nil. Settle returns once the store has the turn: a copy in
 // the memory of hosts would be lost if all of them lost power. If ctx ends first,
 // the error is Unavailable and the operation continues in the background.
+//
+// Only then is the turn cached: a turn that continued from one that is never stored would
+// end, and have a chain with a gap once its copies in memory are lost.
 func (a *Archive) Settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
-	if kept != nil {
-		a.cacheTurn(kept)
-		if a.peers.Client != nil {
-			// Best effort; nothing waits for it.
-			go a.sendToCacher(context.WithoutCancel(ctx), kept)
-		}
+	if kept == nil {
+		return a.settle(ctx, program, hold, used, nil)
+	}
+	a.cacheLock.Lock()
+	a.storing[kept.Key]++
+	a.cacheLock.Unlock()
+	err := a.settle(ctx, program, hold, used, kept)
+	a.cacheLock.Lock()
+	if a.storing[kept.Key]--; a.storing[kept.Key] == 0 {
+		delete(a.storing, kept.Key)
+	}
+	if err == nil {
+		a.cache.Add(a.clock.Now(), kept)
 	}
+	a.cacheLock.Unlock()
+	if err != nil {
+		return err
+	}
+	if a.peers.Client != nil {
+		// Best effort; nothing waits for it.
+		go a.sendToCacher(context.WithoutCancel(ctx), kept)
+	}
+	return nil
+}
+
+// settle ends a turn at the sequencer that made its reservation, or on this host.
+func (a *Archive) settle(ctx context.Context, program, hold Key, used sd.Tokens, kept *Turn) error {
 	o := Operation{Kind: Settle, Program: program, Hold: hold, Tokens: used, Turn: kept}
 	w := a.worker(program)
 	w.lock.Lock()
--- a/archiver/doc.go
+++ b/archiver/doc.go
@@ -33,7 +33,8 @@
 // power. A turn therefore runs only after the store has its reservation, or within an
 // allotment for which accounts leave room (Budgets), and its end is reported only after
 // the store has the turn. Callers wait for that or are refused; the memory of hosts is
-// only a read cache.
+// only a read cache of turns that the store has, so that no chain rests on a turn that
+// the store may never get.
 //
 // # Reading order
 //
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -108,6 +108,12 @@
 	return n
 }
 
+// IsStoring reports whether an operation that stores the turn has not completed.
+func (l *Batcher) IsStoring(turn Key) bool {
+	stores := func(o *Operation) bool { return o.Turn != nil && o.Turn.Key == turn }
+	return slices.ContainsFunc(l.pending, stores) || (l.batch != nil && slices.ContainsFunc(l.batch.operations, stores))
+}
+
 // Observe records an account that was read from the store, unless a version at least
 // as new is known.
 func (l *Batcher) Observe(now sd.Instant, program Key, account Account, version uint64) {
--- a/archiver/outage_test.go
+++ b/archiver/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/archiver"
 	"sapphiredrum.example/sapphiredrum/faker"
+	"sapphiredrum.example/sapphiredrum/messenger"
 )
 
 // Guards against lost turns: a turn whose end was reported during a store outage was
@@ -78,6 +80,51 @@
 	}
 }
 
+// readOnlyStore refuses transactions while closed is set.
+type readOnlyStore struct {
+	*faker.Rows
+	closed atomic.Bool
+}
+
+func (s *readOnlyStore) Commit(ctx context.Context, update sd.Update) (sd.Page, error) {
+	if s.closed.Load() {
+		return sd.Page{}, sd.Unavailable.New("store takes no transactions")
+	}
+	return s.Rows.Commit(ctx, update)
+}
+
+// A turn that a host is about to store is reported as Unavailable, and found once it is
+// stored. Guards against a 404 for a turn that ends later.
+func TestTurnsBeingStoredAreNotDenied(t *testing.T) {
+	store := &readOnlyStore{Rows: faker.NewRows(1)}
+	f := &fleet{t: t, rows: store.Rows, store: store, clock: sd.NewClock(), client: messenger.NewClient(nil)}
+	f.run(3)
+	program, turn := archiver.ProgramKey("w", "p"), archiver.TurnKey("w", "t1")
+	hold, err := f.hosts[0].Reserve(t.Context(), program, turn, 100, 350)
+	f.must(err)
+	store.closed.Store(true)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- f.hosts[0].Settle(t.Context(), program, hold, 50, &archiver.Turn{Program: program, Key: turn})
+	}()
+	time.Sleep(100 * time.Millisecond)
+	for i, m := range f.hosts {
+		if _, err := m.Chain(t.Context(), program, turn); !errorx.IsOfType(err, sd.Unavailable) {
+			t.Errorf("host %d: turn that is being stored: got %v, want Unavailable", i, err)
+		}
+		if _, err := m.Chain(t.Context(), program, archiver.TurnKey("w", "never")); !errorx.IsOfType(err, sd.NotFound) {
+			t.Errorf("host %d: unknown turn: got %v, want NotFound", i, err)
+		}
+	}
+	store.closed.Store(false)
+	f.must(<-ended)
+	for i, m := range f.hosts {
+		if chain, err := m.Chain(t.Context(), program, turn); err != nil || len(chain) != 1 {
+			t.Errorf("host %d: stored turn: %d turns, %v", i, len(chain), err)
+		}
+	}
+}
+
 // Guards against lost turns: a turn that no host could store was continued from the memory of
 // a host, and the turns after it were unknown after all hosts lost power, although they had
 // ended.
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -23,6 +23,8 @@
 	indexed bool
 	// asked and answered count the hosts that were asked for a turn, and those that responded.
 	asked, answered int
+	// storing is set if a host has yet to store the turn.
+	storing bool
 }
 
 // Chain returns the turns that lead to the turn last, oldest first. Errors are
@@ -105,14 +107,21 @@
 	return nil
 }
 
-// recallMissing handles a turn that is not in the store. A host may have it in memory
-// and not have written it yet, so the turn is reported as NotFound only if all hosts
-// responded.
+// recallMissing handles a turn that is not in the store. A host may be about to store it,
+// so the turn is reported as NotFound only if all hosts responded that they are not.
 func (a *Archive) recallMissing(ctx context.Context, turn Key, s *search) error {
+	storing := a.isStoring(turn)
+	if t := a.cachedTurn(turn); t != nil {
+		s.read[turn] = t
+		return nil
+	}
 	answered := a.recallFromAll(ctx, turn, s)
 	if s.read[turn] != nil {
 		return nil
 	}
+	if storing || s.storing {
+		return sd.Unavailable.New("turn %s is not stored yet", turn)
+	}
 	if a.peers.HostCount != nil && answered+1 < a.peers.HostCount() {
 		return sd.Unavailable.New("turn %s may be held by one of %d hosts that did not respond", turn, a.peers.HostCount()-1-answered)
 	}
--- a/archiver/recall.go
+++ b/archiver/recall.go
@@ -14,11 +14,15 @@
 type RecallRequest struct{ Turn Key }
 
 // RecallResponse is the response to RecallRequest, newest turn first.
-type RecallResponse struct{ Turns []*Turn }
+type RecallResponse struct {
+	Turns []*Turn
+	// Storing is set if the host has yet to store the turn.
+	Storing bool
+}
 
 // handleRecall returns a turn and its predecessors, as far as they are cached here.
 func (a *Archive) handleRecall(_ context.Context, request RecallRequest) (RecallResponse, error) {
-	var answer RecallResponse
+	answer := RecallResponse{Storing: a.isStoring(request.Turn)}
 	for key := request.Turn; key != (Key{}) && len(answer.Turns) < maxChainLength; {
 		t := a.cachedTurn(key)
 		if t == nil {
@@ -35,14 +39,14 @@
 func (a *Archive) recallFromAll(ctx context.Context, turn Key, s *search) int {
 	peers := a.alive()
 	type reply struct {
-		turns []*Turn
-		err   error
+		answer RecallResponse
+		err    error
 	}
 	replies := make(chan reply, len(peers))
 	for _, p := range peers {
 		go func() {
-			turns, err := a.requestTurns(ctx, p.Address, turn)
-			replies <- reply{turns, err}
+			answer, err := a.requestTurns(ctx, p.Address, turn)
+			replies <- reply{answer, err}
 		}()
 	}
 	answered := 0
@@ -53,7 +57,8 @@
 			answered++
 		}
 		s.answered = answered
-		a.addTurns(r.turns, s.read)
+		s.storing = s.storing || r.answer.Storing
+		a.addTurns(r.answer.Turns, s.read)
 		if s.read[turn] != nil {
 			break
 		}
@@ -104,19 +109,18 @@
 
 // recallFrom asks one host for a turn and adds the turns received to s.
 func (a *Archive) recallFrom(ctx context.Context, at sd.Address, turn Key, s *search) {
-	turns, err := a.requestTurns(ctx, at, turn)
+	answer, err := a.requestTurns(ctx, at, turn)
 	if err != nil {
 		a.suspects.add(a.clock.Now(), at)
 		return
 	}
-	a.addTurns(turns, s.read)
+	a.addTurns(answer.Turns, s.read)
 }
 
-func (a *Archive) requestTurns(ctx context.Context, at sd.Address, turn Key) ([]*Turn, error) {
+func (a *Archive) requestTurns(ctx context.Context, at sd.Address, turn Key) (RecallResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
 	defer cancel()
-	answer, err := messenger.Ask[RecallRequest, RecallResponse](ctx, a.peers.Client, at, messageRecall, RecallRequest{turn})
-	return answer.Turns, err
+	return messenger.Ask[RecallRequest, RecallResponse](ctx, a.peers.Client, at, messageRecall, RecallRequest{turn})
 }
 
 func (a *Archive) addTurns(turns []*Turn, read map[Key]*Turn) {
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -244,11 +244,11 @@
 
 // handleSettle settles a turn for another host.
 func (a *Archive) handleSettle(ctx context.Context, o Operation, send func(SettleResponse) error) error {
-	if o.Turn != nil {
-		a.cacheTurn(o.Turn)
-	}
 	return sendKeepalives(send, SettleResponse{Pending: true}, func() (SettleResponse, error) {
 		err := a.settleLocally(ctx, o)
+		if err == nil && o.Turn != nil {
+			a.cacheTurn(o.Turn)
+		}
 		return SettleResponse{Snapshot: a.snapshot(o.Program)}, err
 	})
 }
--- a/archiver/settle_test.go
+++ b/archiver/settle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -15,6 +16,8 @@
 func TestBudgetHoldsAsTheStoreComesBack(t *testing.T) {
 	f := newFleet(t, 5)
 	f.must(f.turn(0, "p", "t0", ""))
+	// Leaves time for the turn to reach the cacher, which no turn waits for.
+	time.Sleep(100 * time.Millisecond)
 	f.lock.Lock()
 	f.hosts[3].cut, f.hosts[4].cut = true, true
 	f.lock.Unlock()
