balancer: keep the hosts' load reports by target

Some of a burst were refused as "wait too long" with half of the slots free, after 119 ms of what should take none.

Each look at a target added up the reports of all hosts, twice, so an assignment cost targets times hosts: 104 x 294. That is 1.6 ms of a core, 13 ms on a host with a fifth of one, under the lock that all requests of the host share. A queued request costs it again every 10 ms and after each response.

A report names the few targets at which its host has requests. Kept by target, a decision reads only the reports that concern it. The hosts that are heard are counted once for all targets. The sums are the same: TestCrowds prints the same figures before and after, to the last digit. TestChoosingATargetDoesNotSlowDownWithTheHosts: 1.6 ms before, 0.03 ms after.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -12,9 +12,15 @@
 
 // peerLoad is the last load report of another host.
 type peerLoad struct {
-	heardAt  sd.Instant
-	inflight map[gossiper.IDHash]int
-	sent     map[gossiper.IDHash]int
+	heardAt sd.Instant
+	// codes are the targets that the report names.
+	codes []gossiper.IDHash
+}
+
+// peerShare is the part of a host's load report that concerns one target.
+type peerShare struct {
+	peer           *peerLoad
+	inflight, sent int
 }
 
 // utilization returns a target's estimated load per slot.
@@ -27,9 +33,9 @@
 // a weight that falls to zero over targetLoadTTL, from the load that the target itself reported.
 func (s *State) load(now sd.Instant, t *target) int {
 	others := 0.0
-	for _, r := range s.peers {
-		if now.Since(r.heardAt) < peerLoadTTL {
-			others += float64(r.inflight[t.code])
+	for _, share := range s.shares[t.code] {
+		if now.Since(share.peer.heardAt) < peerLoadTTL {
+			others += float64(share.inflight)
 		}
 	}
 	if age := now.Since(t.reportedAt); age < targetLoadTTL && t.reportedAt != 0 {
@@ -54,15 +60,17 @@
 			running += t.inflight
 			slots += int(t.Slots)
 		}
+		for _, share := range s.shares[t.code] {
+			if now.Since(share.peer.heardAt) < peerLoadTTL {
+				running += share.inflight
+			}
+		}
 	}
 	var reports, age float64
 	for _, r := range s.peers {
 		if now.Since(r.heardAt) < peerLoadTTL {
 			reports++
 			age += float64(now.Since(r.heardAt))
-			for _, t := range p.members {
-				running += r.inflight[t.code]
-			}
 		}
 	}
 	limit := saturationLimit
@@ -76,9 +84,10 @@
 	return float64(running) > req.RunningLimit
 }
 
-// hasRoom reports whether a target can accept a request now.
-func (s *State) hasRoom(now sd.Instant, p *pool, t *target) bool {
-	return s.load(now, t) < int(t.Slots) && s.withinColdLimit(now, p, t)
+// hasRoom reports whether a target can accept a request now. heard is the number of hosts whose
+// load report is in use.
+func (s *State) hasRoom(now sd.Instant, p *pool, t *target, heard int) bool {
+	return s.load(now, t) < int(t.Slots) && s.withinColdLimit(now, p, t, heard)
 }
 
 // SetHostCount sets the number of hosts that share the rate limit of cold targets.
@@ -92,7 +101,7 @@
 // Each host may always use its even share of coldGuaranteedFraction of the limit. Beyond that
 // it may send as many requests as it has announced to the other hosts, plus its share of what
 // they leave unused, less a reserve.
-func (s *State) withinColdLimit(now sd.Instant, p *pool, t *target) bool {
+func (s *State) withinColdLimit(now sd.Instant, p *pool, t *target, heard int) bool {
 	if p.settings.ColdRate == 0 {
 		return true
 	}
@@ -106,14 +115,13 @@
 	if sent+1 <= guaranteed {
 		return true
 	}
-	others, unheard := 0.0, s.hosts-1
-	for _, r := range s.peers {
-		if now.Since(r.heardAt) < peerLoadTTL {
-			others += max(float64(r.sent[t.code]), guaranteed)
-			unheard--
+	unheard := max(s.hosts-1-heard, 0)
+	others := float64(heard) * guaranteed
+	for _, share := range s.shares[t.code] {
+		if now.Since(share.peer.heardAt) < peerLoadTTL {
+			others += max(float64(share.sent)-guaranteed, 0)
 		}
 	}
-	unheard = max(unheard, 0)
 	// Hosts of a zone that does not hear this one use other targets than its own, except for
 	// a few requests.
 	absent := 0
@@ -128,6 +136,17 @@
 	return sent+1 <= announced || sent+1-announced <= s.extraAllowance(t, s.hosts-absent, limit*(1-coldReserveFraction)-others-announced)
 }
 
+// heardHosts returns the number of hosts whose load report is in use.
+func (s *State) heardHosts(now sd.Instant) int {
+	heard := 0
+	for _, r := range s.peers {
+		if now.Since(r.heardAt) < peerLoadTTL {
+			heard++
+		}
+	}
+	return heard
+}
+
 // extraAllowance returns how many of a target's unused requests a host may take before the
 // others learn of it: an even share among the given number of hosts, plus one of the
 // remainder if its rank among them is low enough.
@@ -207,7 +226,31 @@
 	return xxhash.Sum64String(string(host) + "|" + string(id))
 }
 
-// ReportPeerLoad records the load report of another host.
+// ReportPeerLoad records the load report of another host. Reports are kept by target, as a
+// host has requests at few targets at once, and decisions look at all targets.
 func (s *State) ReportPeerLoad(now sd.Instant, host sd.HostID, inflight, sent map[gossiper.IDHash]int) {
-	s.peers[host] = peerLoad{heardAt: now, inflight: inflight, sent: sent}
+	r := s.peers[host]
+	if r == nil {
+		r = &peerLoad{}
+		s.peers[host] = r
+	}
+	for _, code := range r.codes {
+		s.shares[code] = slices.DeleteFunc(s.shares[code], func(share peerShare) bool { return share.peer == r })
+		if len(s.shares[code]) == 0 {
+			delete(s.shares, code)
+		}
+	}
+	r.heardAt, r.codes = now, r.codes[:0]
+	add := func(code gossiper.IDHash) {
+		r.codes = append(r.codes, code)
+		s.shares[code] = append(s.shares[code], peerShare{r, inflight[code], sent[code]})
+	}
+	for code := range inflight {
+		add(code)
+	}
+	for code := range sent {
+		if _, added := inflight[code]; !added {
+			add(code)
+		}
+	}
 }
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -96,9 +96,11 @@
 	// removedSent holds the send times of recently removed targets, since a registration may
 	// lapse for a moment.
 	removedSent map[sd.TargetID][]sd.Instant
-	peers       map[sd.HostID]peerLoad
-	queue       []*Request
-	nextNumber  uint64
+	peers       map[sd.HostID]*peerLoad
+	// shares holds the parts of the hosts' load reports by target.
+	shares     map[gossiper.IDHash][]peerShare
+	queue      []*Request
+	nextNumber uint64
 }
 
 type pool struct {
@@ -189,7 +191,8 @@
 	}
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
-		evacuated: map[sd.ZoneName]bool{}, removedSent: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]peerLoad{},
+		evacuated: map[sd.ZoneName]bool{}, removedSent: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]*peerLoad{},
+		shares: map[gossiper.IDHash][]peerShare{},
 	}
 }
 
@@ -375,7 +378,7 @@
 func (s *State) assign(now sd.Instant, req *Request) bool {
 	p := s.pool(req.Pool)
 	var subset, sameZone, otherZones, unreachable []*target
-	usable, reachableCount := 0, 0
+	usable, reachableCount, heard := 0, 0, s.heardHosts(now)
 	for _, t := range p.members {
 		if t.Leaving || s.evacuated[t.Zone] || slices.Contains(req.ExcludedTargets, t.ID) {
 			continue
@@ -385,7 +388,7 @@
 		if !isUnreachable {
 			reachableCount++
 		}
-		if now < t.backoffUntil || !s.hasRoom(now, p, t) {
+		if now < t.backoffUntil || !s.hasRoom(now, p, t, heard) {
 			continue
 		}
 		if isUnreachable {
