balancer: rank the hosts for a target once

With each load report, every 0.7 s at 295 hosts, a host hashed every other host with every target to find its place in the division of the cold limit: 2 ms of a core, over 10 ms with a fifth of one, under the lock under which requests get their targets.

Neither the hosts nor the targets change in between, so each target keeps which hosts precede this one. TestCrowds prints the same figures before and after, to the last digit.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -12,6 +12,7 @@
 
 // peerLoad is the last load report of another host.
 type peerLoad struct {
+	host    sd.HostID
 	heardAt sd.Instant
 	// codes are the targets that the report names.
 	codes []gossiper.IDHash
@@ -211,9 +212,12 @@
 // hostsRankedBefore counts the hosts heard from since an instant that precede this one in a
 // target's rendezvous order.
 func (s *State) hostsRankedBefore(since sd.Instant, t *target) int {
+	for _, r := range s.peerList[len(t.precededBy):] {
+		t.precededBy = append(t.precededBy, rank(r.host, t.ID) < t.rank)
+	}
 	n := 0
-	for host, r := range s.peers {
-		if r.heardAt > since && rank(host, t.ID) < t.rank {
+	for i, r := range s.peerList {
+		if t.precededBy[i] && r.heardAt > since {
 			n++
 		}
 	}
@@ -231,8 +235,8 @@
 func (s *State) ReportPeerLoad(now sd.Instant, host sd.HostID, inflight, sent map[gossiper.IDHash]int) {
 	r := s.peers[host]
 	if r == nil {
-		r = &peerLoad{}
-		s.peers[host] = r
+		r = &peerLoad{host: host}
+		s.peers[host], s.peerList = r, append(s.peerList, r)
 	}
 	for _, code := range r.codes {
 		s.shares[code] = slices.DeleteFunc(s.shares[code], func(share peerShare) bool { return share.peer == r })
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -97,6 +97,8 @@
 	// lapse for a moment.
 	removedSent map[sd.TargetID][]sd.Instant
 	peers       map[sd.HostID]*peerLoad
+	// peerList holds the peers in the order in which they were first heard.
+	peerList []*peerLoad
 	// shares holds the parts of the hosts' load reports by target.
 	shares     map[gossiper.IDHash][]peerShare
 	queue      []*Request
@@ -131,7 +133,10 @@
 	// remainder of the cold limit.
 	hostsBefore int
 	rank        uint64
-	code        gossiper.IDHash
+	// precededBy reports for each host of State.peerList whether it precedes this one in the
+	// target's rendezvous order. It is extended when it is read.
+	precededBy []bool
+	code       gossiper.IDHash
 }
 
 // Request is a request for a target, assigned at once or queued.
