exchanger: what opens connections to targets is a setting

No change of behaviour: the Dialer interface takes the place of the direct dial, so that a test can cut a host off from its targets and a host may reach them another way.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -27,6 +27,8 @@
 	// Kept bounds the idle connections per target.
 	Kept  int
 	Clock sd.Clock
+	// Dialer opens the connections; nil connects to targets directly.
+	Dialer sd.Dialer
 }
 
 const (
@@ -124,6 +126,21 @@
 	return response, err
 }
 
+// direct connects to targets over the network.
+type direct struct{}
+
+// Dial implements sd.Dialer.
+func (direct) Dial(ctx context.Context, target sd.Address, timeout sd.Millis) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout.Duration(), KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", string(target))
+}
+
+// Usable implements sd.Dialer.
+func (direct) Usable(net.Conn, sd.Address, sd.Instant) bool { return true }
+
+// Direct returns the Dialer that connects to targets over the network.
+func Direct() sd.Dialer { return direct{} }
+
 // New returns an Exchanger without connections.
 func New(settings Settings) *Exchanger {
 	if settings.Connect == 0 {
@@ -135,6 +152,9 @@
 	if settings.Kept == 0 {
 		settings.Kept = DefaultKept
 	}
+	if settings.Dialer == nil {
+		settings.Dialer = direct{}
+	}
 	return &Exchanger{settings: settings, idle: map[sd.Address][]*connection{}}
 }
 
@@ -382,7 +402,7 @@
 		if conn == nil {
 			break
 		}
-		if x.settings.Clock.Now() < conn.until && quiet(conn.Conn) {
+		if x.settings.Clock.Now() < conn.until && x.settings.Dialer.Usable(conn.Conn, address, conn.since) && quiet(conn.Conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -402,8 +422,7 @@
 
 // dial opens a connection.
 func (x *Exchanger) dial(ctx context.Context, address sd.Address, timeout sd.Millis) (*connection, error) {
-	dialer := net.Dialer{Timeout: timeout.Duration(), KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp4", string(address))
+	raw, err := x.settings.Dialer.Dial(ctx, address, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/starter/host.go
+++ b/starter/host.go
@@ -133,6 +133,11 @@
 
 // New builds a host that does nothing until Run. Path names its settings file.
 func New(settings platform.Settings, path string, log *zap.Logger) *Host {
+	return newHost(settings, path, exchanger.Direct(), log)
+}
+
+// newHost builds a host that reaches targets through dialer.
+func newHost(settings platform.Settings, path string, dialer sd.Dialer, log *zap.Logger) *Host {
 	h := &Host{
 		settings: settings, path: path, clock: sd.NewClock(), log: log, incarnation: sd.NewIncarnation(),
 		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{},
@@ -148,7 +153,7 @@
 	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
 	h.relay.Know(archiver.AllParts()...)
 	h.relay.Changed, h.gossiper.OnStoreUnreachable = h.gossiper.SendSoon, h.relay.Suspect
-	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock})
+	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: dialer})
 	h.gate = receiver.NewTargetQueue(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdRateFactor: settings.ColdOver, ColdSlack: settings.ColdSlack,
 		Connected: h.exchanger.HasIdle,
--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/faker"
 	"sapphiredrum.example/sapphiredrum/platform"
 	"sapphiredrum.example/sapphiredrum/platform/emulator"
@@ -67,6 +68,12 @@
 
 // host runs a host and returns its callers' and ready addresses, and what stops it.
 func (s *site) host(name string) (callers, ready string, stop func()) {
+	s.t.Helper()
+	return s.hostOver(name, exchanger.Direct())
+}
+
+// hostOver runs a host that reaches targets through a dialer.
+func (s *site) hostOver(name string, dialer sd.Dialer) (callers, ready string, stop func()) {
 	s.t.Helper()
 	p := ports(s.t, 4)
 	text := fmt.Sprintf(`[host]
@@ -104,7 +111,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- starter.New(settings, path, zap.NewNop()).Run(ctx) }()
+	go func() { ended <- starter.NewOver(settings, path, dialer, zap.NewNop()).Run(ctx) }()
 	stopped := false
 	stop = func() {
 		if stopped {
