tunneler: a host that does not reach a target connects to it through another host

Cause: a target that this host could not connect to counted as one that nobody could. The host backed off from one target after the other, and nothing used the way that was left.

The host now asks another one to connect to the target and to copy bytes. The host that took the request still decides everything about it, so at-most-once, budgets, rates, cold limits, deadlines and cancellation hold as on a direct connection. Which way works is learnt from connections that are opened both ways, directly and through a tunnel; hosts that miss several targets in a row use tunnels only, say so in their heartbeats and are not asked for tunnels. A target that is slow to begin its answer has its path checked, as connections from before a partition show nothing of it.

--- a/dialer.go
+++ b/dialer.go
@@ -10,7 +10,7 @@
 	// Dial opens a connection to a target within the timeout. The error is
 	// syscall.ECONNREFUSED, possibly wrapped, only if the target's process is down.
 	Dial(ctx context.Context, target Address, timeout Millis) (net.Conn, error)
-	// Usable reports whether a connection returned by Dial, last used at the given
-	// instant, may carry another request to the target.
-	Usable(conn net.Conn, target Address, lastUsed Instant) bool
+	// Usable reports whether a connection returned by Dial that is idle may carry another
+	// request to the target.
+	Usable(conn net.Conn, target Address) bool
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,9 @@
 	Clock sd.Clock
 	// Dialer opens the connections; nil connects to targets directly.
 	Dialer sd.Dialer
+	// Silence is how long a target may take to begin its answer before a new connection
+	// checks the path to it; zero means for ever.
+	Silence sd.Millis
 }
 
 const (
@@ -94,6 +98,13 @@
 	// without notice shorten it.
 	trust   sd.Millis
 	doubted sd.Instant
+	// checking is set while a path is checked, checkedAt is when that last began.
+	checking  bool
+	checkedAt sd.Instant
+	checks    sync.WaitGroup
+	// closing ends the checks under way.
+	closing context.Context
+	close   context.CancelFunc
 }
 
 type connection struct {
@@ -136,7 +147,7 @@
 }
 
 // Usable implements sd.Dialer.
-func (direct) Usable(net.Conn, sd.Address, sd.Instant) bool { return true }
+func (direct) Usable(net.Conn, sd.Address) bool { return true }
 
 // Direct returns the Dialer that connects to targets over the network.
 func Direct() sd.Dialer { return direct{} }
@@ -155,7 +166,9 @@
 	if settings.Dialer == nil {
 		settings.Dialer = direct{}
 	}
-	return &Exchanger{settings: settings, idle: map[sd.Address][]*connection{}}
+	x := &Exchanger{settings: settings, idle: map[sd.Address][]*connection{}}
+	x.closing, x.close = context.WithCancel(context.Background())
+	return x
 }
 
 // Answer is a target's answer whose body has not been read yet.
@@ -233,6 +246,10 @@
 			_, body.err = buffers.WriteTo(conn.Conn)
 		}()
 	}
+	if x.settings.Silence > 0 {
+		check := time.AfterFunc(x.settings.Silence.Duration(), func() { x.check(conn.address) })
+		defer check.Stop()
+	}
 	request := &http.Request{Method: call.Method}
 	skipped := false
 	for range strays + 1 {
@@ -300,7 +317,6 @@
 // Close drops all idle connections; later exchanges keep none.
 func (x *Exchanger) Close() {
 	x.lock.Lock()
-	defer x.lock.Unlock()
 	x.ended = true
 	for _, list := range x.idle {
 		for _, conn := range list {
@@ -308,6 +324,45 @@
 		}
 	}
 	x.idle = nil
+	x.lock.Unlock()
+	x.close()
+	x.checks.Wait()
+}
+
+// Sweep drops the idle connections that the Dialer no longer counts as usable.
+func (x *Exchanger) Sweep() {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	for address, list := range x.idle {
+		x.idle[address] = slices.DeleteFunc(list, func(conn *connection) bool {
+			usable := x.settings.Dialer.Usable(conn.Conn, address)
+			if !usable {
+				_ = conn.Close()
+			}
+			return !usable
+		})
+	}
+}
+
+// check opens a connection to a target that has been silent, and keeps it. A connection
+// that was opened before a partition shows nothing of it, but a new one does.
+func (x *Exchanger) check(address sd.Address) {
+	now := x.settings.Clock.Now()
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	if x.ended || x.checking || now.Since(x.checkedAt) < x.settings.Silence {
+		return
+	}
+	x.checking, x.checkedAt = true, now
+	x.checks.Go(func() {
+		conn, err := x.dial(x.closing, address, x.settings.Connect)
+		if err == nil {
+			x.keep(conn, "")
+		}
+		x.lock.Lock()
+		x.checking = false
+		x.lock.Unlock()
+	})
 }
 
 // Forget drops the idle connections to a target that is gone.
@@ -402,7 +457,7 @@
 		if conn == nil {
 			break
 		}
-		if x.settings.Clock.Now() < conn.until && x.settings.Dialer.Usable(conn.Conn, address, conn.since) && quiet(conn.Conn) {
+		if x.settings.Clock.Now() < conn.until && x.settings.Dialer.Usable(conn.Conn, address) && quiet(conn.Conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
--- a/gossiper/beat.go
+++ b/gossiper/beat.go
@@ -27,6 +27,8 @@
 	ReachesStore bool
 	// Leaving reports whether the host is about to stop.
 	Leaving bool
+	// Detached reports whether the host opens no connections to targets itself.
+	Detached bool
 	// Inflight counts requests in flight, Sent those sent in the last second, by target.
 	Inflight, Sent map[IDHash]int
 	// Admitted counts requests admitted since the host started, by workspace.
@@ -40,6 +42,7 @@
 const (
 	flagReaches = 1 << iota
 	flagLeaving
+	flagDetached
 )
 
 // The first byte of a datagram: one heartbeat, one to be relayed, or a batch.
@@ -102,6 +105,9 @@
 	if b.Leaving {
 		flags |= flagLeaving
 	}
+	if b.Detached {
+		flags |= flagDetached
+	}
 	out = append(out, flags)
 	out = appendCounts(out, b.Inflight)
 	out = appendCounts(out, b.Sent)
@@ -127,7 +133,7 @@
 	b.Incarnation = sd.Incarnation(r.uvarint())
 	b.Number, b.Revision = r.uvarint(), sd.Revision(r.uvarint())
 	if len(r.rest) > 0 {
-		b.ReachesStore, b.Leaving = r.rest[0]&flagReaches != 0, r.rest[0]&flagLeaving != 0
+		b.ReachesStore, b.Leaving, b.Detached = r.rest[0]&flagReaches != 0, r.rest[0]&flagLeaving != 0, r.rest[0]&flagDetached != 0
 	}
 	r.skip(1)
 	b.Inflight, b.Sent, b.Admitted = readCounts[int](&r), readCounts[int](&r), readCounts[uint64](&r)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -67,6 +67,8 @@
 	Cores float64
 	// Leaving hosts are given no new work.
 	Leaving bool
+	// Detached hosts do not reach the targets.
+	Detached bool
 }
 
 // Gossiper sends and receives heartbeats. It is safe for concurrent use.
@@ -465,7 +467,7 @@
 	if p.reaches && !beat.ReachesStore && g.OnStoreUnreachable != nil {
 		g.OnStoreUnreachable()
 	}
-	p.number, p.reaches, p.lastHeard, p.Leaving = beat.Number, beat.ReachesStore, g.Clock.Now(), beat.Leaving
+	p.number, p.reaches, p.lastHeard, p.Leaving, p.Detached = beat.Number, beat.ReachesStore, g.Clock.Now(), beat.Leaving, beat.Detached
 	if p.lost {
 		p.lost = false
 		g.Log.Info("receiving heartbeats from peer", zap.Int("event", eventPeerFound), zap.String("peer", string(p.Host)),
--- a/starter/host.go
+++ b/starter/host.go
@@ -26,6 +26,7 @@
 	"sapphiredrum.example/sapphiredrum/receiver"
 	"sapphiredrum.example/sapphiredrum/relayer"
 	"sapphiredrum.example/sapphiredrum/screener"
+	"sapphiredrum.example/sapphiredrum/tunneler"
 )
 
 // Events of this package; docs/EVENTS.md lists them.
@@ -79,6 +80,9 @@
 	longRun = 1500 * sd.Millisecond
 	// tellEvery is how often the counters are logged.
 	tellEvery = 10 * sd.Second
+	// targetSilence is how long a target may take to begin its answer before the path to it
+	// is checked; on days of full targets, 3 in 1,000 take longer.
+	targetSilence = 300 * sd.Millisecond
 	// storePause is the first pause after a failed write of this host's row, longestPause the
 	// last, at which hundreds of hosts stay below half of what a part of the store bears.
 	storePause   = 300 * sd.Millisecond
@@ -106,6 +110,7 @@
 	allotter  *allotter.Allotter
 	screener  *screener.Screener
 	exchanger *exchanger.Exchanger
+	tunneler  *tunneler.Tunneler
 	receiver  *receiver.Receiver
 	measures  *receiver.Metrics
 	idle      idleConnections
@@ -153,7 +158,11 @@
 	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
 	h.relay.Know(archiver.AllParts()...)
 	h.relay.Changed, h.gossiper.OnStoreUnreachable = h.gossiper.SendSoon, h.relay.Suspect
-	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: dialer})
+	h.tunneler = tunneler.New(tunneler.Config{
+		Direct: dialer, Zone: settings.Zone, Peers: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Targets: h.targetAddresses,
+		Changed: h.gossiper.SendSoon, Clock: h.clock, Log: log,
+	})
+	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: h.tunneler, Silence: targetSilence})
 	h.gate = receiver.NewTargetQueue(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdRateFactor: settings.ColdOver, ColdSlack: settings.ColdSlack,
 		Connected: h.exchanger.HasIdle,
@@ -199,6 +208,7 @@
 	add(h.archive.Run)
 	add(h.allotter.Run)
 	add(h.screener.Run)
+	add(h.tunneler.Run)
 	add(h.idle.run)
 	add(h.publish)
 	add(h.reload)
@@ -211,6 +221,7 @@
 	add(func(inner context.Context) error { return h.serve(inner, ctx) })
 	err := group.Run()
 	h.exchanger.Close()
+	h.tunneler.Close()
 	h.peers.Close()
 	h.client.Close()
 	h.log.Info("host stops", zap.Int("event", eventStops), zap.Error(err))
@@ -236,7 +247,8 @@
 
 // fill completes a beat.
 func (h *Host) fill(beat *gossiper.Heartbeat) {
-	beat.ReachesStore, beat.Leaving = h.relay.Reaches(), h.draining.Load()
+	beat.ReachesStore, beat.Leaving, beat.Detached = h.relay.Reaches(), h.draining.Load(), h.tunneler.Detached()
+	h.exchanger.Sweep()
 	h.outage.observe(h.clock.Now(), h.relay.Away())
 	if t := h.receiver.RoutingTable(); t != nil {
 		beat.Revision = t.FleetConfig.Revision
@@ -271,6 +283,17 @@
 	})
 }
 
+// targetAddresses returns the addresses of the registered targets.
+func (h *Host) targetAddresses() []sd.Address {
+	var list []sd.Address
+	h.gate.Update(func(s *balancer.State, _ sd.Instant) {
+		for _, target := range s.Targets() {
+			list = append(list, target.Address)
+		}
+	})
+	return list
+}
+
 // isolated reports whether the host is cut off from most others and from the
 // store: callers are served better elsewhere.
 func (h *Host) isolated() bool {
@@ -317,6 +340,7 @@
 	set := h.measures.Set
 	h.exchanger.Opened = func(sd.Address) { set.GetOrCreateCounter("target_connections_total").Inc() }
 	h.client.Called = func(call string) { set.GetOrCreateCounter(`store_calls_total{call="` + call + `"}`).Inc() }
+	h.tunneler.Opened = func() { set.GetOrCreateCounter("tunnels_opened_total").Inc() }
 	h.relay.Relayed = func() { set.GetOrCreateCounter("store_calls_relayed_total").Inc() }
 	h.archive.OnCommit = func(took sd.Millis, err error) {
 		set.GetOrCreateHistogram("store_commit_seconds").Update(float64(took) / float64(sd.Second))
@@ -330,6 +354,7 @@
 		set.GetOrCreateCounter(`store_commits_total{outcome="` + outcome + `"}`).Inc()
 	}
 	set.NewGauge("peers", func() float64 { return float64(len(h.gossiper.Alive(false))) })
+	set.NewGauge("tunnels_served", func() float64 { return float64(h.tunneler.Serving()) })
 	set.NewGauge("target_connections_idle", func() float64 { return float64(h.exchanger.Idle()) })
 	set.NewGauge("requests_refused_for_crashes", func() float64 { return float64(h.screener.Refused()) })
 	set.NewGauge("accounts_waiting", func() float64 { return float64(h.archive.Waiting()) })
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -96,6 +96,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, left(drainReserve))
 	err := callers.Shutdown(limited)
+	tunnels := h.tunneler.Drain(limited)
 	cancel()
 	limited, cancel = context.WithTimeout(ctx, left(flushReserve))
 	flushed := h.receiver.WaitSettled(limited) && h.archive.Flush(limited)
@@ -104,7 +105,7 @@
 	_, gone := h.relay.Commit(limited, sd.Update{Remove: []sd.RecordKey{cell}})
 	cancel()
 	h.log.Info("host has drained", zap.Int("event", eventDrains), zap.Bool("flushed", flushed),
-		zap.NamedError("cut", err), zap.NamedError("row", gone))
+		zap.NamedError("cut", err), zap.NamedError("tunnels", tunnels), zap.NamedError("row", gone))
 }
 
 // callerHandler serves callers; while the host drains or is cut off they are asked
@@ -140,6 +141,7 @@
 	messenger.Handle(e, relayer.Message, h.relay.Answer)
 	h.archive.RegisterHandlers(e)
 	h.allotter.RegisterHandlers(e)
+	h.tunneler.RegisterHandlers(e)
 	return e
 }
 
