tunneler: hosts of a partitioned zone ask hosts of other zones for tunnels

Hosts of the own and of other zones are now asked by turns, so two words come from two zones. TestPartitionedZoneUsesHostsOfOtherZones fails before (connection refused).

Tests of the tunnels: how they end, to whom they lead, when a target counts as down, the way back to direct connections, a planned stop of the host that carries them.

--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -34,7 +34,8 @@
 	// checkTimeout limits a check of the path to a target.
 	checkTimeout = 400 * sd.Millisecond
 	// maxRoutes is the number of hosts tried for one connection, and maxRefusals the number
-	// of them whose word is taken that the target's process is down.
+	// of them whose word is taken that the target's process is down: two, as those of
+	// a partitioned zone may not know yet that they are.
 	maxRoutes   = 4
 	maxRefusals = 2
 	// routeDelay is how long a host may take to open a tunnel before the next one is asked.
@@ -317,7 +318,8 @@
 }
 
 // routes returns the hosts through which a tunnel may be opened, in the order in which
-// they are asked: those of the own zone first.
+// they are asked: by turns one of the own zone and one of another, as the whole zone
+// may be partitioned.
 func (t *Tunneler) routes() []sd.Address {
 	var near, far []sd.Address
 	for _, p := range t.Peers() {
@@ -331,11 +333,11 @@
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	if len(near) >= maxRoutes && len(far) > 0 {
-		// The whole zone may be partitioned.
-		near = near[:maxRoutes-1]
+	var routes []sd.Address
+	for i := range max(len(near), len(far)) {
+		routes = append(routes, near[min(i, len(near)):min(i+1, len(near))]...)
+		routes = append(routes, far[min(i, len(far)):min(i+1, len(far))]...)
 	}
-	routes := append(near, far...)
 	return routes[:min(len(routes), maxRoutes)]
 }
 
