--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -32,6 +32,7 @@
 		b := Heartbeat{
 			Host: sd.HostID(rapid.StringN(0, 40, 200).Draw(t, "host")), Incarnation: sd.Incarnation(rapid.Uint64().Draw(t, "i")),
 			Number: rapid.Uint64().Draw(t, "n"), ReachesStore: rapid.Bool().Draw(t, "reaches"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			Detached: rapid.Bool().Draw(t, "detached"),
 			Inflight: convert(counts.Draw(t, "inflight")), Sent: convert(counts.Draw(t, "sent")), Admitted: map[IDHash]uint64{7: 9},
 		}
 		got, ok := DecodeHeartbeat(b.Encode())
