tunneler: what a host says of others rests on its own connections

- The end of the host that carries a tunnel looked like a close in order, half of an answer without a frame like the whole.
Its connection now resets unless the target closed in order (TestTunnelIsResetAsItsCarrierEnds).
- Close hung on a tunnel that was being opened, and raced with Dial; the limit did not count tunnels being opened; a tunnel outlived its target.
A stop refuses new tunnels at once, not after its callers are gone.
- Reading the list of hosts and targets cost a copy for each idle tunnel and took the queue's turn.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -44,8 +44,8 @@
 	// DefaultKept covers the requests that one host has at one target at once.
 	DefaultKept = 16
 	// refusalTimeout is many times what a target in another zone takes to refuse a
-	// connection.
-	refusalTimeout = 50 * sd.Millisecond
+	// connection, and leaves time to ask some other hosts whether it does.
+	refusalTimeout = 150 * sd.Millisecond
 	// idleMargin is kept from an idle timeout that a target names.
 	idleMargin = 700 * sd.Millisecond
 	// inlineBody is the size up to which a body is sent before the answer is read;
--- a/receiver/queue.go
+++ b/receiver/queue.go
@@ -41,6 +41,13 @@
 	g.advance(now)
 }
 
+// Targets returns the registered targets in no particular order.
+func (g *TargetQueue) Targets() []sd.TargetRegistration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Targets()
+}
+
 func (g *TargetQueue) advance(now sd.Instant) {
 	for _, ticket := range g.state.DispatchQueued(now) {
 		if done := g.waiters[ticket]; done != nil {
--- a/starter/host.go
+++ b/starter/host.go
@@ -286,11 +286,9 @@
 // targetAddresses returns the addresses of the registered targets.
 func (h *Host) targetAddresses() []sd.Address {
 	var list []sd.Address
-	h.gate.Update(func(s *balancer.State, _ sd.Instant) {
-		for _, target := range s.Targets() {
-			list = append(list, target.Address)
-		}
-	})
+	for _, target := range h.gate.Targets() {
+		list = append(list, target.Address)
+	}
 	return list
 }
 
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -90,13 +90,15 @@
 	began := h.clock.Now()
 	h.draining.Store(true)
 	h.log.Info("host drains", zap.Int("event", eventDrains), zap.Int64("grace_ms", int64(h.settings.Grace)))
-	pause(ctx, lookTwice)
 	left := func(reserve sd.Millis) time.Duration {
 		return max(h.settings.Grace-reserve-h.clock.Now().Since(began), 0).Duration()
 	}
 	limited, cancel := context.WithTimeout(ctx, left(drainReserve))
+	tunnels := make(chan error, 1)
+	go func() { tunnels <- h.tunneler.Drain(limited) }()
+	pause(ctx, lookTwice)
 	err := callers.Shutdown(limited)
-	tunnels := h.tunneler.Drain(limited)
+	used := <-tunnels
 	cancel()
 	limited, cancel = context.WithTimeout(ctx, left(flushReserve))
 	flushed := h.receiver.WaitSettled(limited) && h.archive.Flush(limited)
@@ -105,7 +107,7 @@
 	_, gone := h.relay.Commit(limited, sd.Update{Remove: []sd.RecordKey{cell}})
 	cancel()
 	h.log.Info("host has drained", zap.Int("event", eventDrains), zap.Bool("flushed", flushed),
-		zap.NamedError("cut", err), zap.NamedError("tunnels", tunnels), zap.NamedError("row", gone))
+		zap.NamedError("cut", err), zap.NamedError("tunnels", used), zap.NamedError("row", gone))
 }
 
 // callerHandler serves callers; while the host drains or is cut off they are asked
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -8,13 +8,16 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/gossiper"
 )
 
 const (
@@ -24,8 +27,9 @@
 	protocol = "tunnel"
 	// headerError names why a tunnel was not opened.
 	headerError = "Tunnel-Error"
-	// errorRefused is the error of a target that refuses connections.
-	errorRefused = "refused"
+	// errorRefused is the error of a target that refuses connections, errorAlone that of one
+	// beside which there is no other, so that the host that was refused may be partitioned.
+	errorRefused, errorAlone = "refused", "alone"
 	// connectTimeout limits the time in which another host connects to the target.
 	connectTimeout = 250 * sd.Millisecond
 	// maxTunnels limits the tunnels that a host keeps for others: two connections and two
@@ -33,23 +37,29 @@
 	maxTunnels = 256
 	// copyBytes is the size of a buffer; events of a stream are shorter.
 	copyBytes = 8 << 10
+	// copyTimeout is how long one end may take to accept a buffer; callers wait for less.
+	copyTimeout = 10 * sd.Second
 	// headBytes limits the head of the answer of a host.
 	headBytes = 4 << 10
 )
 
+// errRefusedAlone is the error of a host that the only target refuses.
+var errRefusedAlone = errors.New("connection refused by the only target")
+
 // tunnel is a connection to a target that another host copies.
 type tunnel struct {
 	*net.TCPConn
-	through sd.Address
+	through     sd.Address
+	incarnation sd.Incarnation
 }
 
 // openThrough opens a tunnel through one host. The error is syscall.ECONNREFUSED if the
-// target refuses that host's connection.
-func openThrough(ctx context.Context, through, target sd.Address) (net.Conn, error) {
+// target refuses that host's connection and that host reaches other targets.
+func openThrough(ctx context.Context, through gossiper.Peer, target sd.Address) (net.Conn, error) {
 	dialer := net.Dialer{KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp4", string(through))
+	raw, err := dialer.DialContext(ctx, "tcp4", string(through.Address))
 	if err != nil {
-		return nil, sd.Unavailable.New("host %s is not reached: %v", through, err)
+		return nil, sd.Unavailable.New("host %s is not reached: %v", through.Host, err)
 	}
 	conn := raw.(*net.TCPConn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
@@ -61,7 +71,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &tunnel{TCPConn: conn, through: through}, nil
+	return &tunnel{TCPConn: conn, through: through.Address, incarnation: through.Incarnation}, nil
 }
 
 // switchProtocol asks the host at the other end of conn for a tunnel.
@@ -83,16 +93,21 @@
 		return nil
 	case response.Header.Get(headerError) == errorRefused:
 		return syscall.ECONNREFUSED
+	case response.Header.Get(headerError) == errorAlone:
+		return errRefusedAlone
 	}
 	return sd.Unavailable.New("host opens no tunnel: status %d", response.StatusCode)
 }
 
-// server holds the tunnels that this host keeps for others.
+// server holds the tunnels that this host carries for others.
 type server struct {
-	lock    sync.Mutex
-	open    map[net.Conn]net.Conn
-	closing bool
-	running sync.WaitGroup
+	lock sync.Mutex
+	// count includes the tunnels that are being opened.
+	count int
+	open  map[net.Conn]net.Conn
+	// draining refuses further tunnels, ended closes also those that are being opened.
+	draining, ended bool
+	running         sync.WaitGroup
 }
 
 // RegisterHandlers registers the handler for other hosts' requests.
@@ -102,53 +117,56 @@
 // closes its connection.
 func (t *Tunneler) handle(c echo.Context) error {
 	target := sd.Address(c.QueryParam("to"))
-	if !t.registered(target) {
+	if !slices.Contains(t.Targets(), target) {
 		return c.NoContent(http.StatusNotFound)
 	}
 	if !t.server.begin() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
-	defer t.server.running.Done()
-	conn, err := t.Direct.Dial(c.Request().Context(), target, connectTimeout)
+	defer t.server.done()
+	ctx := c.Request().Context()
+	conn, err := t.Direct.Dial(ctx, target, connectTimeout)
 	if err != nil {
+		word := ""
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.Response().Header().Set(headerError, errorRefused)
+			word = t.judge(ctx, target)
+			c.Response().Header().Set(headerError, word)
+		}
+		if word == "" {
+			// The host that asks takes this one for attached.
+			t.survey()
 		}
-		// The host that asks takes this one for attached.
-		t.check(target)
 		return c.NoContent(http.StatusBadGateway)
 	}
 	t.reach(target)
-	caller, _, err := c.Response().Hijack()
+	host, _, err := c.Response().Hijack()
 	if err != nil {
 		_ = conn.Close()
 		return sd.Unavailable.Wrap(err, "connection of the other host not taken over")
 	}
-	t.server.add(caller, conn)
-	defer t.server.remove(caller)
-	if err := caller.SetDeadline(time.Time{}); err == nil {
-		_, err = io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+	if t.server.add(host, conn) {
+		err = host.SetDeadline(time.Time{})
 		if err == nil {
-			join(caller, conn)
+			// If this process ends, so does the tunnel, and not as if the target had closed it.
+			err = linger(host, 0)
 		}
-	}
-	_, _ = caller.Close(), conn.Close()
-	return nil
-}
-
-// registered reports whether the address is that of a registered target.
-func (t *Tunneler) registered(target sd.Address) bool {
-	for _, known := range t.Targets() {
-		if known == target {
-			return true
+		if err == nil {
+			_, err = io.WriteString(host, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+		}
+		if err == nil {
+			join(host, conn)
+		} else {
+			t.Log.Info("tunnel not opened", zap.Int("event", eventTunnel), zap.String("target", string(target)), zap.Error(err))
 		}
 	}
-	return false
+	_, _ = host.Close(), conn.Close()
+	t.server.remove(host)
+	return nil
 }
 
-// join copies bytes between a host and a target until both directions have ended. How one
-// connection ends is passed on to the other: a close in order, or a reset. A host
-// closes its connection only to cancel, so the target's is closed at once.
+// join copies bytes between a host and a target until either direction has ended. How the
+// target's connection ends is passed on: a close in order, or a reset. A host closes
+// its connection only to cancel, so the target's is closed at once.
 func join(host, target net.Conn) {
 	ended := make(chan struct{})
 	go func() {
@@ -157,39 +175,68 @@
 		_ = target.Close()
 	}()
 	_, err := io.CopyBuffer(writer{host}, reader{target}, make([]byte, copyBytes))
-	if err != nil {
-		if conn, ok := host.(*net.TCPConn); ok {
-			_ = conn.SetLinger(0)
-		}
+	if err == nil {
+		// The host's connection is reset if this fails.
+		_ = linger(host, -1)
 	}
-	_ = host.Close()
+	_, _ = host.Close(), target.Close()
 	<-ended
 }
 
+// linger sets whether closing a connection resets it (0) or ends it in order (-1).
+func linger(conn net.Conn, seconds int) error {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return sd.Unavailable.New("connection of type %T cannot be reset", conn)
+}
+
 // reader and writer hide the connections' own copying, which takes a pipe for each.
 type (
 	reader struct{ io.Reader }
-	writer struct{ io.Writer }
+	writer struct{ net.Conn }
 )
 
-// begin reports whether another tunnel may be opened; its end must be reported to running.
+// Write limits the time in which the other end accepts the bytes.
+func (w writer) Write(p []byte) (int, error) {
+	if err := w.SetWriteDeadline(time.Now().Add(copyTimeout.Duration())); err != nil {
+		return 0, err
+	}
+	return w.Conn.Write(p)
+}
+
+// begin reports whether another tunnel may be opened; done must be called at its end.
 func (s *server) begin() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.closing || len(s.open) >= maxTunnels {
+	if s.draining || s.count >= maxTunnels {
 		return false
 	}
+	s.count++
 	s.running.Add(1)
 	return true
 }
 
-func (s *server) add(host, target net.Conn) {
+func (s *server) done() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.count--
+	s.running.Done()
+}
+
+// add records the connections of a tunnel, unless all are to end. The tunnel must be
+// removed at its end.
+func (s *server) add(host, target net.Conn) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.ended {
+		return false
+	}
 	if s.open == nil {
 		s.open = map[net.Conn]net.Conn{}
 	}
 	s.open[host] = target
+	return true
 }
 
 func (s *server) remove(host net.Conn) {
@@ -198,18 +245,29 @@
 	delete(s.open, host)
 }
 
-// Serving returns the number of tunnels that this host keeps for others.
+// end closes all tunnels and waits for them.
+func (s *server) end() {
+	s.lock.Lock()
+	s.draining, s.ended = true, true
+	for host, target := range s.open {
+		_, _ = host.Close(), target.Close()
+	}
+	s.lock.Unlock()
+	s.running.Wait()
+}
+
+// Serving returns the number of tunnels that this host carries for others.
 func (t *Tunneler) Serving() int {
 	t.server.lock.Lock()
 	defer t.server.lock.Unlock()
-	return len(t.server.open)
+	return t.server.count
 }
 
 // Drain opens no more tunnels for other hosts and waits until those that are open have
 // ended, or ctx ends.
 func (t *Tunneler) Drain(ctx context.Context) error {
 	t.server.lock.Lock()
-	t.server.closing = true
+	t.server.draining = true
 	t.server.lock.Unlock()
 	done := make(chan struct{})
 	go func() {
@@ -223,16 +281,3 @@
 		return ctx.Err()
 	}
 }
-
-// Close ends all tunnels that this host keeps for others, and waits for them.
-func (t *Tunneler) Close() {
-	t.server.lock.Lock()
-	t.server.closing = true
-	for host, target := range t.server.open {
-		_, _ = host.Close(), target.Close()
-	}
-	t.server.lock.Unlock()
-	t.server.running.Wait()
-	t.close()
-	t.running.Wait()
-}
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,8 +16,11 @@
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
 
-// eventDetached is a log event of this package, listed in docs/EVENTS.md.
-const eventDetached = 663
+// Log events of this package, listed in docs/EVENTS.md.
+const (
+	eventDetached = 663
+	eventTunnel   = 664
+)
 
 const (
 	// hedgeDelay is how long a direct connection may take before a tunnel is opened as
@@ -24,22 +28,23 @@
 	hedgeDelay = 100 * sd.Millisecond
 	// missedTTL is how long a missed target is dialled both ways at once.
 	missedTTL = 5 * sd.Second
-	// detachedAfter is the number of targets missed in a row from which on a host counts as
-	// detached. A single target may drop connections of some hosts only.
-	detachedAfter = 2
-	// probeInterval is how often a detached host tries a target directly, and probeTimeout
-	// how long it waits for the connection.
+	// surveySize is the number of targets that tell whether this host reaches any, enough
+	// that a host which misses half of the targets seldom counts as detached.
+	surveySize = 3
+	// surveyInterval is the shortest time between two surveys.
+	surveyInterval = 500 * sd.Millisecond
+	// probeInterval is how often a detached host tries a target, and probeTimeout how long
+	// a probe waits for the connection.
 	probeInterval = 250 * sd.Millisecond
 	probeTimeout  = 200 * sd.Millisecond
-	// checkTimeout limits a check of the path to a target.
-	checkTimeout = 400 * sd.Millisecond
-	// maxRoutes is the number of hosts tried for one connection, and maxRefusals the number
-	// of them whose word is taken that the target's process is down: two, as those of
-	// a partitioned zone may not know yet that they are.
-	maxRoutes   = 4
-	maxRefusals = 2
+	// evidenceTTL is how long a direct connection is evidence that this host reaches targets.
+	evidenceTTL = sd.Second
+	// maxRoutes is the number of hosts tried for one connection.
+	maxRoutes = 4
 	// routeDelay is how long a host may take to open a tunnel before the next one is asked.
-	routeDelay = 60 * sd.Millisecond
+	routeDelay = 40 * sd.Millisecond
+	// carriersTTL is how long the list of the other hosts is used; they are heard about as often.
+	carriersTTL = 100 * sd.Millisecond
 )
 
 // Config holds the dependencies of a Tunneler.
@@ -65,25 +70,30 @@
 	Opened func()
 
 	lock sync.Mutex
-	// missed holds when each target was last missed, reachedAt when a direct connection
-	// last succeeded.
+	// missed holds when each target was last reached through a tunnel only, reachedAt when
+	// a direct connection last succeeded.
 	missed    map[sd.Address]sd.Instant
 	reachedAt sd.Instant
 	detached  bool
-	// checking is set while the path to a target is checked.
-	checking bool
+	// surveying is set during a survey, surveyedAt is when the last one began.
+	surveying  bool
+	surveyedAt sd.Instant
+	// carriers are the hosts that may carry tunnels, as of carriersAt.
+	carriers   map[sd.Address]sd.Incarnation
+	carriersAt sd.Instant
 
 	server server
-	// running counts the goroutines that outlive a Dial; closing ends the checks.
+	// running counts what outlives a Dial. Once closed, nothing is added to it.
 	running sync.WaitGroup
+	closed  bool
 	closing context.Context
-	close   context.CancelFunc
+	cancel  context.CancelFunc
 }
 
 // New returns a Tunneler. A detached host is attached again only while Run is running.
 func New(config Config) *Tunneler {
 	t := &Tunneler{Config: config, missed: map[sd.Address]sd.Instant{}}
-	t.closing, t.close = context.WithCancel(context.Background())
+	t.closing, t.cancel = context.WithCancel(context.Background())
 	return t
 }
 
@@ -94,6 +104,17 @@
 	return t.detached
 }
 
+// begin adds to running, unless the Tunneler is closed.
+func (t *Tunneler) begin() bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.closed {
+		return false
+	}
+	t.running.Add(1)
+	return true
+}
+
 // attempt is the result of one way to a target.
 type attempt struct {
 	conn   net.Conn
@@ -102,15 +123,15 @@
 }
 
 // Dial implements sd.Dialer. The error is syscall.ECONNREFUSED only if a host that reaches
-// targets says so, or if there is no other host to ask.
+// other targets was refused, or if there is no other host to ask.
 func (t *Tunneler) Dial(ctx context.Context, target sd.Address, timeout sd.Millis) (net.Conn, error) {
 	routes := t.routes()
-	if len(routes) == 0 {
+	if len(routes) == 0 || !t.begin() {
 		return t.Direct.Dial(ctx, target, timeout)
 	}
 	r := &race{Tunneler: t, target: target, timeout: timeout, routes: routes, results: make(chan attempt, 2)}
 	// The slower way goes on after the caller has left, as its result tells of the path.
-	r.ctx, r.cancel = context.WithTimeout(context.WithoutCancel(ctx), timeout.Duration())
+	r.ctx, r.stop = context.WithTimeout(context.WithoutCancel(ctx), timeout.Duration())
 	missed, detached := t.state(target)
 	if !detached {
 		r.startDirect()
@@ -124,14 +145,14 @@
 	for r.open > 0 {
 		select {
 		case <-ctx.Done():
-			t.running.Go(func() { r.finish(attempt{}) })
+			go r.finish(attempt{})
 			return nil, ctx.Err()
 		case <-hedge.C:
 			r.startTunnel()
 		case a := <-r.results:
 			r.open--
 			if a.err == nil {
-				t.running.Go(func() { r.finish(a) })
+				go r.finish(a)
 				return a.conn, nil
 			}
 			if failure == nil || a.tunnel {
@@ -139,11 +160,15 @@
 				// process is down.
 				failure = a.err
 			}
+			if errors.Is(a.err, syscall.ECONNREFUSED) && a.tunnel {
+				go r.finish(attempt{})
+				return nil, failure
+			}
 			r.startTunnel()
 			r.startDirect()
 		}
 	}
-	r.cancel()
+	go r.finish(attempt{})
 	return nil, failure
 }
 
@@ -152,9 +177,9 @@
 	*Tunneler
 	target            sd.Address
 	timeout           sd.Millis
-	routes            []sd.Address
+	routes            []gossiper.Peer
 	ctx               context.Context
-	cancel            context.CancelFunc
+	stop              context.CancelFunc
 	results           chan attempt
 	open              int
 	direct, tunnelled bool
@@ -189,10 +214,11 @@
 // finish waits for the slower way, closes its connection, and records what both ways tell
 // of the path to the target. winner is zero if neither way had succeeded.
 func (r *race) finish(winner attempt) {
-	defer r.cancel()
+	defer r.running.Done()
+	defer r.stop()
 	reached, tunnelled := winner.conn != nil && !winner.tunnel, winner.conn != nil && winner.tunnel
 	if reached {
-		r.cancel()
+		r.stop()
 	}
 	for ; r.open > 0; r.open-- {
 		a := <-r.results
@@ -205,27 +231,46 @@
 	switch {
 	case reached:
 		r.reach(r.target)
-	case tunnelled && (r.direct || r.Detached()):
+	case tunnelled:
 		r.miss(r.target)
+		r.survey()
+	default:
+		r.survey()
 	}
 }
 
 // Usable implements sd.Dialer. A tunnel is used only while the target is not reached
-// directly, and its host is heard and reaches targets.
+// directly and the host that carries it is the same process, is heard and reaches targets.
 func (t *Tunneler) Usable(conn net.Conn, target sd.Address) bool {
 	missed, detached := t.state(target)
 	if c, ok := conn.(*tunnel); ok {
-		if !missed && !detached {
-			return false
-		}
+		incarnation, carries := t.carrier(c.through)
+		return (missed || detached) && carries && incarnation == c.incarnation
+	}
+	return !missed && !detached
+}
+
+// carrier returns the incarnation of the host with an address, if it may carry tunnels.
+func (t *Tunneler) carrier(at sd.Address) (sd.Incarnation, bool) {
+	now := t.Clock.Now()
+	t.lock.Lock()
+	stale := t.carriers == nil || now.Since(t.carriersAt) >= carriersTTL
+	t.lock.Unlock()
+	if stale {
+		carriers := map[sd.Address]sd.Incarnation{}
 		for _, p := range t.Peers() {
-			if p.Address == c.through {
-				return !p.Leaving && !p.Detached
+			if !p.Leaving && !p.Detached {
+				carriers[p.Address] = p.Incarnation
 			}
 		}
-		return false
+		t.lock.Lock()
+		t.carriers, t.carriersAt = carriers, now
+		t.lock.Unlock()
 	}
-	return !missed && !detached
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	incarnation, known := t.carriers[at]
+	return incarnation, known
 }
 
 // state reports whether a target was missed lately, and whether the host is detached.
@@ -247,7 +292,7 @@
 	t.detached = false
 	t.lock.Unlock()
 	if was {
-		t.change(false, 0)
+		t.change(false)
 	}
 }
 
@@ -255,85 +300,110 @@
 func (t *Tunneler) miss(target sd.Address) {
 	now := t.Clock.Now()
 	t.lock.Lock()
+	defer t.lock.Unlock()
 	t.missed[target] = now
-	count := 0
 	for other, at := range t.missed {
-		switch {
-		case now.Since(at) >= missedTTL:
+		if now.Since(at) >= missedTTL {
 			delete(t.missed, other)
-		case at > t.reachedAt:
-			count++
 		}
 	}
-	was := t.detached
-	t.detached = was || count >= detachedAfter
-	becomes := t.detached && !was
-	t.lock.Unlock()
-	switch {
-	case becomes:
-		t.change(true, count)
-	case !was:
-		t.checkAnother()
+}
+
+func (t *Tunneler) change(detached bool) {
+	t.Log.Warn("host reaches no targets, or does again", zap.Int("event", eventDetached), zap.Bool("detached", detached))
+	if t.Changed != nil {
+		t.Changed()
 	}
 }
 
-// checkAnother checks the path to a target that was not missed, as requests on idle
-// connections to it would be lost before they tell that the host is detached.
-func (t *Tunneler) checkAnother() {
-	targets := t.Targets()
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	for _, target := range targets {
+// survey tries some targets directly that were not missed, in the background. If none is
+// reached, the host is detached. Requests on idle connections to them would otherwise
+// be lost before that is known.
+func (t *Tunneler) survey() {
+	var others []sd.Address
+	for _, target := range t.Targets() {
 		if missed, _ := t.state(target); !missed {
-			t.check(target)
-			return
+			others = append(others, target)
 		}
 	}
-}
-
-// check opens a connection to a target for what that tells of the path. One check runs at
-// a time.
-func (t *Tunneler) check(target sd.Address) {
+	now := t.Clock.Now()
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	if t.checking || t.closing.Err() != nil {
+	if t.closed || t.detached || t.surveying || len(others) == 0 || (t.surveyedAt != 0 && now.Since(t.surveyedAt) < surveyInterval) {
 		return
 	}
-	t.checking = true
+	t.surveying, t.surveyedAt = true, now
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), surveySize)]
 	t.running.Go(func() {
-		conn, err := t.Dial(t.closing, target, checkTimeout)
-		if err == nil {
-			_ = conn.Close()
+		results := make(chan bool, len(others))
+		for _, target := range others {
+			go func() { results <- t.probe(t.closing, target) }()
+		}
+		reached := false
+		for range others {
+			reached = <-results || reached
 		}
 		t.lock.Lock()
-		t.checking = false
+		t.surveying = false
+		becomes := !reached && t.reachedAt <= now && !t.detached && t.closing.Err() == nil
+		t.detached = t.detached || becomes
 		t.lock.Unlock()
+		if becomes {
+			t.change(true)
+		}
 	})
 }
 
-func (t *Tunneler) change(detached bool, missed int) {
-	t.Log.Warn("host reaches no targets, or does again", zap.Int("event", eventDetached), zap.Bool("detached", detached), zap.Int("missed", missed))
-	if t.Changed != nil {
-		t.Changed()
+// probe reports whether a direct connection to a target can be opened.
+func (t *Tunneler) probe(ctx context.Context, target sd.Address) bool {
+	conn, err := t.Direct.Dial(ctx, target, probeTimeout)
+	if err != nil {
+		return false
 	}
+	_ = conn.Close()
+	t.reach(target)
+	return true
+}
+
+// judge tells what a refused connection says of the target: errorRefused if this host
+// certainly reaches other targets, errorAlone if there is no other target to tell by, or
+// empty, as this host may be partitioned.
+func (t *Tunneler) judge(ctx context.Context, refused sd.Address) string {
+	now := t.Clock.Now()
+	t.lock.Lock()
+	evident := !t.detached && t.reachedAt != 0 && now.Since(t.reachedAt) < evidenceTTL
+	t.lock.Unlock()
+	if evident {
+		return errorRefused
+	}
+	others := slices.DeleteFunc(t.Targets(), func(target sd.Address) bool { return target == refused })
+	if len(others) == 0 {
+		return errorAlone
+	}
+	if t.probe(ctx, others[rand.IntN(len(others))]) {
+		return errorRefused
+	}
+	return ""
 }
 
 // routes returns the hosts through which a tunnel may be opened, in the order in which
 // they are asked: by turns one of the own zone and one of another, as the whole zone
 // may be partitioned.
-func (t *Tunneler) routes() []sd.Address {
-	var near, far []sd.Address
+func (t *Tunneler) routes() []gossiper.Peer {
+	var near, far []gossiper.Peer
 	for _, p := range t.Peers() {
 		switch {
 		case p.Leaving || p.Detached:
 		case p.Zone == t.Zone:
-			near = append(near, p.Address)
+			near = append(near, p)
 		default:
-			far = append(far, p.Address)
+			far = append(far, p)
 		}
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	var routes []sd.Address
+	var routes []gossiper.Peer
 	for i := range max(len(near), len(far)) {
 		routes = append(routes, near[min(i, len(near)):min(i+1, len(near))]...)
 		routes = append(routes, far[min(i, len(far)):min(i+1, len(far))]...)
@@ -342,9 +412,9 @@
 }
 
 // openTunnel opens a tunnel through the first host that connects to the target. The error
-// is syscall.ECONNREFUSED if a host says that the target refuses connections and none
-// connects.
-func (t *Tunneler) openTunnel(ctx context.Context, routes []sd.Address, target sd.Address) (net.Conn, error) {
+// is syscall.ECONNREFUSED if a host that reaches other targets says that this one refuses
+// connections, or if it is the only target and refuses those of all hosts asked.
+func (t *Tunneler) openTunnel(ctx context.Context, routes []gossiper.Peer, target sd.Address) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan attempt, len(routes))
 	next, open := 0, 0
@@ -357,44 +427,48 @@
 			results <- attempt{conn: conn, err: err}
 		}()
 	}
+	// The caller counts in running until all ways have ended.
 	finish := func() {
+		defer t.running.Done()
 		cancel()
 		for range open {
-			if r := <-results; r.err == nil {
-				_ = r.conn.Close()
+			if a := <-results; a.err == nil {
+				_ = a.conn.Close()
 			}
 		}
 	}
 	start()
 	timer := time.NewTimer(routeDelay.Duration())
 	defer timer.Stop()
-	refusals := 0
+	alone := 0
 	var failure error
 	for open > 0 {
 		select {
 		case <-timer.C:
-		case r := <-results:
+		case a := <-results:
 			open--
-			if r.err == nil {
-				t.running.Go(finish)
-				if t.Opened != nil {
+			if errors.Is(a.err, errRefusedAlone) {
+				alone++
+			}
+			if a.err == nil || errors.Is(a.err, syscall.ECONNREFUSED) {
+				t.running.Add(1)
+				go finish()
+				if a.err == nil && t.Opened != nil {
 					t.Opened()
 				}
-				return r.conn, nil
-			}
-			if errors.Is(r.err, syscall.ECONNREFUSED) {
-				refusals++
-				failure = r.err
-			} else if failure == nil {
-				failure = r.err
+				return a.conn, a.err
 			}
+			failure = a.err
 		}
-		if next < len(routes) && refusals < maxRefusals && ctx.Err() == nil {
+		if next < len(routes) && ctx.Err() == nil {
 			start()
 			timer.Reset(routeDelay.Duration())
 		}
 	}
 	cancel()
+	if alone == next {
+		return nil, syscall.ECONNREFUSED
+	}
 	return nil, failure
 }
 
@@ -408,16 +482,19 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		targets := t.Targets()
-		if !t.Detached() || len(targets) == 0 {
-			continue
-		}
-		target := targets[rand.IntN(len(targets))]
-		conn, err := t.Direct.Dial(ctx, target, probeTimeout)
-		if err != nil {
-			continue
+		if targets := t.Targets(); t.Detached() && len(targets) > 0 {
+			t.probe(ctx, targets[rand.IntN(len(targets))])
 		}
-		_ = conn.Close()
-		t.reach(target)
 	}
 }
+
+// Close ends all tunnels that this host carries and what goes on in the background, and
+// waits for both. Dial connects directly from then on.
+func (t *Tunneler) Close() {
+	t.lock.Lock()
+	t.closed = true
+	t.lock.Unlock()
+	t.cancel()
+	t.server.end()
+	t.running.Wait()
+}
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -28,13 +29,15 @@
 // path is a host's direct way to targets, which a test cuts.
 type path struct {
 	sd.Dialer
-	cut   atomic.Bool
-	dials atomic.Int64
+	cut atomic.Bool
+	// except holds targets that are cut off by themselves.
+	except sync.Map
+	dials  atomic.Int64
 }
 
 func (p *path) Dial(ctx context.Context, target sd.Address, timeout sd.Millis) (net.Conn, error) {
 	p.dials.Add(1)
-	if p.cut.Load() {
+	if _, cut := p.except.Load(target); cut || p.cut.Load() {
 		return nil, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 	}
 	return p.Dialer.Dial(ctx, target, timeout)
@@ -150,6 +153,28 @@
 	}
 }
 
+// Guards against the end of the host that carries a tunnel looking like an answer's end: half of
+// an answer without a frame would be taken for whole.
+func TestTunnelIsResetAsItsCarrierEnds(t *testing.T) {
+	target := listen(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "half")
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	})
+	hosts := newHosts(t, []sd.Address{target}, "z", "z")
+	hosts[0].path.cut.Store(true)
+	conn := hosts[0].dial(t)
+	defer func() { _ = conn.Close() }()
+	half := make([]byte, 4)
+	if _, err := io.ReadFull(conn, half); err != nil {
+		t.Fatal(err)
+	}
+	hosts[1].Close()
+	if rest, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %q and %v after the carrier ended", rest, err)
+	}
+}
+
 // Guards against a target that goes on with a request whose caller has left: the close of
 // the host's connection reaches it through the tunnel at once.
 func TestClosedTunnelClosesTheTargetsConnection(t *testing.T) {
@@ -226,6 +251,53 @@
 	}
 }
 
+// Guards against hosts that ask one another without end about a target that is down.
+func TestSearchForADownTargetEnds(t *testing.T) {
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	down := sd.Address(closed.Addr().String())
+	_ = closed.Close()
+	sound := listen(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
+	hosts := newHosts(t, []sd.Address{down, sound}, "z", "z", "z", "z", "z", "z")
+	if _, err := hosts[0].Dial(t.Context(), down, sd.Second); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatal(err)
+	}
+	dials := func() (n int64) {
+		for _, h := range hosts {
+			n += h.path.dials.Load()
+		}
+		return n
+	}
+	time.Sleep(500 * time.Millisecond)
+	before := dials()
+	time.Sleep(500 * time.Millisecond)
+	if n := dials() - before; n > 0 {
+		t.Errorf("%d connections tried half a second after the only one that was asked for", n)
+	}
+}
+
+// Guards against a host that misses some targets leaving the others' good connections.
+func TestHostThatMissesSomeTargetsStaysAttached(t *testing.T) {
+	serve := func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) }
+	var targets []sd.Address
+	for range 10 {
+		targets = append(targets, listen(t, serve))
+	}
+	h := newHosts(t, targets, "z", "z")[0]
+	for _, target := range targets[:3] {
+		h.path.except.Store(target, true)
+	}
+	for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
+		h.target = targets[int(time.Since(start).Milliseconds()/20)%3]
+		_ = h.dial(t).Close()
+		if h.Detached() {
+			t.Fatal("detached, though it reaches 7 of 10 targets")
+		}
+	}
+}
+
 // Guards against a host that stays on tunnels after its partition has healed.
 func TestHostIsAttachedAgainAfterAPartition(t *testing.T) {
 	serve := func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) }
