--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,11 @@
 	// Kept bounds the idle connections per target.
 	Kept  int
 	Clock sd.Clock
+	// Dialer opens the connections; nil connects to targets directly.
+	Dialer sd.Dialer
+	// Silence is how long a target may take to begin its answer before a new connection
+	// checks the path to it; zero means for ever.
+	Silence sd.Millis
 }
 
 const (
@@ -38,8 +44,8 @@
 	// DefaultKept covers the requests that one host has at one target at once.
 	DefaultKept = 16
 	// refusalTimeout is many times what a target in another zone takes to refuse a
-	// connection.
-	refusalTimeout = 50 * sd.Millisecond
+	// connection, and leaves time to ask some other hosts whether it does.
+	refusalTimeout = 150 * sd.Millisecond
 	// idleMargin is kept from an idle timeout that a target names.
 	idleMargin = 700 * sd.Millisecond
 	// inlineBody is the size up to which a body is sent before the answer is read;
@@ -92,6 +98,13 @@
 	// without notice shorten it.
 	trust   sd.Millis
 	doubted sd.Instant
+	// checking is set while a path is checked, checkedAt is when that last began.
+	checking  bool
+	checkedAt sd.Instant
+	checks    sync.WaitGroup
+	// closing ends the checks under way.
+	closing context.Context
+	close   context.CancelFunc
 }
 
 type connection struct {
@@ -124,6 +137,21 @@
 	return response, err
 }
 
+// direct connects to targets over the network.
+type direct struct{}
+
+// Dial implements sd.Dialer.
+func (direct) Dial(ctx context.Context, target sd.Address, timeout sd.Millis) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout.Duration(), KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", string(target))
+}
+
+// Usable implements sd.Dialer.
+func (direct) Usable(net.Conn, sd.Address) bool { return true }
+
+// Direct returns the Dialer that connects to targets over the network.
+func Direct() sd.Dialer { return direct{} }
+
 // New returns an Exchanger without connections.
 func New(settings Settings) *Exchanger {
 	if settings.Connect == 0 {
@@ -135,7 +163,12 @@
 	if settings.Kept == 0 {
 		settings.Kept = DefaultKept
 	}
-	return &Exchanger{settings: settings, idle: map[sd.Address][]*connection{}}
+	if settings.Dialer == nil {
+		settings.Dialer = direct{}
+	}
+	x := &Exchanger{settings: settings, idle: map[sd.Address][]*connection{}}
+	x.closing, x.close = context.WithCancel(context.Background())
+	return x
 }
 
 // Answer is a target's answer whose body has not been read yet.
@@ -213,6 +246,10 @@
 			_, body.err = buffers.WriteTo(conn.Conn)
 		}()
 	}
+	if x.settings.Silence > 0 {
+		check := time.AfterFunc(x.settings.Silence.Duration(), func() { x.check(conn.address) })
+		defer check.Stop()
+	}
 	request := &http.Request{Method: call.Method}
 	skipped := false
 	for range strays + 1 {
@@ -280,7 +317,6 @@
 // Close drops all idle connections; later exchanges keep none.
 func (x *Exchanger) Close() {
 	x.lock.Lock()
-	defer x.lock.Unlock()
 	x.ended = true
 	for _, list := range x.idle {
 		for _, conn := range list {
@@ -288,6 +324,45 @@
 		}
 	}
 	x.idle = nil
+	x.lock.Unlock()
+	x.close()
+	x.checks.Wait()
+}
+
+// Sweep drops the idle connections that the Dialer no longer counts as usable.
+func (x *Exchanger) Sweep() {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	for address, list := range x.idle {
+		x.idle[address] = slices.DeleteFunc(list, func(conn *connection) bool {
+			usable := x.settings.Dialer.Usable(conn.Conn, address)
+			if !usable {
+				_ = conn.Close()
+			}
+			return !usable
+		})
+	}
+}
+
+// check opens a connection to a target that has been silent, and keeps it. A connection
+// that was opened before a partition shows nothing of it, but a new one does.
+func (x *Exchanger) check(address sd.Address) {
+	now := x.settings.Clock.Now()
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	if x.ended || x.checking || now.Since(x.checkedAt) < x.settings.Silence {
+		return
+	}
+	x.checking, x.checkedAt = true, now
+	x.checks.Go(func() {
+		conn, err := x.dial(x.closing, address, x.settings.Connect)
+		if err == nil {
+			x.keep(conn, "")
+		}
+		x.lock.Lock()
+		x.checking = false
+		x.lock.Unlock()
+	})
 }
 
 // Forget drops the idle connections to a target that is gone.
@@ -382,7 +457,7 @@
 		if conn == nil {
 			break
 		}
-		if x.settings.Clock.Now() < conn.until && quiet(conn.Conn) {
+		if x.settings.Clock.Now() < conn.until && x.settings.Dialer.Usable(conn.Conn, address) && quiet(conn.Conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -402,8 +477,7 @@
 
 // dial opens a connection.
 func (x *Exchanger) dial(ctx context.Context, address sd.Address, timeout sd.Millis) (*connection, error) {
-	dialer := net.Dialer{Timeout: timeout.Duration(), KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp4", string(address))
+	raw, err := x.settings.Dialer.Dial(ctx, address, timeout)
 	if err != nil {
 		return nil, err
 	}
