tunneler: no survey for a target that another host knows to be down

Each failed connection to a crashed target made the host try three others, whose connections are priced, though another host had just told that the target's process is down.

--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -160,7 +160,7 @@
 				// process is down.
 				failure = a.err
 			}
-			if errors.Is(a.err, syscall.ECONNREFUSED) && a.tunnel {
+			if r.down = a.tunnel && errors.Is(a.err, syscall.ECONNREFUSED); r.down {
 				go r.finish(attempt{})
 				return nil, failure
 			}
@@ -183,6 +183,8 @@
 	results           chan attempt
 	open              int
 	direct, tunnelled bool
+	// down is set if another host says that the target's process is down.
+	down bool
 }
 
 // startDirect begins a direct connection, unless that was done.
@@ -234,7 +236,7 @@
 	case tunnelled:
 		r.miss(r.target)
 		r.survey()
-	default:
+	case !r.down:
 		r.survey()
 	}
 }
