tunneler: what a target sends first arrives

A tunnel was given up if the target had sent something before its host read the switch of protocols, as in 1 of 2 runs of TestTunnelIsResetAsItsCarrierEnds, whose target speaks first. Targets answer requests only, but a late answer or a refusal may come so.

--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -51,6 +51,18 @@
 	*net.TCPConn
 	through     sd.Address
 	incarnation sd.Incarnation
+	// early is what the target sent before the switch of protocols was read.
+	early []byte
+}
+
+// Read implements net.Conn.
+func (t *tunnel) Read(p []byte) (int, error) {
+	if len(t.early) > 0 {
+		n := copy(p, t.early)
+		t.early = t.early[n:]
+		return n, nil
+	}
+	return t.TCPConn.Read(p)
 }
 
 // openThrough opens a tunnel through one host. The error is syscall.ECONNREFUSED if the
@@ -63,7 +75,7 @@
 	}
 	conn := raw.(*net.TCPConn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	err = switchProtocol(conn, target)
+	early, err := switchProtocol(conn, target)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -71,32 +83,35 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &tunnel{TCPConn: conn, through: through.Address, incarnation: through.Incarnation}, nil
+	return &tunnel{TCPConn: conn, through: through.Address, incarnation: through.Incarnation, early: early}, nil
 }
 
-// switchProtocol asks the host at the other end of conn for a tunnel.
-func switchProtocol(conn *net.TCPConn, target sd.Address) error {
+// switchProtocol asks the host at the other end of conn for a tunnel. It returns what the
+// target has sent already.
+func switchProtocol(conn *net.TCPConn, target sd.Address) ([]byte, error) {
 	request := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Path: path, RawQuery: url.Values{"to": {string(target)}}.Encode()}, Host: "peer",
 		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}},
 	}
 	if err := request.Write(conn); err != nil {
-		return sd.Unavailable.Wrap(err, "host takes no request for a tunnel")
+		return nil, sd.Unavailable.Wrap(err, "host takes no request for a tunnel")
 	}
 	reader := bufio.NewReader(io.LimitReader(conn, headBytes))
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return sd.Unavailable.Wrap(err, "host does not answer a request for a tunnel")
+		return nil, sd.Unavailable.Wrap(err, "host does not answer a request for a tunnel")
 	}
 	switch {
-	case response.StatusCode == http.StatusSwitchingProtocols && reader.Buffered() == 0:
-		return nil
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		early := make([]byte, reader.Buffered())
+		_, err := io.ReadFull(reader, early)
+		return early, err
 	case response.Header.Get(headerError) == errorRefused:
-		return syscall.ECONNREFUSED
+		return nil, syscall.ECONNREFUSED
 	case response.Header.Get(headerError) == errorAlone:
-		return errRefusedAlone
+		return nil, errRefusedAlone
 	}
-	return sd.Unavailable.New("host opens no tunnel: status %d", response.StatusCode)
+	return nil, sd.Unavailable.New("host opens no tunnel: status %d", response.StatusCode)
 }
 
 // server holds the tunnels that this host carries for others.
