--- a/tunneler/doc.go
+++ b/tunneler/doc.go
@@ -14,11 +14,18 @@
 //
 // Dial connects directly and opens a tunnel as well if that fails or takes longer than
 // usual; the first connection wins. A target that was reached only through a tunnel is
-// dialled both ways at once from then on, until a direct connection succeeds. A host that
-// has missed several targets, and reached none since, counts as detached: it uses
-// tunnels only, probes the targets, and tells the other hosts, which then open
-// no tunnels through it.
+// dialled both ways at once from then on, until a direct connection succeeds, and its idle
+// connections are not used again, as those from before a partition show nothing of it.
 //
-// A connection that was opened before a partition shows nothing of it until something is
-// sent. After a missed target, no connection that was idle before is used again.
+// After a missed target a survey tries a few others directly. A host that reaches none of
+// them is detached: it uses tunnels only, probes the targets until it reaches one, and tells
+// the other hosts, which then open no tunnels through it.
+//
+// A host that is asked for a tunnel says that the target refuses connections only if it
+// reaches other targets; otherwise it may be partitioned itself.
+//
+// # Reading order
+//
+// tunneler.go defines the Tunneler, race.go the two ways to a target, reach.go what is known
+// of the paths, and tunnel.go the tunnels on both hosts.
 package tunneler
