--- a/tunneler/race.go
+++ b/tunneler/race.go
@@ -172,4 +172,3 @@
 	}
 	return nil, failure
 }
-
--- a/tunneler/reach.go
+++ b/tunneler/reach.go
@@ -123,4 +123,3 @@
 	}
 	return ""
 }
-
