--- a/balancer/crowd_test.go
+++ b/balancer/crowd_test.go
@@ -233,3 +233,21 @@
 		}
 	}
 }
+
+// Busy large fleet: programs were refused with three tenths of the slots free and a third of the cold
+// limit unused, as each host may send to a few targets only until it has announced more to the others.
+func TestColdLimitIsUsedInALargeFleet(t *testing.T) {
+	const before, until, calm, busy = 3000, 6000, 0.4, 0.7
+	f := newFleet(1, 295, 104, 5, 730)
+	for _, s := range f.hosts {
+		s.Configure([]sd.Pool{{Name: "pool", ColdRate: 20}})
+	}
+	full := float64(104*slotsPerTarget) * 1000 / turnDuration / 5
+	f.play(0, before, full*calm)
+	f.begun, f.onTime, f.late, f.lost, f.turns, f.held, f.queued = 0, 0, 0, 0, 0, 0, 0
+	f.play(before, until, full*busy)
+	t.Log(f)
+	if f.lost > f.begun/100 {
+		t.Errorf("%d of %d programs were refused twice", f.lost, f.begun)
+	}
+}
