--- a/faker/rows.go
+++ b/faker/rows.go
@@ -43,6 +43,8 @@
 	Twice sd.Share
 	// Delay is how long each call takes.
 	Delay sd.Millis
+	// Page, if set, is the most rows of one answer.
+	Page int
 	// Parts limits the trouble to these parts; nil stands for all.
 	Parts []string
 }
@@ -223,8 +225,25 @@
 	}
 }
 
-// pageRows bounds the rows of one answer.
-const pageRows = 500
+// pageRows and pageBytes bound the rows of one answer and their values.
+const (
+	pageRows  = 500
+	pageBytes = 1_000_000
+)
+
+// pageEnd returns how many of the rows one answer holds.
+func (r *Rows) pageEnd(rows []sd.Record, part string) int {
+	most, size := pageRows, 0
+	if r.trouble.Page > 0 && r.trouble.strikes(part) {
+		most = r.trouble.Page
+	}
+	for i, row := range rows {
+		if size += len(row.Value); i == most || (i > 0 && size > pageBytes) {
+			return i
+		}
+	}
+	return len(rows)
+}
 
 // List implements sd.Store.
 func (r *Rows) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
@@ -240,8 +259,8 @@
 		}
 	}
 	slices.SortFunc(page.Records, func(a, b sd.Record) int { return strings.Compare(a.Key, b.Key) })
-	if len(page.Records) > pageRows {
-		page.Records, page.More = page.Records[:pageRows], true
+	if n := r.pageEnd(page.Records, part); n < len(page.Records) {
+		page.Records, page.More = page.Records[:n], true
 	}
 	return page, nil
 }
