--- a/starter/host.go
+++ b/starter/host.go
@@ -81,7 +81,7 @@
 	// tellEvery is how often the counters are logged.
 	tellEvery = 10 * sd.Second
 	// targetSilence is how long a target may take to begin its answer before the path to it
-	// is checked; on days of full targets, 3 in 1,000 take longer.
+	// is checked: longer than nearly all answers take.
 	targetSilence = 300 * sd.Millisecond
 	// storePause is the first pause after a failed write of this host's row, longestPause the
 	// last, at which hundreds of hosts stay below half of what a part of the store bears.
