tunneler: an error type of the module in place of a plain error

House style: errors are errorx types in the module's namespace. No change of behaviour; TestTargetIsDownOnlyIfAnotherHostSaysSo covers the case, two runs with the race detector pass.

--- a/tunneler/race.go
+++ b/tunneler/race.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
@@ -148,7 +150,7 @@
 		case <-timer.C:
 		case a := <-results:
 			open--
-			if errors.Is(a.err, errRefusedAlone) {
+			if errorx.IsOfType(a.err, refusedAlone) {
 				alone++
 			}
 			if a.err == nil || errors.Is(a.err, syscall.ECONNREFUSED) {
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -43,8 +43,8 @@
 	headBytes = 4 << 10
 )
 
-// errRefusedAlone is the error of a host that the only target refuses.
-var errRefusedAlone = errors.New("connection refused by the only target")
+// refusedAlone is the type of errors for a host that the only target refuses.
+var refusedAlone = sd.Errors.NewSubNamespace("tunneler").NewType("refused_alone")
 
 // tunnel is a connection to a target that another host copies.
 type tunnel struct {
@@ -109,7 +109,7 @@
 	case response.Header.Get(headerError) == errorRefused:
 		return nil, syscall.ECONNREFUSED
 	case response.Header.Get(headerError) == errorAlone:
-		return nil, errRefusedAlone
+		return nil, refusedAlone.New("connection refused by the only target")
 	}
 	return nil, sd.Unavailable.New("host opens no tunnel: status %d", response.StatusCode)
 }
