--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -64,6 +64,15 @@
 	request.Host = "h.example"
 	request.Header.Set("Request-Id", a.id)
 	request.Header.Set("Key", key)
+	if strings.HasPrefix(path, "/talk/") {
+		// The only turn of a program.
+		for name, value := range map[string]string{
+			"Program-Id": a.id[:8], "Session-Id": a.id[8:], "Program-Deadline-Ms": "3000", "Token-Budget": "400",
+			"Model": "m", "Token-Usage": "100,40", "Prompt-Prefix": a.id + ":100",
+		} {
+			request.Header.Set(name, value)
+		}
+	}
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
 	a.sent = c.fleet.now()
 	if !c.quiet {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -221,10 +221,11 @@
 }
 
 // plan writes the desired state: a call that may be repeated below /look/, one that may run
-// once below /pay/, and one tenant.
+// once below /pay/, kept turns below /talk/, and one tenant.
 func (f *fleet) plan(rate, burst, idleMs int) {
 	f.store.put("op", "config", fmt.Appendf(nil, `{"version":3,"routes":[`+
 		`{"name":"look","host":"h.example","prefix":"/look/","routeKind":"idempotent","timeoutMs":1200,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2},`+
+		`{"name":"talk","host":"h.example","prefix":"/talk/","routeKind":"streaming","timeoutMs":3000,"targetLatencyMs":200,"priority":1,"service":"desk","maxAttempts":2,"retained":true,"retentionS":60.0,"sticky":true,"targetGapMs":150},`+
 		`{"name":"pay","host":"h.example","prefix":"/pay/","routeKind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":500,"priority":2,"service":"desk","maxAttempts":2}],`+
 		`"services":[{"name":"desk","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false,"coldStartS":0,"coldPerS":0}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":%d},`+
--- a/review/standin/forgotten.go
+++ b/review/standin/forgotten.go
@@ -14,6 +14,8 @@
 	// get 4.5 times the tenant's rate, at most 7.5 times its usual.
 	floodPace = 11 * time.Millisecond
 	floodTime = 12 * time.Second
+	// turnPace is the time between two turns at each of the hosts that run on, for rollTime.
+	turnPace, rollTime = 100 * time.Millisecond, 8 * time.Second
 	// calmTime is the time without any trouble before that.
 	calmTime = 40 * time.Second
 )
@@ -37,6 +39,10 @@
 		return false, err
 	}
 	time.Sleep(10 * time.Second)
+	turns := f.newCallers()
+	for _, h := range f.hosts[1:] {
+		turns.press(h, "/talk/1", "hello", turnPace, 3*time.Second, f.now()+rollTime)
+	}
 	if err := f.roll(f.hosts[0], trouble); err != nil {
 		return false, err
 	}
@@ -44,6 +50,7 @@
 		return false, err
 	}
 	time.Sleep(calmTime)
+	f.write("turns at the other hosts meanwhile, by status: %v", statuses(turns.wait()))
 	f.write("the tenant sends many times its usual")
 	c := f.newCallers()
 	for _, h := range f.hosts {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -201,6 +202,11 @@
 	}
 	g.lock.Unlock()
 	h.Set("Server-Stamp", "stamp."+name+"."+id)
+	if strings.HasPrefix(r.URL.Path, "/talk/") {
+		h.Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprintf(w, "id: 1\ndata: answer to %s\n\nid: 2\ndata: of %d bytes\n\n", id, len(body))
+		return
+	}
 	_, _ = fmt.Fprintf(w, "answer to %s of %d bytes\n", id, len(body))
 }
 
