balancer: a target that announces that it leaves gets no more requests (DRAIN)

Cause: only the platform's list of targets told a host that a target leaves. The header was read nowhere, neither in answers that are passed on nor in refusals, failures, broken answers and answers to other requests.

Fix: each head that a connection to a target yields is looked at, and the instance (ID, incarnation, address) to which the request went is marked in the balancer. All ways to a target go through its choice, so a mark there covers preferred targets, repeated and resumed requests and the queue; the queue is decided again at once. The mark outlives renewed and lapsed registrations and concerns no later start and no other target at the address. Tunnels to such a target are not opened for other hosts.

--- /dev/null
+++ b/balancer/leaving.go
@@ -0,0 +1,45 @@
+package balancer
+
+import sd "sapphiredrum.example/sapphiredrum"
+
+// instance is one start of a target. A later start may have the same ID or address.
+type instance struct {
+	id          sd.TargetID
+	incarnation sd.Incarnation
+	address     sd.Address
+}
+
+// leavingTTL is how long an instance counts as leaving after its registration is gone. The
+// registration may come back, as registrations lapse while the store is away.
+const leavingTTL = 10 * sd.Minute
+
+// instance returns the instance that is registered.
+func (t *target) instance() instance { return instance{t.ID, t.Incarnation, t.Address} }
+
+// MarkLeaving records that the instance to which a request was sent has announced that it
+// leaves. It gets no requests from then on, whatever its registration says. MarkLeaving reports
+// whether this was not known.
+func (s *State) MarkLeaving(now sd.Instant, req *Request) bool {
+	announced := instance{req.Target, req.Incarnation, req.Address}
+	_, known := s.leaving[announced]
+	s.leaving[announced] = now
+	if t := s.targets[req.Target]; t != nil && t.instance() == announced {
+		t.leaving = true
+	}
+	return !known
+}
+
+// accepts reports whether a target may get requests at all.
+func (s *State) accepts(t *target) bool { return !t.Leaving && !t.leaving && !s.evacuated[t.Zone] }
+
+// forgetLeft drops the instances that are no longer registered once leavingTTL has passed.
+func (s *State) forgetLeft(now sd.Instant) {
+	for left, at := range s.leaving {
+		switch t := s.targets[left.id]; {
+		case t != nil && t.instance() == left:
+			s.leaving[left] = now
+		case now.Since(at) > leavingTTL:
+			delete(s.leaving, left)
+		}
+	}
+}
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -57,7 +57,7 @@
 	}
 	running, slots := 0, 0
 	for _, t := range p.members {
-		if !t.Leaving && !s.evacuated[t.Zone] {
+		if s.accepts(t) {
 			running += t.inflight
 			slots += int(t.Slots)
 		}
@@ -160,8 +160,9 @@
 	return even
 }
 
-// housekeep records when this host began to count the requests it sends, and drops the send
-// times of removed targets once they are older than the window of the cold limit.
+// housekeep records when this host began to count the requests it sends, and drops what it
+// remembers of removed targets: their send times once they are older than the window of the cold
+// limit, and that they were leaving after leavingTTL.
 func (s *State) housekeep(now sd.Instant) {
 	if s.countingSince == 0 {
 		s.countingSince = now
@@ -171,6 +172,7 @@
 			delete(s.removedSent, id)
 		}
 	}
+	s.forgetLeft(now)
 }
 
 // sentInWindow returns the number of requests sent within the window of the cold limit.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -96,7 +96,10 @@
 	// removedSent holds the send times of recently removed targets, since a registration may
 	// lapse for a moment.
 	removedSent map[sd.TargetID][]sd.Instant
-	peers       map[sd.HostID]*peerLoad
+	// leaving holds the instances that have announced that they leave, and when that or their
+	// registration was last seen.
+	leaving map[instance]sd.Instant
+	peers   map[sd.HostID]*peerLoad
 	// peerList holds the peers in the order in which they were first heard.
 	peerList []*peerLoad
 	// shares holds the parts of the hosts' load reports by target.
@@ -116,6 +119,9 @@
 
 type target struct {
 	sd.TargetRegistration
+	// leaving is set once the instance has announced that it leaves, which its registration
+	// may not tell.
+	leaving  bool
 	inflight int
 	// reportedLoad is the load that the target last reported; ownAtReport is how much of it
 	// came from this host.
@@ -157,9 +163,10 @@
 	// StartDeadline is the latest time at which starting the request is still useful.
 	StartDeadline sd.Instant
 
-	// Target and Address are set once the request may be sent.
-	Target  sd.TargetID
-	Address sd.Address
+	// Target, Address and Incarnation are set once the request may be sent.
+	Target      sd.TargetID
+	Address     sd.Address
+	Incarnation sd.Incarnation
 	// RefusalReason is set if the request was refused; ExpectedWait is the estimated wait in
 	// the queue.
 	RefusalReason Refusal
@@ -197,7 +204,7 @@
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
 		evacuated: map[sd.ZoneName]bool{}, removedSent: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]*peerLoad{},
-		shares: map[gossiper.IDHash][]peerShare{},
+		shares: map[gossiper.IDHash][]peerShare{}, leaving: map[instance]sd.Instant{},
 	}
 }
 
@@ -252,6 +259,7 @@
 		slices.SortFunc(p.members, func(a, b *target) int { return cmp.Compare(a.rank, b.rank) })
 	}
 	t.TargetRegistration = r
+	_, t.leaving = s.leaving[t.instance()]
 	return fresh
 }
 
@@ -267,11 +275,14 @@
 	p.members = slices.DeleteFunc(p.members, func(m *target) bool { return m == t })
 }
 
-// Targets returns the known registrations in no particular order.
+// Targets returns the known registrations in no particular order. Leaving is also set on those
+// whose target has announced it in a response.
 func (s *State) Targets() []sd.TargetRegistration {
 	list := make([]sd.TargetRegistration, 0, len(s.targets))
 	for _, t := range s.targets {
-		list = append(list, t.TargetRegistration)
+		r := t.TargetRegistration
+		r.Leaving = r.Leaving || t.leaving
+		list = append(list, r)
 	}
 	return list
 }
@@ -385,7 +396,7 @@
 	var subset, sameZone, otherZones, unreachable []*target
 	usable, reachableCount, heard := 0, 0, s.heardHosts(now)
 	for _, t := range p.members {
-		if t.Leaving || s.evacuated[t.Zone] || slices.Contains(req.ExcludedTargets, t.ID) {
+		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) {
 			continue
 		}
 		usable++
@@ -466,7 +477,7 @@
 }
 
 func (s *State) dispatch(now sd.Instant, req *Request, t *target) {
-	req.Target, req.Address = t.ID, t.Address
+	req.Target, req.Address, req.Incarnation = t.ID, t.Address, t.Incarnation
 	t.inflight++
 	if n := len(t.sent) - t.sentInWindow(now); n > 32 {
 		t.sent = slices.Delete(t.sent, 0, n)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -81,6 +81,9 @@
 	Body [][]byte
 	// Belongs reports whether an answer's headers may belong to this request.
 	Belongs func(status int, header http.Header) bool
+	// Received, if set, is called for each head that the target sends, also for those of
+	// interim answers and of answers to other requests.
+	Received func(status int, header http.Header)
 	// Fresh asks for a new connection.
 	Fresh bool
 }
@@ -260,6 +263,9 @@
 			}
 			return fail(err)
 		}
+		if call.Received != nil {
+			call.Received(response.StatusCode, response.Header)
+		}
 		if response.StatusCode < 200 {
 			continue
 		}
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -92,6 +92,11 @@
 			id := platform.DecodeReply(status, header).Request
 			return id == q.params.Request || (id == "" && status >= 300)
 		},
+		Received: func(status int, header http.Header) {
+			if platform.DecodeReply(status, header).Leaving {
+				q.markLeaving(ticket)
+			}
+		},
 	}
 	if q.stream != nil && q.stream.lastID != "" {
 		platform.ResumeAfter(call.Header, q.stream.lastID)
@@ -141,6 +146,18 @@
 	return q.forwardResponse(ctx, response, release)
 }
 
+// markLeaving records that the ticket's target announced that it leaves. The platform's list
+// of targets may not tell it in time, or never.
+func (q *request) markLeaving(ticket *balancer.Request) {
+	fresh := false
+	q.TargetQueue.Update(func(b *balancer.State, now sd.Instant) { fresh = b.MarkLeaving(now, ticket) })
+	if fresh {
+		q.Metrics.Set.GetOrCreateCounter("targets_leaving_total").Inc()
+		q.Log.Info("target announced that it leaves", zap.Int("event", eventTargetLeaves), q.idField(), zap.String("target", string(ticket.Target)),
+			zap.String("address", string(ticket.Address)), zap.Stringer("incarnation", ticket.Incarnation))
+	}
+}
+
 // retryResult returns attemptRetry if a request that may have run may be sent again,
 // otherwise attemptGiveUp.
 func (q *request) retryResult() attemptResult {
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -21,6 +21,7 @@
 	eventDeadlineNotSet = 646
 	eventResetFailed    = 647
 	eventCrash          = 648
+	eventTargetLeaves   = 649
 )
 
 // Metrics holds the counters and histograms of a host.
--- a/starter/host.go
+++ b/starter/host.go
@@ -283,11 +283,14 @@
 	})
 }
 
-// targetAddresses returns the addresses of the registered targets.
+// targetAddresses returns the addresses of the registered targets, except those that leave:
+// they get no requests from this host, also not through its tunnels.
 func (h *Host) targetAddresses() []sd.Address {
 	var list []sd.Address
 	for _, target := range h.gate.Targets() {
-		list = append(list, target.Address)
+		if !target.Leaving {
+			list = append(list, target.Address)
+		}
 	}
 	return list
 }
--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -45,6 +45,8 @@
 	t     *testing.T
 	rows  *faker.Rows
 	store string
+	// targets are two engines and two desks.
+	targets []*emulator.Target
 }
 
 func newSite(t *testing.T) *site {
@@ -58,6 +60,7 @@
 		if pool == "engines" {
 			target.Events = 4
 		}
+		s.targets = append(s.targets, target)
 		at := httptest.NewServer(target)
 		t.Cleanup(at.Close)
 		s.rows.Write(sd.RecordKey{Table: platform.TargetTable, Key: string(target.ID)},
