starter: a host's row is written under conditions and kept (QUOTA)

Cause: a stopping host removed its row without a condition. The answer of that call was lost and the removal took effect seconds later, when the host ran again: the row of the next start was gone. Nobody wrote it again, so the other hosts dropped the new process and its heartbeats; each then acts as the only host. Writing the row had no condition either, so that a late write of an earlier start could replace the row of the next one.

Fix: a publisher keeps the row. It writes and removes it under the version last seen, so a write that takes effect late fails once a successor has written. A host that reads that its row is gone or names another start writes it again, which also heals late writes of hosts of the version before. Two processes under one name pause longer and longer between their writes.

The soak asks at its end that all hosts hear one another, loses answers of writes that take effect 1.5 s later, and can begin with another version (SOAK_OLD). TestHundredsOfHostsPublishThemselves keeps its bounds; it counts the writes for one second more, as the publisher runs on.

--- a/cmd/sapphiredrum/soak_test.go
+++ b/cmd/sapphiredrum/soak_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,7 +27,8 @@
 // TestSoak runs real entry hosts as processes of their own under faults from
 // outside, and checks what callers and targets see. SOAK names the seeds, SOAK_MS
 // how long each runs, SOAK_HOSTS the number of hosts; SOAK_LOGS keeps their logs in a
-// folder:
+// folder. SOAK_OLD names the program of another version, with which all hosts begin; each is
+// replaced when it is restarted:
 //
 //	SOAK=1,2,3 SOAK_MS=20000 go test ./cmd/sapphiredrum -run TestSoak
 func TestSoak(t *testing.T) {
@@ -181,9 +183,24 @@
 	for _, h := range s.hosts {
 		h.await()
 	}
+	s.judgePeers()
 	s.judge()
 }
 
+// judgePeers checks that all hosts know of one another (QUOTA: each takes its share of the
+// rates of all).
+func (s *soak) judgePeers() {
+	for i, h := range s.hosts {
+		peers := -1
+		for end := time.Now().Add(recovery); peers != len(s.hosts)-1 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			peers = h.peers()
+		}
+		if peers != len(s.hosts)-1 {
+			s.note("QUOTA: h%d hears %d of %d other hosts", i, peers, len(s.hosts)-1)
+		}
+	}
+}
+
 // goOn continues from every turn that was answered whole: from the last of each line
 // first, whose chains hold the others, then from the others as far as the time goes.
 func (s *soak) goOn(random *rand.Rand) {
@@ -247,8 +264,14 @@
 	s.lock.Lock()
 	s.struck = true
 	s.lock.Unlock()
-	for _, h := range s.hosts {
+	for i, h := range s.hosts {
 		h.await()
+		if h.upgrade() {
+			s.tell("h%d: replaced", i)
+			h.stop(syscall.SIGTERM)
+			h.start()
+			h.await()
+		}
 	}
 	s.tell("faults have ended")
 	time.Sleep(settled + calmLength)
--- a/cmd/sapphiredrum/soakfaults_test.go
+++ b/cmd/sapphiredrum/soakfaults_test.go
@@ -37,6 +37,9 @@
 		}
 		// While all hosts are off, none starts before the others.
 		s.power.Lock()
+		if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+			h.upgrade()
+		}
 		h.start()
 		s.power.Unlock()
 		time.Sleep(1500 * time.Millisecond)
@@ -95,7 +98,7 @@
 		{Silent: true},
 		{Down: true},
 		{Silent: true},
-		{Lost: 0.3, Late: 0.5, Delay: 5},
+		{Lost: 0.3, Late: 0.5, Delay: 5, LateBy: 1500},
 		{Delay: 150},
 		{Crowded: true},
 	}[random.IntN(8)]
--- a/cmd/sapphiredrum/soakhost_test.go
+++ b/cmd/sapphiredrum/soakhost_test.go
@@ -1,11 +1,13 @@
 package main_test
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,8 +19,10 @@
 
 // soakHost is an entry host, a process or none.
 type soakHost struct {
-	t                              *testing.T
-	binary, config, callers, ready string
+	t                      *testing.T
+	config, callers, ready string
+	// metrics is the address of the host's metrics, binary its program.
+	metrics, binary string
 
 	lock    sync.Mutex
 	process *os.Process
@@ -30,12 +34,16 @@
 	t.Helper()
 	callers, ready := free(t), free(t)
 	_, port, _ := strings.Cut(string(free(t)), ":")
-	_, metrics, _ := strings.Cut(string(free(t)), ":")
+	metricsAddress := string(free(t))
+	_, metrics, _ := strings.Cut(metricsAddress, ":")
 	text := fmt.Sprintf("[host]\nname = h%d\nzone = z\nip = 127.0.0.1\nmemory = 200\ncores = 1\n[listen]\ncallers = %s\nready = %s\nports = %s\nmetrics = %s\n[store]\naddress = %s\n[times]\nbeat = 1200\ndrain = 2000\ngrace = 8\n[rate]\nwindow = 5\nover = 0.1\nslack = 20\n[cold]\nover = 1.5\nslack = 5\n",
 		i, callers, ready, port, metrics, store)
 	h := &soakHost{
-		t: t, binary: filepath.Join(binaries, "sapphiredrum"), config: filepath.Join(folder, fmt.Sprintf("h%d.ini", i)),
-		callers: "http://" + string(callers), ready: "http://" + string(ready) + "/v1/readyz",
+		t: t, config: filepath.Join(folder, fmt.Sprintf("h%d.ini", i)), callers: "http://" + string(callers),
+		ready: "http://" + string(ready) + "/v1/readyz", metrics: "http://" + metricsAddress + "/metrics", binary: os.Getenv("SOAK_OLD"),
+	}
+	if h.binary == "" {
+		h.upgrade()
 	}
 	if err := os.WriteFile(h.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -45,6 +53,34 @@
 	return h
 }
 
+// upgrade has the host's next process run the version under test. It reports whether that is a
+// change.
+func (h *soakHost) upgrade() bool {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	old := h.binary
+	h.binary = filepath.Join(binaries, "sapphiredrum")
+	return old != h.binary
+}
+
+// peers returns the number of other hosts that the host hears, or -1 if that cannot be had.
+func (h *soakHost) peers() int {
+	answer, err := http.Get(h.metrics)
+	if err != nil {
+		return -1
+	}
+	defer func() { _ = answer.Body.Close() }()
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		if text, found := strings.CutPrefix(lines.Text(), "peers "); found {
+			if n, err := strconv.Atoi(text); err == nil {
+				return n
+			}
+		}
+	}
+	return -1
+}
+
 // start starts a process, unless there is one.
 func (h *soakHost) start() {
 	h.lock.Lock()
--- a/faker/rows.go
+++ b/faker/rows.go
@@ -36,10 +36,11 @@
 	// Crowded refuses every call for load.
 	Crowded bool
 	// Lost is the share of commits that take effect and are not answered; Late of
-	// those, the share that takes effect only after Delay.
+	// those, the share that takes effect only after Delay or LateBy, whichever is longer.
 	Lost, Late sd.Share
+	LateBy     sd.Millis
 	// Twice is the share of commits that are made twice, at once or with the second after
-	// Delay; the answer is that of the last one made at once.
+	// Delay or LateBy; the answer is that of the last one made at once.
 	Twice sd.Share
 	// Delay is how long each call takes.
 	Delay sd.Millis
@@ -172,7 +173,7 @@
 
 // checkLate applies an update later if its conditions hold then.
 func (r *Rows) checkLate(update sd.Update) {
-	time.AfterFunc(max(r.trouble.Delay, lateLeast).Duration(), func() {
+	time.AfterFunc(max(r.trouble.Delay, r.trouble.LateBy, lateLeast).Duration(), func() {
 		r.lock.Lock()
 		defer r.lock.Unlock()
 		_, _ = r.check(update)
--- a/starter/host.go
+++ b/starter/host.go
@@ -126,9 +126,7 @@
 	table *receiver.RoutingTable
 	known bool
 
-	// published is closed once this host has read its own row.
-	published     chan struct{}
-	publishedOnce sync.Once
+	publisher *publisher
 
 	draining atomic.Bool
 	targets  atomic.Bool
@@ -146,7 +144,6 @@
 	h := &Host{
 		settings: settings, path: path, clock: sd.NewClock(), log: log, incarnation: sd.NewIncarnation(),
 		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{},
-		published: make(chan struct{}),
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	h.client = platform.NewClient(settings.Store)
@@ -158,6 +155,9 @@
 	h.relay = relayer.New(h.client, h.gossiper.Alive, settings.Zone, h.peers, h.clock, log)
 	h.relay.Know(archiver.AllParts()...)
 	h.relay.Changed, h.gossiper.OnStoreUnreachable = h.gossiper.SendSoon, h.relay.Suspect
+	h.publisher = newPublisher(h.relay, platform.PeerTable, platform.PeerRow{
+		Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation, Power: settings.Power,
+	}, log)
 	h.tunneler = tunneler.New(tunneler.Config{
 		Direct: dialer, Zone: settings.Zone, Peers: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Targets: h.targetAddresses,
 		Changed: h.gossiper.SendSoon, Clock: h.clock, Log: log,
@@ -211,6 +211,7 @@
 	add(h.tunneler.Run)
 	add(h.idle.run)
 	add(h.publish)
+	add(h.sweepHosts)
 	add(h.reload)
 	add(h.follow(platform.OperatorTable, planWait, 0, h.operatorChanged))
 	add(h.follow(platform.TargetTable, targetWait, sd.Millis(targetPace*float64(h.settings.Drain)), h.targetsChanged))
@@ -239,7 +240,7 @@
 // followPeers follows the rows of hosts and of the allotter.
 func (h *Host) followPeers(ctx context.Context) error {
 	f := &observer.Follower{
-		Store: h.relay, Table: platform.PeerTable, Wait: peerWait, Pace: peerPace, Changed: h.peersChanged, Read: h.allotter.MarkRead,
+		Store: h.relay, Table: platform.PeerTable, Wait: peerWait, Pace: peerPace, Changed: h.peersChanged, Read: h.peersRead,
 		Clock: h.clock, Log: h.log,
 	}
 	return f.Run(ctx)
@@ -298,11 +299,11 @@
 // isolated reports whether the host is cut off from most others and from the
 // store: callers are served better elsewhere.
 func (h *Host) isolated() bool {
-	alive, hosts := len(h.gossiper.Alive(false))+1, h.gossiper.Hosts()
-	isolated := 2*alive < hosts && h.relay.Away()
+	heard, hosts := len(h.gossiper.Alive(false))+1, h.gossiper.Hosts()
+	isolated := 2*heard < hosts && h.relay.Away()
 	if h.alone.Swap(isolated) != isolated {
 		h.log.Warn("host is cut off, or no longer", zap.Int("event", eventIsolated), zap.Bool("cut_off", isolated),
-			zap.Int("heard", alive), zap.Int("hosts", hosts))
+			zap.Int("heard", heard), zap.Int("hosts", hosts))
 	}
 	return isolated
 }
--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -47,11 +47,16 @@
 	store string
 	// targets are two engines and two desks.
 	targets []*emulator.Target
+	// held is the store as hosts see it.
+	held *heldStore
+	// configure, if set, is called with each host before it runs.
+	configure func(*starter.Host)
 }
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, rows: faker.NewRows(1)}
-	server := httptest.NewServer(emulator.Store(s.rows))
+	s.held = &heldStore{Rows: s.rows}
+	server := httptest.NewServer(emulator.Store(s.held))
 	t.Cleanup(server.Close)
 	s.store = strings.TrimPrefix(server.URL, "http://")
 	s.rows.Write(sd.RecordKey{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(1, 0, "k1"))
@@ -114,7 +119,11 @@
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- starter.NewOver(settings, path, dialer, zap.NewNop()).Run(ctx) }()
+	h := starter.NewOver(settings, path, dialer, zap.NewNop())
+	if s.configure != nil {
+		s.configure(h)
+	}
+	go func() { ended <- h.Run(ctx) }()
 	stopped := false
 	stop = func() {
 		if stopped {
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -103,8 +103,7 @@
 	limited, cancel = context.WithTimeout(ctx, left(flushReserve))
 	flushed := h.receiver.WaitSettled(limited) && h.archive.Flush(limited)
 	h.allotter.Leave(limited)
-	cell := sd.RecordKey{Table: platform.PeerTable, Key: string(h.settings.Host)}
-	_, gone := h.relay.Commit(limited, sd.Update{Remove: []sd.RecordKey{cell}})
+	gone := h.publisher.remove(limited)
 	cancel()
 	h.log.Info("host has drained", zap.Int("event", eventDrains), zap.Bool("flushed", flushed),
 		zap.NamedError("cut", err), zap.NamedError("tunnels", used), zap.NamedError("row", gone))
--- a/starter/publish_test.go
+++ b/starter/publish_test.go
@@ -13,6 +13,7 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/faker"
 	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/platform"
 	"sapphiredrum.example/sapphiredrum/relayer"
 )
 
@@ -46,31 +47,39 @@
 	store := &busyPart{Rows: faker.NewRows(1), rate: 100}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	var writing sync.WaitGroup
+	var writing, running sync.WaitGroup
 	start := time.Now()
 	for i := range hosts {
 		relay := relayer.New(store, func(bool) []gossiper.Peer { return nil }, "z", nil, sd.NewClock(), zap.NewNop())
-		cell := sd.RecordKey{Table: "status", Key: fmt.Sprint("h", i)}
-		seen := make(chan struct{})
-		p := &publisher{store: relay, record: sd.Record{RecordKey: cell}, seen: seen, log: zap.NewNop()}
-		writing.Go(func() { p.run(ctx) })
+		p := newPublisher(relay, "status", platform.PeerRow{Host: sd.HostID(fmt.Sprint("h", i)), Incarnation: 1}, zap.NewNop())
+		p.markListed()
+		running.Go(func() {
+			if err := p.run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
 		writing.Go(func() {
-			for store.Row(cell).Version == 0 && ctx.Err() == nil {
+			for store.Row(p.key).Version == 0 && ctx.Err() == nil {
 				// The tables are followed meanwhile, and tell that the store is well.
 				if _, err := relay.List(ctx, "t", "", "", ""); err != nil && ctx.Err() == nil {
 					t.Error(err)
 				}
 				time.Sleep(peerPace.Duration())
 			}
-			close(seen)
+			p.observe(store.Row(p.key))
 		})
 	}
 	writing.Wait()
-	t.Logf("%d writes, %v", store.commits.Load(), time.Since(start))
+	took := time.Since(start)
+	// Writes that were not waited for are counted as well.
+	time.Sleep(time.Second)
+	cancel()
+	running.Wait()
+	t.Logf("%d writes, %v", store.commits.Load(), took)
 	if n := store.commits.Load(); n > hosts*3/2 {
 		t.Errorf("%d writes of %d rows", n, hosts)
 	}
-	if took := time.Since(start); took > 15*time.Second {
+	if took > 15*time.Second {
 		t.Errorf("the last host is known after %v, recovery has 15 s", took)
 	}
 }
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -111,6 +111,10 @@
 		h.rowLock.Lock()
 		h.rows[sd.HostID(record.Key)] = sd.Record{RecordKey: record.RecordKey, Version: record.Version}
 		h.rowLock.Unlock()
+		if sd.HostID(record.Key) == h.settings.Host {
+			h.publisher.observe(record)
+			continue
+		}
 		if record.Removed {
 			h.gossiper.Remove(sd.HostID(record.Key))
 			h.meter.update(func(s *meterer.State, _ sd.Instant) { s.RemoveHost(sd.HostID(record.Key)) })
@@ -121,9 +125,6 @@
 			h.log.Warn("row of a host cannot be used", zap.Int("event", eventPublish), zap.String("host", record.Key), zap.Error(err))
 			continue
 		}
-		if row.Host == h.settings.Host && row.Incarnation == h.incarnation {
-			h.publishedOnce.Do(func() { close(h.published) })
-		}
 		h.gossiper.Set(gossiper.Peer{Host: row.Host, Zone: row.Zone, Address: row.Address, Incarnation: row.Incarnation, Cores: row.Power})
 	}
 	hosts, reach := h.gossiper.Hosts(), h.gossiper.ReachableHosts(nil)
@@ -135,46 +136,20 @@
 	h.enforce()
 }
 
-// publish writes this host's row and removes it at the end.
-func (h *Host) publish(ctx context.Context) error {
-	cell := sd.RecordKey{Table: platform.PeerTable, Key: string(h.settings.Host)}
-	value, err := json.Marshal(platform.PeerRow{
-		Host: h.settings.Host, Zone: h.settings.Zone, Address: h.settings.Peers, Incarnation: h.incarnation, Power: h.settings.Power,
-	})
-	if err != nil {
-		return sd.Unavailable.Wrap(err, "row of this host")
-	}
-	(&publisher{store: h.relay, record: sd.Record{RecordKey: cell, Value: value}, seen: h.published, log: h.log}).run(ctx)
-	for pause(ctx, sweepEvery) {
-		h.sweepPeers(ctx)
-	}
-	return ctx.Err()
+// peersRead takes that a read of the table of hosts, sent at the given time, was answered.
+func (h *Host) peersRead(sent sd.Instant) {
+	h.publisher.markListed()
+	h.allotter.MarkRead(sent)
 }
 
-// sweeps reports whether this host removes old rows: it is the first of the hosts alive.
-func (h *Host) sweeps() bool {
-	for _, p := range h.gossiper.Alive(false) {
-		if p.Host < h.settings.Host {
-			return false
-		}
-	}
-	return true
-}
-
-// sweepPeers removes the rows of hosts that are gone for good.
-func (h *Host) sweepPeers(ctx context.Context) {
-	if !h.sweeps() {
-		return
-	}
-	for _, host := range h.gossiper.SilentPeers(goneAfter) {
-		h.rowLock.Lock()
-		row := h.rows[host]
-		h.rowLock.Unlock()
-		ctx, cancel := context.WithTimeout(ctx, sweepEvery.Duration())
-		_, err := h.relay.Commit(ctx, sd.Update{Expect: []sd.Record{row}, Remove: []sd.RecordKey{row.RecordKey}})
-		cancel()
-		h.log.Info("row of a lost host removed", zap.Int("event", eventPublish), zap.String("host", string(host)), zap.Error(err))
+// publish keeps this host's row until ctx ends.
+func (h *Host) publish(ctx context.Context) error {
+	if err := h.publisher.run(ctx); err != nil {
+		return err
 	}
+	// The host drains after the row was removed.
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 // outage tells when no host in reach last reached the store, and for how long.
