starter: hosts that hear less than half of the fleet remove no rows (QUOTA)

What callers saw: after repeated cuts between zones, or once the others had forgotten a host, workspaces got several times their allowance until hosts were restarted.

Cause: the first of the hosts that a host hears removes the rows of hosts that have been silent for 30 s. A host that hears nobody is always the first, so one that was cut off removed the rows of all others, under conditions that held.

Fix: rows are removed only by a host that hears at least half of the hosts that it knows, itself included. The rows of grantors (allotter) and counts of crashes (screener) follow the same rule. A row that was removed although its host lives is written again by that host.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -56,7 +56,9 @@
 	// Table is the table of the store that all hosts write and follow.
 	Table string
 	// Alive returns the hosts that were heard from recently.
-	Alive  func() []gossiper.Peer
+	Alive func() []gossiper.Peer
+	// Sweeps reports whether this host is the one that removes old rows.
+	Sweeps func() bool
 	Client *messenger.Client
 	Clock  sd.Clock
 	Log    *zap.Logger
@@ -219,9 +221,7 @@
 	a.lock.Lock()
 	a.state.Forget(now)
 	a.seenAt[grantorPrefix+string(a.config.Host)] = now
-	first := true
 	for _, p := range alive {
-		first = first && a.config.Host < p.Host
 		a.seenAt[grantorPrefix+string(p.Host)] = now
 	}
 	for key, record := range a.rows {
@@ -230,7 +230,7 @@
 		}
 	}
 	a.lock.Unlock()
-	if !first {
+	if len(old) == 0 || !a.config.Sweeps() {
 		return
 	}
 	for _, record := range old {
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -78,7 +78,7 @@
 	h := &host{peer: gossiper.Peer{Host: sd.HostID(fmt.Sprint("h", i)), Address: sd.Address(listener.Addr().String()), Incarnation: sd.Incarnation(f.starts)}}
 	h.Allotter = allotter.New(allotter.Config{
 		Host: h.peer.Host, Incarnation: h.peer.Incarnation, Store: f.rows, Table: table, Alive: func() []gossiper.Peer { return f.others(h) },
-		Client: f.client, Clock: f.clock(), Log: zap.NewNop(),
+		Sweeps: func() bool { return f.first(h) }, Client: f.client, Clock: f.clock(), Log: zap.NewNop(),
 	})
 	e := echo.New()
 	h.RegisterHandlers(e)
@@ -120,6 +120,16 @@
 	return list
 }
 
+// first reports whether a host is the first of all.
+func (f *fleet) first(of *host) bool {
+	for _, p := range f.others(of) {
+		if p.Host < of.peer.Host {
+			return false
+		}
+	}
+	return true
+}
+
 // entries counts the hosts' entries with the given number of starts and phase.
 func (f *fleet) entries(starts int, phase allotter.Phase) int {
 	n := 0
--- a/starter/export_test.go
+++ b/starter/export_test.go
@@ -1,4 +1,9 @@
 package starter
 
+import sd "sapphiredrum.example/sapphiredrum"
+
 // NewOver builds a host that reaches targets through a dialer of the test's own.
 var NewOver = newHost
+
+// SetRemovalAge sets the silence after which the rows of other hosts are removed.
+func (h *Host) SetRemovalAge(age sd.Millis) { h.removalAge = age }
--- a/starter/host.go
+++ b/starter/host.go
@@ -127,6 +127,8 @@
 	known bool
 
 	publisher *publisher
+	// removalAge is the silence after which the rows of other hosts are removed.
+	removalAge sd.Millis
 
 	draining atomic.Bool
 	targets  atomic.Bool
@@ -143,7 +145,7 @@
 func newHost(settings platform.Settings, path string, dialer sd.Dialer, log *zap.Logger) *Host {
 	h := &Host{
 		settings: settings, path: path, clock: sd.NewClock(), log: log, incarnation: sd.NewIncarnation(),
-		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{},
+		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{}, removalAge: goneAfter,
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	h.client = platform.NewClient(settings.Store)
@@ -172,7 +174,7 @@
 	})}
 	h.allotter = allotter.New(allotter.Config{
 		Host: settings.Host, Incarnation: h.incarnation, Store: h.relay, Table: platform.PeerTable,
-		Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Client: h.peers, Clock: h.clock, Log: log,
+		Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Sweeps: h.sweeps, Client: h.peers, Clock: h.clock, Log: log,
 	})
 	h.screener = screener.New(screener.Config{Store: h.relay, Table: platform.CrashTable, Sweeps: h.sweeps, Clock: h.clock, Log: log})
 	h.archive = archiver.New(archiver.Settings{
@@ -299,7 +301,7 @@
 // isolated reports whether the host is cut off from most others and from the
 // store: callers are served better elsewhere.
 func (h *Host) isolated() bool {
-	heard, hosts := len(h.gossiper.Alive(false))+1, h.gossiper.Hosts()
+	heard, hosts := h.heardHosts()
 	isolated := 2*heard < hosts && h.relay.Away()
 	if h.alone.Swap(isolated) != isolated {
 		h.log.Warn("host is cut off, or no longer", zap.Int("event", eventIsolated), zap.Bool("cut_off", isolated),
--- a/starter/sweep.go
+++ b/starter/quorum.go
@@ -8,8 +8,18 @@
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
-// sweeps reports whether this host removes old rows: it is the first of the hosts alive.
+// heardHosts returns the number of hosts heard from recently and of those known, both
+// including this one.
+func (h *Host) heardHosts() (heard, known int) {
+	return len(h.gossiper.Alive(false)) + 1, h.gossiper.Hosts()
+}
+
+// sweeps reports whether this host removes old rows: it hears at least half of the hosts, and is
+// the first of them. A host that hears fewer is more likely cut off than left alone.
 func (h *Host) sweeps() bool {
+	if heard, known := h.heardHosts(); 2*heard < known {
+		return false
+	}
 	for _, p := range h.gossiper.Alive(false) {
 		if p.Host < h.settings.Host {
 			return false
@@ -28,10 +38,10 @@
 	return ctx.Err()
 }
 
-// removeSilent removes the rows of the hosts that have been silent for goneAfter. One that is
+// removeSilent removes the rows of the hosts that have been silent for removalAge. One that is
 // alive writes its row again.
 func (h *Host) removeSilent(ctx context.Context) {
-	for _, host := range h.gossiper.SilentPeers(goneAfter) {
+	for _, host := range h.gossiper.SilentPeers(h.removalAge) {
 		h.rowLock.Lock()
 		row := h.rows[host]
 		h.rowLock.Unlock()
