meterer: a host that is cut off for long admits nothing (QUOTA)

After 30 s of silence the other hosts remove a host's row and divide its share of the rates among themselves. If that host lives, but is cut off from them and from the store, it went on admitting at its share: one of three zones that is cut off for longer makes a third more than the rate.

Cause: a share is a permission that others take back after a time, and its holder did not give it up before.

Fix: a host that does not reach the store and does not hear more than half of the hosts for 20 s admits no requests of workspaces with a rate (10 s before its row may be removed), and begins with empty buckets when it is back. Hosts that hear less than half remove no rows, so no host is suspended whose row can't be removed, except in a fleet that falls into two halves.

Tests: TestHostThatIsCutOffForLongAdmitsNothing fails on (requests are served on); TestSuspendedHostAdmitsNothing needs the new method.

--- a/meterer/state.go
+++ b/meterer/state.go
@@ -25,6 +25,8 @@
 	// hosts is the number of hosts that may be admitting, reachable the number of those that
 	// are reachable. Both include this host, and both are zero until they are known.
 	hosts, reachable int
+	// suspended is set while this host admits nothing.
+	suspended bool
 	// beatInterval is the moving average of the time between two reports of a host.
 	beatInterval float64
 }
@@ -81,6 +83,16 @@
 	s.hosts, s.reachable = max(hosts, 1), max(reachable, 1)
 }
 
+// SetSuspended sets whether this host admits no requests of limited workspaces, as the others may
+// use its share. Its buckets are empty when it begins again.
+func (s *State) SetSuspended(now sd.Instant, suspended bool) {
+	if suspended == s.suspended {
+		return
+	}
+	s.fillAll(now)
+	s.suspended = suspended
+}
+
 // Configure sets the workspaces of a fleet configuration. A workspace without a rate is not
 // limited.
 func (s *State) Configure(now sd.Instant, workspaces []sd.Workspace) {
@@ -104,7 +116,7 @@
 
 // reachableShare returns the share of the fleet's rate that this host may use.
 func (s *State) reachableShare() float64 {
-	if s.hosts == 0 {
+	if s.hosts == 0 || s.suspended {
 		return 0
 	}
 	return min(float64(s.reachable)/float64(s.hosts), 1)
@@ -207,7 +219,7 @@
 	share := s.reachableShare()
 	b.fill(now, share)
 	if share == 0 {
-		// Until the hosts know of one another, each of them would use the whole rate.
+		// Hosts that do not know of one another would use more than the whole rate.
 		return Decision{RetryAfter: unknownHostsRetry, Tokens: b.tokens, Rate: sd.Rate(b.rate)}
 	}
 	need := min(1, b.capacity()*share)
--- a/meterer/state_test.go
+++ b/meterer/state_test.go
@@ -416,3 +416,26 @@
 		t.Fatalf("%d admitted in 20 s, want at most %d", admitted, most)
 	}
 }
+
+// Guards against a host admitting requests, or having saved tokens, while it is suspended.
+func TestSuspendedHostAdmitsNothing(t *testing.T) {
+	s := meterer.New(allowed)
+	s.Configure(0, []sd.Workspace{{ID: "w", Rate: rate, Burst: burst}})
+	s.SetHostCounts(0, 3, 3)
+	now := sd.Instant(sd.Minute)
+	if !s.Admit(now, "w", false).Admitted {
+		t.Fatal("refused with a full bucket")
+	}
+	s.SetSuspended(now, true)
+	now = now.Add(sd.Minute)
+	if v := s.Admit(now, "w", false); v.Admitted || v.RetryAfter <= 0 {
+		t.Fatalf("admitted %v, retry after %d while suspended", v.Admitted, v.RetryAfter)
+	}
+	s.SetSuspended(now, false)
+	if got := s.Tokens("w"); got > 0 {
+		t.Fatalf("%v tokens at the end of the suspension", got)
+	}
+	if !s.Admit(now.Add(sd.Second), "w", false).Admitted {
+		t.Fatal("refused a second after the suspension")
+	}
+}
--- a/starter/host.go
+++ b/starter/host.go
@@ -44,6 +44,7 @@
 	eventPublish    = 660
 	eventCounts     = 661
 	eventIsolated   = 662
+	eventSuspended  = 665
 )
 
 const (
@@ -72,6 +73,9 @@
 	// goneAfter is the silence after which a host counts as gone for good; it is
 	// several times the longest cut that operators plan for.
 	goneAfter = 30 * sd.Second
+	// cutOffLimit is how long a host that is cut off admits requests. It is shorter than
+	// goneAfter by more than hosts take to notice a cut, as the others use its share after that.
+	cutOffLimit = 20 * sd.Second
 	// toldFor is the number of rounds in which a changed count is told: datagrams may
 	// be lost.
 	toldFor = 5
@@ -129,6 +133,10 @@
 	publisher *publisher
 	// removalAge is the silence after which the rows of other hosts are removed.
 	removalAge sd.Millis
+	// cutoff tells how long this host has been cut off, suspendAfter after what time of that
+	// it admits nothing.
+	cutoff       cutoff
+	suspendAfter sd.Millis
 
 	draining atomic.Bool
 	targets  atomic.Bool
@@ -145,7 +153,7 @@
 func newHost(settings platform.Settings, path string, dialer sd.Dialer, log *zap.Logger) *Host {
 	h := &Host{
 		settings: settings, path: path, clock: sd.NewClock(), log: log, incarnation: sd.NewIncarnation(),
-		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{}, removalAge: goneAfter,
+		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{}, removalAge: goneAfter, suspendAfter: cutOffLimit,
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	h.client = platform.NewClient(settings.Store)
@@ -264,10 +272,12 @@
 		s.SetUnreachableZones(silent, silentHosts)
 		beat.Inflight, beat.Sent = s.LocalLoad(now)
 	})
+	suspended := h.suspended()
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
 		if known {
 			s.SetHostCounts(now, hosts, reach)
 		}
+		s.SetSuspended(now, suspended)
 		beat.Admitted = s.AdmissionCounts(now, toldFor*h.gossiper.Interval())
 	})
 }
--- a/starter/quorum.go
+++ b/starter/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -51,3 +52,41 @@
 		h.log.Info("row of a lost host removed", zap.Int("event", eventPublish), zap.String("host", string(host)), zap.Error(err))
 	}
 }
+
+// suspended reports whether this host admits nothing: it has been cut off for so long that the
+// others may have removed its row and use its share of the rates. A host counts as cut off if it
+// does not reach the store and the hosts that it does not hear are enough to remove rows.
+func (h *Host) suspended() bool {
+	heard, known := h.heardHosts()
+	cut := known > 1 && 2*heard <= known && h.relay.Away()
+	suspended, changed := h.cutoff.observe(h.clock.Now(), cut, h.suspendAfter)
+	if changed {
+		h.log.Warn("host admits nothing while it is cut off, or does again", zap.Int("event", eventSuspended), zap.Bool("suspended", suspended),
+			zap.Int("heard", heard), zap.Int("hosts", known))
+	}
+	return suspended
+}
+
+// cutoff tells how long a host has been cut off.
+type cutoff struct {
+	lock sync.Mutex
+	// since is when the cut was noticed; zero if there is none.
+	since     sd.Instant
+	suspended bool
+}
+
+// observe takes whether the host is cut off now. It reports whether that has been so for a limit,
+// and whether this has changed.
+func (c *cutoff) observe(now sd.Instant, cut bool, limit sd.Millis) (suspended, changed bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	switch {
+	case !cut:
+		c.since = 0
+	case c.since == 0:
+		c.since = now
+	}
+	suspended = c.since != 0 && now.Since(c.since) >= limit
+	changed, c.suspended = suspended != c.suspended, suspended
+	return suspended, changed
+}
--- a/starter/quorum_test.go
+++ b/starter/quorum_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/faker"
+	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/platform/emulator"
 	"sapphiredrum.example/sapphiredrum/starter"
 )
 
@@ -33,3 +38,34 @@
 		}
 	}
 }
+
+// Guards against a host that has been cut off for so long that the others have taken its share of
+// the rates admitting requests at that share.
+func TestHostThatIsCutOffForLongAdmitsNothing(t *testing.T) {
+	s := newSite(t)
+	s.configure = func(h *starter.Host) { h.SetSuspendAfter(1000) }
+	s.rows.Write(sd.RecordKey{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(2, 1000, "k1"))
+	s.addSilentHost("x1")
+	callers, _, _ := s.host("h1")
+	client := &http.Client{}
+	n := 0
+	served := func() bool {
+		n++
+		return ask(client, callers, "/look/x", fmt.Sprint("r", n))
+	}
+	s.eventually("requests are served", served)
+	s.rows.Trouble(faker.RowsTrouble{Down: true})
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if !served() {
+			t.Fatal("a request was refused before the time limit")
+		}
+	}
+	s.eventually("requests are refused", func() bool { return !served() })
+	for range 20 {
+		if served() {
+			t.Fatal("a request was served while the host is cut off")
+		}
+	}
+	s.rows.Trouble(faker.RowsTrouble{})
+	s.eventually("requests are served again", served)
+}
