tunneler: a reset that only the copying of a request notices is passed on (ORDER)

Cause: a connection reports a reset once, to its reader or its writer. If the copy of a request towards the target took it, the other copy saw an end in order, and the tunnel was closed in order. Half of an answer without a frame then looked whole to the host that asked, and a kept turn was stored so.

Fix: at the end of the target's bytes the copy of the request is stopped and asked whether its connection broke; if so, the tunnel is reset. An error EPIPE does not count: the target had closed its side in order before.

--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -184,18 +184,22 @@
 // its connection only to cancel, so the target's is closed at once.
 func join(host, target net.Conn) {
 	ended := make(chan struct{})
+	toTarget := &writer{Conn: target}
 	go func() {
 		defer close(ended)
-		_, _ = io.CopyBuffer(writer{target}, reader{host}, make([]byte, copyBytes))
+		_, _ = io.CopyBuffer(toTarget, reader{host}, make([]byte, copyBytes))
 		_ = target.Close()
 	}()
-	_, err := io.CopyBuffer(writer{host}, reader{target}, make([]byte, copyBytes))
-	if err == nil {
+	_, err := io.CopyBuffer(&writer{Conn: host}, reader{target}, make([]byte, copyBytes))
+	_ = target.Close()
+	// What is left of the request is not sent.
+	stopped := host.SetReadDeadline(time.Now())
+	<-ended
+	if err == nil && stopped == nil && !toTarget.broken() {
 		// The host's connection is reset if this fails.
 		_ = linger(host, -1)
 	}
-	_, _ = host.Close(), target.Close()
-	<-ended
+	_ = host.Close()
 }
 
 // linger sets whether closing a connection resets it (0) or ends it in order (-1).
@@ -206,18 +210,31 @@
 	return sd.Unavailable.New("connection of type %T cannot be reset", conn)
 }
 
-// reader and writer hide the connections' own copying, which takes a pipe for each.
-type (
-	reader struct{ io.Reader }
-	writer struct{ net.Conn }
-)
+// reader hides the connection's own copying, which takes a pipe for each.
+type reader struct{ io.Reader }
 
-// Write limits the time in which the other end accepts the bytes.
-func (w writer) Write(p []byte) (int, error) {
-	if err := w.SetWriteDeadline(time.Now().Add(copyTimeout.Duration())); err != nil {
-		return 0, err
+// writer limits the time in which the other end accepts the bytes. It hides the connection's
+// own copying as well.
+type writer struct {
+	net.Conn
+	failure error
+}
+
+// Write implements io.Writer.
+func (w *writer) Write(p []byte) (int, error) {
+	w.failure = w.SetWriteDeadline(time.Now().Add(copyTimeout.Duration()))
+	if w.failure != nil {
+		return 0, w.failure
 	}
-	return w.Conn.Write(p)
+	n, err := w.Conn.Write(p)
+	w.failure = err
+	return n, err
+}
+
+// broken reports whether the connection broke while bytes were written to it. It reports that
+// once, to its reader or its writer; after that, the reader sees an end in order.
+func (w *writer) broken() bool {
+	return w.failure != nil && !errors.Is(w.failure, net.ErrClosed) && !errors.Is(w.failure, syscall.EPIPE)
 }
 
 // begin reports whether another tunnel may be opened; done must be called at its end.
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -384,3 +384,34 @@
 	t.Close()
 	// Output: 404 0
 }
+
+// Guards against a reset of the target that only the copying of a long request notices: the
+// tunnel then closed in order, and half of an answer without a frame looked whole.
+func TestTunnelIsResetIfTheTargetResetsDuringARequest(t *testing.T) {
+	target := listen(t, func(conn *net.TCPConn) {
+		_, _ = io.CopyN(io.Discard, conn, 1<<10)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf of ")
+		// The reset comes while the request is being copied.
+		_, _ = io.CopyN(io.Discard, conn, 256<<10)
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+	h := newHosts(t, []sd.Address{target}, "z", "z")[0]
+	h.path.cut.Store(true)
+	x := exchanger.New(exchanger.Settings{Clock: sd.NewClock(), Dialer: h})
+	t.Cleanup(x.Close)
+	body := make([]byte, 4<<20)
+	for n := range 1000 {
+		answer, err := x.Exchange(t.Context(), target, exchanger.Call{
+			Method: http.MethodPost, URI: "/", Host: "h", Body: [][]byte{body}, Belongs: func(int, http.Header) bool { return true },
+		})
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(answer.Body)
+		answer.Close(false)
+		if err == nil {
+			t.Fatalf("try %d: %q looks whole", n, text)
+		}
+	}
+}
