exchanger: a connection that the network gives up does not end an answer (ORDER)

Cause, found as the same class as the fault in tunneler: where the sender of a long body takes the one report that a connection broke, the reader of an answer without a frame sees an end in order. Only ECONNRESET was taken for that; a connection that is given up by its time limits (ETIMEDOUT) or for lack of a route (EHOSTUNREACH, ENETUNREACH) ended the answer as complete.

Fix: each error of the sender counts, except that its time had been ended at the end of the answer, that the connection had been closed here, or EPIPE, which a target causes that had closed its side in order.

--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -26,9 +28,15 @@
 	}
 }
 
+// broken reports, once ended is closed, whether the connection broke while the request was sent.
+// A target that has closed its side in order may refuse the rest of the request (EPIPE).
+func (s *sending) broken() bool {
+	return s.err != nil && !errors.Is(s.err, os.ErrDeadlineExceeded) && !errors.Is(s.err, net.ErrClosed) && !errors.Is(s.err, syscall.EPIPE)
+}
+
 // unframedBody is the body of an answer that ends with its connection.
 //
-// A connection reports a reset once, to whichever of its reader and writer asks first;
+// A connection reports once that it broke, to whichever of its reader and writer asks first;
 // after that, the reader sees the end of the answer.
 type unframedBody struct {
 	io.Reader
@@ -36,7 +44,7 @@
 	sending *sending
 }
 
-// Read implements io.Reader. The error is BrokenResponse if the connection was reset.
+// Read implements io.Reader. The error is BrokenResponse if the connection broke.
 func (b *unframedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if err != io.EOF {
@@ -47,8 +55,8 @@
 		return n, sd.BrokenResponse.Wrap(err, "connection closed")
 	}
 	<-b.sending.ended
-	if errors.Is(b.sending.err, syscall.ECONNRESET) {
-		return n, sd.BrokenResponse.Wrap(b.sending.err, "connection reset while the request was sent")
+	if b.sending.broken() {
+		return n, sd.BrokenResponse.Wrap(b.sending.err, "connection broke while the request was sent")
 	}
 	return n, io.EOF
 }
