tunneler: an idle tunnel is not used for as long as a target drains (DRAIN)

Fix: a tunnel that has been idle for half of the drain time is not used again. A host that used it since has learned of the announcement from that answer. New tunnels to such a target are refused already.

Test: TestTunnelIsNotUsedAfterItWasIdle fails without the condition.

--- a/starter/host.go
+++ b/starter/host.go
@@ -64,6 +64,8 @@
 	// targetPace is the part of the drain time that may pass between two reads of
 	// the targets, which change many times a second.
 	targetPace = 0.35
+	// tunnelIdle is the part of the drain time for which an idle tunnel may be used.
+	tunnelIdle = 0.5
 	// peerWait is how long the watch of the hosts waits; peerPace the least time between two
 	// reads, as hundreds of hosts may start together.
 	peerWait = 3 * sd.Second
@@ -170,7 +172,7 @@
 	}, log)
 	h.tunneler = tunneler.New(tunneler.Config{
 		Direct: dialer, Zone: settings.Zone, Peers: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Targets: h.targetAddresses,
-		Changed: h.gossiper.SendSoon, Clock: h.clock, Log: log,
+		Changed: h.gossiper.SendSoon, MaxIdle: sd.Millis(tunnelIdle * float64(settings.Drain)), Clock: h.clock, Log: log,
 	})
 	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: h.tunneler, Silence: targetSilence})
 	h.gate = receiver.NewTargetQueue(balancer.Settings{
--- a/tunneler/race.go
+++ b/tunneler/race.go
@@ -126,7 +126,7 @@
 		next++
 		open++
 		go func() {
-			conn, err := openThrough(ctx, through, target)
+			conn, err := openThrough(ctx, t.Clock, through, target)
 			results <- attempt{conn: conn, err: err}
 		}()
 	}
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,10 +54,17 @@
 	incarnation sd.Incarnation
 	// early is what the target sent before the switch of protocols was read.
 	early []byte
+	clock sd.Clock
+	// readAt is the instant of the last read, or of the opening.
+	readAt atomic.Int64
 }
 
+// idle returns the time since the target last sent something.
+func (t *tunnel) idle() sd.Millis { return t.clock.Now().Since(sd.Instant(t.readAt.Load())) }
+
 // Read implements net.Conn.
 func (t *tunnel) Read(p []byte) (int, error) {
+	defer func() { t.readAt.Store(int64(t.clock.Now())) }()
 	if len(t.early) > 0 {
 		n := copy(p, t.early)
 		t.early = t.early[n:]
@@ -67,7 +75,7 @@
 
 // openThrough opens a tunnel through one host. The error is syscall.ECONNREFUSED if the
 // target refuses that host's connection and that host reaches other targets.
-func openThrough(ctx context.Context, through gossiper.Peer, target sd.Address) (net.Conn, error) {
+func openThrough(ctx context.Context, clock sd.Clock, through gossiper.Peer, target sd.Address) (net.Conn, error) {
 	dialer := net.Dialer{KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp4", string(through.Address))
 	if err != nil {
@@ -83,7 +91,9 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &tunnel{TCPConn: conn, through: through.Address, incarnation: through.Incarnation, early: early}, nil
+	t := &tunnel{TCPConn: conn, through: through.Address, incarnation: through.Incarnation, early: early, clock: clock}
+	t.readAt.Store(int64(clock.Now()))
+	return t, nil
 }
 
 // switchProtocol asks the host at the other end of conn for a tunnel. It returns what the
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -58,6 +58,9 @@
 	Targets func() []sd.Address
 	// Changed, if set, is called when the host becomes detached or no longer is.
 	Changed func()
+	// MaxIdle is how long an idle tunnel may be used: less than targets that leave serve on.
+	// The host that carries it does not see their announcements.
+	MaxIdle sd.Millis
 	Clock   sd.Clock
 	Log     *zap.Logger
 }
@@ -165,12 +168,13 @@
 }
 
 // Usable implements sd.Dialer. A tunnel is used only while the target is not reached
-// directly and the host that carries it is the same process, is heard and reaches targets.
+// directly and the host that carries it is the same process, is heard and reaches targets, and
+// not after it was idle for MaxIdle.
 func (t *Tunneler) Usable(conn net.Conn, target sd.Address) bool {
 	missed, detached := t.state(target)
 	if c, ok := conn.(*tunnel); ok {
 		incarnation, carries := t.carrier(c.through)
-		return (missed || detached) && carries && incarnation == c.incarnation
+		return (missed || detached) && carries && incarnation == c.incarnation && c.idle() < t.MaxIdle
 	}
 	return !missed && !detached
 }
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -24,7 +24,11 @@
 	"sapphiredrum.example/sapphiredrum/tunneler"
 )
 
-const patience = 5 * time.Second
+const (
+	patience = 5 * time.Second
+	// maxIdle is how long hosts use idle tunnels.
+	maxIdle = 300 * sd.Millisecond
+)
 
 // path is a host's direct way to targets, which a test cuts.
 type path struct {
@@ -70,7 +74,7 @@
 				}
 				return peers
 			},
-			Clock: sd.NewClock(), Log: zap.NewNop(),
+			MaxIdle: maxIdle, Clock: sd.NewClock(), Log: zap.NewNop(),
 		})
 		router := echo.New()
 		h.RegisterHandlers(router)
@@ -415,3 +419,30 @@
 		}
 	}
 }
+
+// Guards against requests on tunnels that were idle for long reaching a target that has announced
+// meanwhile that it leaves: the host that carries them may have passed that on.
+func TestTunnelIsNotUsedAfterItWasIdle(t *testing.T) {
+	target := listen(t, func(conn *net.TCPConn) { _, _ = io.Copy(conn, conn) })
+	h := newHosts(t, []sd.Address{target}, "z", "z")[0]
+	h.path.cut.Store(true)
+	conn := h.dial(t)
+	defer func() { _ = conn.Close() }()
+	for range 3 {
+		time.Sleep((maxIdle / 2).Duration())
+		if !h.Usable(conn, target) {
+			t.Fatal("a tunnel in use is not used on")
+		}
+		echo := make([]byte, 4)
+		if _, err := io.WriteString(conn, "ping"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(conn, echo); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep((maxIdle + maxIdle/4).Duration())
+	if h.Usable(conn, target) {
+		t.Error("an idle tunnel is used")
+	}
+}
