--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -20,26 +20,26 @@
 // leaves. It gets no requests from then on, whatever its registration says. MarkLeaving reports
 // whether this was not known.
 func (s *State) MarkLeaving(now sd.Instant, req *Request) bool {
-	announced := instance{req.Target, req.Incarnation, req.Address}
-	_, known := s.leaving[announced]
-	s.leaving[announced] = now
-	if t := s.targets[req.Target]; t != nil && t.instance() == announced {
-		t.leaving = true
+	sender := instance{req.Target, req.Incarnation, req.Address}
+	_, known := s.announced[sender]
+	s.announced[sender] = now
+	if t := s.targets[req.Target]; t != nil && t.instance() == sender {
+		t.announced = true
 	}
 	return !known
 }
 
 // accepts reports whether a target may get requests at all.
-func (s *State) accepts(t *target) bool { return !t.Leaving && !t.leaving && !s.evacuated[t.Zone] }
+func (s *State) accepts(t *target) bool { return !t.Leaving && !t.announced && !s.evacuated[t.Zone] }
 
-// forgetLeft drops the instances that are no longer registered once leavingTTL has passed.
-func (s *State) forgetLeft(now sd.Instant) {
-	for left, at := range s.leaving {
-		switch t := s.targets[left.id]; {
-		case t != nil && t.instance() == left:
-			s.leaving[left] = now
+// forgetAnnounced drops the instances whose registration has been gone for leavingTTL.
+func (s *State) forgetAnnounced(now sd.Instant) {
+	for i, at := range s.announced {
+		switch t := s.targets[i.id]; {
+		case t != nil && t.instance() == i:
+			s.announced[i] = now
 		case now.Since(at) > leavingTTL:
-			delete(s.leaving, left)
+			delete(s.announced, i)
 		}
 	}
 }
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -160,9 +160,8 @@
 	return even
 }
 
-// housekeep records when this host began to count the requests it sends, and drops what it
-// remembers of removed targets: their send times once they are older than the window of the cold
-// limit, and that they were leaving after leavingTTL.
+// housekeep records when this host began to count the requests it sends, and drops the send
+// times of removed targets once they are older than the window of the cold limit.
 func (s *State) housekeep(now sd.Instant) {
 	if s.countingSince == 0 {
 		s.countingSince = now
@@ -172,7 +171,6 @@
 			delete(s.removedSent, id)
 		}
 	}
-	s.forgetLeft(now)
 }
 
 // sentInWindow returns the number of requests sent within the window of the cold limit.
@@ -198,6 +196,7 @@
 // and those sent within the window of the cold limit.
 func (s *State) LocalLoad(now sd.Instant) (inflight, sent map[gossiper.IDHash]int) {
 	s.housekeep(now)
+	s.forgetAnnounced(now)
 	inflight, sent = map[gossiper.IDHash]int{}, map[gossiper.IDHash]int{}
 	for _, t := range s.targets {
 		t.announcedSent, t.hostsBefore = t.sentInWindow(now), s.hostsRankedBefore(now.Add(-peerLoadTTL), t)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -96,10 +96,10 @@
 	// removedSent holds the send times of recently removed targets, since a registration may
 	// lapse for a moment.
 	removedSent map[sd.TargetID][]sd.Instant
-	// leaving holds the instances that have announced that they leave, and when that or their
+	// announced holds the instances that have announced that they leave, and when that or their
 	// registration was last seen.
-	leaving map[instance]sd.Instant
-	peers   map[sd.HostID]*peerLoad
+	announced map[instance]sd.Instant
+	peers     map[sd.HostID]*peerLoad
 	// peerList holds the peers in the order in which they were first heard.
 	peerList []*peerLoad
 	// shares holds the parts of the hosts' load reports by target.
@@ -119,10 +119,10 @@
 
 type target struct {
 	sd.TargetRegistration
-	// leaving is set once the instance has announced that it leaves, which its registration
+	// announced is set once the instance has announced that it leaves, which its registration
 	// may not tell.
-	leaving  bool
-	inflight int
+	announced bool
+	inflight  int
 	// reportedLoad is the load that the target last reported; ownAtReport is how much of it
 	// came from this host.
 	reportedLoad int
@@ -204,7 +204,7 @@
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
 		evacuated: map[sd.ZoneName]bool{}, removedSent: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]*peerLoad{},
-		shares: map[gossiper.IDHash][]peerShare{}, leaving: map[instance]sd.Instant{},
+		shares: map[gossiper.IDHash][]peerShare{}, announced: map[instance]sd.Instant{},
 	}
 }
 
@@ -259,7 +259,7 @@
 		slices.SortFunc(p.members, func(a, b *target) int { return cmp.Compare(a.rank, b.rank) })
 	}
 	t.TargetRegistration = r
-	_, t.leaving = s.leaving[t.instance()]
+	_, t.announced = s.announced[t.instance()]
 	return fresh
 }
 
@@ -281,7 +281,7 @@
 	list := make([]sd.TargetRegistration, 0, len(s.targets))
 	for _, t := range s.targets {
 		r := t.TargetRegistration
-		r.Leaving = r.Leaving || t.leaving
+		r.Leaving = r.Leaving || t.announced
 		list = append(list, r)
 	}
 	return list
