--- a/cmd/sapphiredrum/soak_test.go
+++ b/cmd/sapphiredrum/soak_test.go
@@ -28,7 +28,8 @@
 // outside, and checks what callers and targets see. SOAK names the seeds, SOAK_MS
 // how long each runs, SOAK_HOSTS the number of hosts; SOAK_LOGS keeps their logs in a
 // folder. SOAK_OLD names the program of another version, with which all hosts begin; each is
-// replaced when it is restarted:
+// replaced when it is restarted. Soaks must not run at the same time, as the port of a host that
+// is down may be taken:
 //
 //	SOAK=1,2,3 SOAK_MS=20000 go test ./cmd/sapphiredrum -run TestSoak
 func TestSoak(t *testing.T) {
