receiver, exchanger: logs tell how answers of targets end

Three causes are possible: the target's process died and its kernel closed the connection in order, a reset was lost in a tunnel, or another orderly end was taken for the answer's. No log line told them apart: framing was logged for whole streams only, and neither the path nor the state of the target was known.

The connection is kept for the next request, which needs one anyway. What counts as whole is unchanged.

TestBodiesEndWhereTheyShould now asks which request each connection carried; the number of connections includes the one that is opened after the second answer. The target of TestAnswerBeforeTheRequestIsReadIsWhole answers the first connection only. TestEndsOfResponsesAreLogged tells the cases apart.

--- a/dialer.go
+++ b/dialer.go
@@ -14,3 +14,10 @@
 	// request to the target.
 	Usable(conn net.Conn, target Address) bool
 }
+
+// RelayedConn is implemented by connections to targets that another host copies.
+type RelayedConn interface {
+	net.Conn
+	// Through returns the address of that host.
+	Through() Address
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -190,6 +190,25 @@
 	stop      func() bool
 	sending   *sending
 	skipped   bool
+	// unframed is the Body if it ends with its connection.
+	unframed *unframedBody
+}
+
+// Aftermath returns what the target did after the end of an answer without a frame.
+func (a *Answer) Aftermath() Aftermath {
+	if a.unframed == nil {
+		return NotProbed
+	}
+	return a.unframed.aftermath
+}
+
+// Through returns the address of the host that copied the answer, or an empty one if the
+// connection was direct.
+func (a *Answer) Through() sd.Address {
+	if conn, ok := a.conn.Conn.(sd.RelayedConn); ok {
+		return conn.Through()
+	}
+	return ""
 }
 
 // Exchange sends a call to the target at address and reads the head of its
@@ -287,8 +306,11 @@
 			Framed:    response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 			exchanger: x, conn: conn, response: response, stop: stop, sending: body, skipped: skipped,
 		}
-		if !answer.Framed {
-			answer.Body = &unframedBody{Reader: response.Body, conn: conn, sending: body}
+		if !answer.Framed && response.Body != http.NoBody {
+			answer.unframed = &unframedBody{
+				Reader: response.Body, conn: conn, sending: body, probe: func() Aftermath { return x.probe(ctx, conn.address, x.settings.Connect) },
+			}
+			answer.Body = answer.unframed
 		}
 		return answer, false, nil
 	}
@@ -309,6 +331,10 @@
 // Drop ends the exchange without the body. The connection is kept only if the rest
 // of the answer is short and comes at once.
 func (a *Answer) Drop() {
+	if !a.Framed {
+		a.Close(false)
+		return
+	}
 	n := int64(0)
 	err := a.conn.SetReadDeadline(time.Now().Add(dropTime.Duration()))
 	if err == nil && a.Length <= dropBytes {
@@ -474,11 +500,20 @@
 // Refuses reports whether the target refuses connections, as it does while its process
 // is down. A connection that it accepts is kept.
 func (x *Exchanger) Refuses(ctx context.Context, address sd.Address) bool {
-	conn, err := x.dial(ctx, address, refusalTimeout)
-	if err == nil {
+	return x.probe(ctx, address, refusalTimeout) == Refuses
+}
+
+// probe tries to connect to a target. A connection that it accepts is kept.
+func (x *Exchanger) probe(ctx context.Context, address sd.Address, timeout sd.Millis) Aftermath {
+	conn, err := x.dial(ctx, address, timeout)
+	switch {
+	case err == nil:
 		x.keep(conn, "")
+		return Accepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refuses
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return Unreached
 }
 
 // dial opens a connection.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -202,8 +204,16 @@
 	if _, err := fetch(t, x, short, call("a")); err == nil {
 		t.Fatal("a short body was taken for whole")
 	}
-	open := target(t, func(conn net.Conn, _ int) {
-		id, _ := next(bufio.NewReader(conn))
+	var lock sync.Mutex
+	carried := map[int]string{}
+	open := target(t, func(conn net.Conn, n int) {
+		id, ok := next(bufio.NewReader(conn))
+		if !ok {
+			return
+		}
+		lock.Lock()
+		carried[n] += id
+		lock.Unlock()
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nuntil the end")
 	})
 	*opened = 0
@@ -212,8 +222,9 @@
 			t.Fatalf("%q, %v", body, err)
 		}
 	}
-	if *opened != 2 {
-		t.Fatalf("%d connections", *opened)
+	// The third connection was opened after the second answer.
+	if want := map[int]string{1: "a", 2: "b"}; *opened != 3 || !maps.Equal(carried, want) {
+		t.Fatalf("%d connections, which carried %v, want 3 with %v", *opened, carried, want)
 	}
 }
 
--- a/exchanger/reset_test.go
+++ b/exchanger/reset_test.go
@@ -53,7 +53,11 @@
 // An answer without a frame is whole once its target closes the connection in order,
 // though the request has not been read to its end.
 func TestAnswerBeforeTheRequestIsReadIsWhole(t *testing.T) {
-	at := target(t, func(conn net.Conn, _ int) {
+	at := target(t, func(conn net.Conn, n int) {
+		if n > 1 {
+			// Opened after the end of the answer.
+			return
+		}
 		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nanswer"); err != nil {
 			t.Error(err)
 		}
--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -34,6 +34,34 @@
 	return s.err != nil && !errors.Is(s.err, os.ErrDeadlineExceeded) && !errors.Is(s.err, net.ErrClosed) && !errors.Is(s.err, syscall.EPIPE)
 }
 
+// Aftermath is what a target does right after an answer without a frame has ended in order.
+// The kernel closes the connections of a process that dies in the same way.
+type Aftermath int
+
+const (
+	// NotProbed means that the answer had a frame, has not ended, or was broken off.
+	NotProbed Aftermath = iota
+	// Accepts means that the target accepts connections: its process is up.
+	Accepts
+	// Refuses means that the target refuses connections: its process is down.
+	Refuses
+	// Unreached means that no connection was opened or refused in time.
+	Unreached
+)
+
+// String returns the name in logs and metrics, empty for NotProbed.
+func (a Aftermath) String() string {
+	switch a {
+	case Accepts:
+		return "accepts"
+	case Refuses:
+		return "refuses"
+	case Unreached:
+		return "unreached"
+	}
+	return ""
+}
+
 // unframedBody is the body of an answer that ends with its connection.
 //
 // A connection reports once that it broke, to whichever of its reader and writer asks first;
@@ -42,6 +70,9 @@
 	io.Reader
 	conn    *connection
 	sending *sending
+	// probe reports what the target does after the end.
+	probe     func() Aftermath
+	aftermath Aftermath
 }
 
 // Read implements io.Reader. The error is BrokenResponse if the connection broke.
@@ -58,5 +89,8 @@
 	if b.sending.broken() {
 		return n, sd.BrokenResponse.Wrap(b.sending.err, "connection broke while the request was sent")
 	}
+	if b.aftermath == NotProbed {
+		b.aftermath = b.probe()
+	}
 	return n, io.EOF
 }
--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -142,6 +142,12 @@
 	}
 }
 
+// captureLog returns an option that records all that the receiver logs.
+func captureLog() (func(*receiver.Config), *observer.ObservedLogs) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	return func(p *receiver.Config) { p.Log = zap.New(core) }, logs
+}
+
 // captureWarnings returns an option that records the receiver's warnings.
 func captureWarnings() (func(*receiver.Config), *observer.ObservedLogs) {
 	core, logs := observer.New(zapcore.WarnLevel)
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -72,6 +72,9 @@
 		fields = append(fields, zap.Stringer("turn", archiver.TurnKey(q.workspace, q.params.Request)))
 	}
 	fields = append(fields, q.stageFields()...)
+	if q.stream != nil && q.end.framing != "" {
+		fields = append(fields, zap.Int("events", q.stream.events))
+	}
 	fields = append(fields, q.endFields()...)
 	if reason == "" {
 		q.Log.Info("answered", fields...)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -155,7 +155,9 @@
 	target       sd.TargetID
 	address      sd.Address
 	crashesKnown screener.Crashes
-	stageTimes   [stageCount]sd.Millis
+	// end is how the last target's response ended.
+	end        responseEnd
+	stageTimes [stageCount]sd.Millis
 }
 
 // ServeHTTP implements http.Handler.
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -37,6 +37,11 @@
 	body := &buffer{quota: q.bufferQuota}
 	defer body.release()
 	complete, err := body.readBody(response)
+	if complete {
+		q.recordEnd(response, io.EOF, 0)
+	} else if err != nil {
+		q.recordEnd(response, err, 0)
+	}
 	if err == nil && !complete && response.Length < 0 && !q.http.ProtoAtLeast(1, 1) {
 		// An HTTP/1.0 caller cannot tell a truncated response without a length from a
 		// complete one.
@@ -44,8 +49,7 @@
 	}
 	if err != nil || impliesNotRun(response.Status) || !isTargetResponse(response) {
 		response.Close(err == nil && complete)
-		q.Log.Warn("invalid or incomplete response from target", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(q.target)),
-			zap.Int("status", response.Status), zap.Error(err))
+		q.Log.Warn("invalid or incomplete response from target", q.attemptFields(zap.Int("status", response.Status), zap.Error(err))...)
 		if ctx.Err() != nil {
 			release(balancer.Abandoned)
 			return attemptGiveUp
@@ -112,6 +116,9 @@
 			err = sd.BrokenResponse.New("response exceeds the limit of %d bytes", maxResponseBytes)
 			n = 0
 		}
+		if err != nil {
+			q.recordEnd(response, err, 0)
+		}
 		if n > 0 {
 			_, failure = q.w.Write(space[:n])
 		}
@@ -133,8 +140,7 @@
 		release(balancer.Failed)
 		q.reportBroken(ctx)
 	}
-	q.Log.Warn("invalid or incomplete response from target", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(q.target)),
-		zap.Int("status", response.Status), zap.Int("bytes", size), zap.Error(failure))
+	q.Log.Warn("invalid or incomplete response from target", q.attemptFields(zap.Int("status", response.Status), zap.Int("bytes", size), zap.Error(failure))...)
 	q.recordOutcome(response.Status, "answer broke off")
 	panic(http.ErrAbortHandler)
 }
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -34,8 +34,6 @@
 	lastID string
 	// headSent is set once the response header was sent to the caller.
 	headSent bool
-	// targetEnd describes how the last target's response ended; empty until it did.
-	targetEnd streamEnd
 	// reservation is the turn's budget reservation; nil if none is needed.
 	reservation *reservation
 	// allotted is what the turn may deliver before it has its reservation.
@@ -45,33 +43,6 @@
 	finish func() bool
 }
 
-// streamEnd is how a target ended its response.
-type streamEnd struct {
-	// framing tells how the response marks its end.
-	framing string
-	// unfinished is the number of bytes after the last complete event.
-	unfinished int
-}
-
-// recordEnd notes and counts the end of a target's response.
-func (q *request) recordEnd(response *exchanger.Answer, unfinished int) {
-	end := streamEnd{framing: "connection", unfinished: unfinished}
-	if response.Framed {
-		end.framing = "frame"
-	}
-	q.stream.targetEnd = end
-	q.Metrics.Set.GetOrCreateCounter(`stream_ends_total{framing="` + end.framing + `",unfinished="` + strconv.FormatBool(unfinished > 0) + `"}`).Inc()
-}
-
-// endFields returns log fields that describe how the target's stream ended.
-func (q *request) endFields() []zap.Field {
-	if q.stream == nil || q.stream.targetEnd.framing == "" {
-		return nil
-	}
-	end := q.stream.targetEnd
-	return []zap.Field{zap.Int("events", q.stream.events), zap.String("framing", end.framing), zap.Int("unfinished_bytes", end.unfinished)}
-}
-
 // accept adds an event that is about to be forwarded. The error is BrokenResponse if
 // the event exceeds a limit of the stream or does not follow the last one.
 func (s *stream) accept(raw, data []byte, first bool) error {
@@ -140,8 +111,7 @@
 	} else {
 		release(balancer.Failed)
 	}
-	q.Log.Warn("stream from target interrupted", zap.Int("event", eventAttempt), q.idField(), zap.String("target", string(q.target)),
-		zap.Int("events", s.events), zap.String("last", s.lastID), zap.Error(failure))
+	q.Log.Warn("stream from target interrupted", q.attemptFields(zap.Int("events", s.events), zap.String("last", s.lastID), zap.Error(failure))...)
 	if end != attemptRetry || ctx.Err() != nil {
 		return attemptGiveUp
 	}
@@ -163,7 +133,7 @@
 		raw, data, err := readEvent(reader)
 		switch {
 		case err == io.EOF:
-			q.recordEnd(response, len(raw))
+			q.recordEnd(response, io.EOF, len(raw))
 			if !endsBetweenEvents(raw) {
 				return attemptRetry, sd.BrokenResponse.New("stream ends inside an event, after %d bytes of it", len(raw))
 			}
@@ -173,6 +143,7 @@
 				return attemptRetry, sd.BrokenResponse.New("stream without a frame ends before its first event")
 			}
 		case err != nil:
+			q.recordEnd(response, err, len(raw))
 			return attemptRetry, err
 		case isKeepAlive(raw):
 			if keepAliveBytes += max(len(raw), minKeepAliveBytes); keepAliveBytes > maxKeepAliveBytes {
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -59,6 +59,9 @@
 	readAt atomic.Int64
 }
 
+// Through implements sd.RelayedConn.
+func (t *tunnel) Through() sd.Address { return t.through }
+
 // idle returns the time since the target last sent something.
 func (t *tunnel) idle() sd.Millis { return t.clock.Now().Since(sd.Instant(t.readAt.Load())) }
 
