receiver: failing tests of answers whose target died (ORDER)

A process that is killed leaves the closing of its connections to the kernel, which ends them in order. The end of the connection is the only mark of the end of an answer that has neither a length nor chunks, so such an answer looks whole wherever its target died between two events, or anywhere in a plain answer. The tests fail on this commit: callers get 200 and the end of the answer, the turn is kept and continued from, and resumable streams and repeatable requests are not tried elsewhere.

--- a/receiver/deadtarget_test.go
+++ b/receiver/deadtarget_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"go.uber.org/zap"
+
+	"sapphiredrum.example/sapphiredrum/receiver"
 )
 
 // replaceByMortals replaces the targets of a pool by count others. The one that gets the first
@@ -81,3 +85,70 @@
 	b.ask("POST", "/pay/x", "dead", "1")
 	check("dead", map[string]any{"framing": "connection", "aftermath": "refuses"})
 }
+
+// Guards against a stream whose target died between two events and that reaches its caller as
+// complete, and is kept: the kernel closed the connection, which was the only mark of its end.
+func TestStreamOfADeadTargetIsNotWhole(t *testing.T) {
+	for events := 1; events <= 3; events++ {
+		t.Run(strconv.Itoa(events)+" events", func(t *testing.T) {
+			b := newBench(t)
+			b.replaceByMortals("engines", 2, unframedStream(events), whole)
+			status, text, complete := b.turn("t1", "", "x")
+			if status == 200 && complete {
+				t.Errorf("stream of a dead target looks complete: %q", text)
+			}
+			if strings.Count(text, "part") != events {
+				t.Errorf("caller got %q, want %d events", text, events)
+			}
+			if status, _, _ := b.turn("t2", "t1", "x"); status != 404 {
+				t.Errorf("turn after an interrupted turn: status %d, want 404", status)
+			}
+		})
+	}
+}
+
+// Guards against a resumable stream that ends where its target died.
+func TestStreamOfADeadTargetIsResumed(t *testing.T) {
+	b := newBench(t)
+	b.replaceByMortals("engines", 2, unframedStream(2), func(w *bufio.Writer, id string) bool {
+		_, _ = fmt.Fprint(w, streamHead(id), encodeChunk(event(3, "last")), "0\r\n\r\n")
+		return true
+	})
+	status, _, text, complete := b.ask("POST", "/ask/x", "a1", "x")
+	if want := event(1, "part") + event(2, "part") + event(3, "last"); status != 200 || !complete || text != want {
+		t.Errorf("%d, complete %t: %q, want %q", status, complete, text, want)
+	}
+}
+
+// Guards against a plain answer without a frame that is taken for whole though its target died:
+// one that fits the buffer, one that does not, and an error.
+func TestAnswerOfADeadTargetIsNotWhole(t *testing.T) {
+	long := strings.Repeat(bodyLine, 1<<16)
+	for name, answer := range map[string]func(id string) string{
+		"short": func(id string) string { return responseHead(id) + "\r\nhalf" },
+		"long":  func(id string) string { return responseHead(id) + "\r\n" + long },
+		"error": func(id string) string {
+			return strings.Replace(responseHead(id), "200 OK", "404 Not Found", 1) + "\r\nhalf"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, func(p *receiver.Config) { p.Memory = 1 << 20 })
+			targets := b.replaceByMortals("desk", 2, answer, whole)
+			if status, _, text, complete := b.ask("POST", "/pay/x", "once", "1"); complete && status != 502 {
+				t.Errorf("request that may run once: %d with %d bytes looks complete", status, len(text))
+			}
+			if times, _ := countRuns(targets, "once"); times != 1 {
+				t.Errorf("ran %d times, want 1", times)
+			}
+			if name == "long" {
+				// It has been passed on in part, so it is not tried again.
+				return
+			}
+			b = newBench(t)
+			b.replaceByMortals("desk", 2, answer, whole)
+			if status, _, text, complete := b.ask("GET", "/look/x", "again", ""); status != 200 || !complete || text != "whole" {
+				t.Errorf("request that may be repeated: %d, complete %t: %q", status, complete, text)
+			}
+		})
+	}
+}
