exchanger: the end of a connection does not end an answer of a dead target (ORDER)

What callers saw: a stream or a plain answer that broke off reached them as complete, and kept turns were continued from what was left of them.

Cause: an answer without a length or chunks was whole once its connection had been closed in order. The kernel closes the connections of a process that is killed in the same way, so the end of the transport was taken for the end of the message.

Why it works: nothing in the bytes tells the two ends apart, but the target does. A process that is up accepts a connection right after the end, one that is down refuses it. The body of such an answer now ends only once the target has accepted a connection, directly or through a tunnel; otherwise it is broken, and streams are resumed, turns not kept, and requests tried again as after any other break. All readers of answers get this, as it is decided where the body is read. A target that neither accepts nor refuses has not confirmed its answer. The connection is used by the next request, which needed a new one before as well.

--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -7,6 +7,10 @@
 // Unavailable only if no byte was sent; every other failure is Uncertain. Answers
 // to earlier requests that arrive late are recognised by the request's id and
 // skipped. A connection is kept only after a framed answer was read to its end
-// with nothing behind it. An answer without a frame is whole if its connection was closed
-// in order, and broken if it was reset.
+// with nothing behind it.
+//
+// An answer without a frame ends with its connection. It is broken if the connection was
+// reset. If the connection was closed in order, it is whole only if the target then accepts
+// another one: the kernel also closes the connections of a process that died in order. The
+// new connection is kept for the next request.
 package exchanger
--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -92,5 +92,8 @@
 	if b.aftermath == NotProbed {
 		b.aftermath = b.probe()
 	}
+	if b.aftermath != Accepts {
+		return n, sd.BrokenResponse.New("target %s connections right after it closed one without a frame", b.aftermath)
+	}
 	return n, io.EOF
 }
--- /dev/null
+++ b/exchanger/unframed_test.go
@@ -0,0 +1,100 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/exchanger"
+)
+
+// lastingDialer opens one connection; what becomes of further ones is set.
+type lastingDialer struct {
+	sd.Dialer
+	dials atomic.Int32
+	// err is that of further connections, hang has them wait for their end.
+	err  error
+	hang bool
+}
+
+func (d *lastingDialer) Dial(ctx context.Context, to sd.Address, timeout sd.Millis) (net.Conn, error) {
+	if d.dials.Add(1) == 1 {
+		return d.Dialer.Dial(ctx, to, timeout)
+	}
+	if d.hang {
+		ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if d.err != nil {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", d.err)}
+	}
+	return d.Dialer.Dial(ctx, to, timeout)
+}
+
+// Guards against an answer without a frame that is taken for whole although nothing shows that its
+// target is still up: the kernel of a target that died has closed the connection in order.
+func TestEndOfAConnectionIsNotTheEndOfAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		dialer    *lastingDialer
+		aftermath exchanger.Aftermath
+	}{
+		"up":       {&lastingDialer{}, exchanger.Accepts},
+		"down":     {&lastingDialer{err: syscall.ECONNREFUSED}, exchanger.Refuses},
+		"silent":   {&lastingDialer{hang: true}, exchanger.Unreached},
+		"no route": {&lastingDialer{err: syscall.EHOSTUNREACH}, exchanger.Unreached},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := target(t, func(conn net.Conn, _ int) {
+				if id, ok := next(bufio.NewReader(conn)); ok {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nhalf or whole")
+				}
+			})
+			c.dialer.Dialer = exchanger.Direct()
+			x := exchanger.New(exchanger.Settings{Clock: sd.NewClock(), Dialer: c.dialer, Connect: 50 * sd.Millisecond})
+			defer x.Close()
+			answer, err := x.Exchange(t.Context(), at, call("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(answer.Body)
+			answer.Close(err == nil)
+			if string(body) != "half or whole" || answer.Aftermath() != c.aftermath {
+				t.Errorf("%q, target %v, want %v", body, answer.Aftermath(), c.aftermath)
+			}
+			if broken := errorx.IsOfType(err, sd.BrokenResponse); broken != (c.aftermath != exchanger.Accepts) || (err != nil) != broken {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// An answer that never has a body ends with its head, whatever its target does next.
+func TestAnswerWithoutABodyIsWhole(t *testing.T) {
+	at := target(t, func(conn net.Conn, _ int) {
+		if id, ok := next(bufio.NewReader(conn)); ok {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\n")
+		}
+	})
+	dialer := &lastingDialer{Dialer: exchanger.Direct(), err: syscall.ECONNREFUSED}
+	x := exchanger.New(exchanger.Settings{Clock: sd.NewClock(), Dialer: dialer})
+	defer x.Close()
+	head := call("a")
+	head.Method = http.MethodHead
+	if body, err := fetch(t, x, at, head); err != nil || body != "" {
+		t.Errorf("%q, %v", body, err)
+	}
+	if n := dialer.dials.Load(); n != 1 {
+		t.Errorf("%d connections opened, want 1", n)
+	}
+}
