exchanger: an answer's end is looked into when it comes, not when it is read

What callers saw: as before, a broken answer that looks complete, now only if its target was up again before the host read the end. That happens to turns that wait for their reservation while the store is away, and to callers that read slowly: the rest of the answer and the end of its connection wait in the kernel, the target's next process accepts the connection that is to confirm the end.

Cause: the end of an answer without a frame was noticed when its reader came to it.

Before: TestEndThatIsReadLateIsNotTheEndOfAnAnswer fails, "half" is whole. After: it passes. Why it works: the body of an answer without a frame is read ahead, up to 16 KB, so its end is noticed, and the target asked, as it comes.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -199,7 +199,7 @@
 	if a.unframed == nil {
 		return NotProbed
 	}
-	return a.unframed.aftermath
+	return a.unframed.found()
 }
 
 // Through returns the address of the host that copied the answer, or an empty one if the
@@ -307,9 +307,7 @@
 			exchanger: x, conn: conn, response: response, stop: stop, sending: body, skipped: skipped,
 		}
 		if !answer.Framed && response.Body != http.NoBody {
-			answer.unframed = &unframedBody{
-				Reader: response.Body, conn: conn, sending: body, probe: func() Aftermath { return x.probe(ctx, conn.address, x.settings.Connect) },
-			}
+			answer.unframed = x.readUnframed(ctx, response.Body, conn, body)
 			answer.Body = answer.unframed
 		}
 		return answer, false, nil
@@ -323,6 +321,9 @@
 	cancelled := !a.stop()
 	if !whole || cancelled || !a.sending.succeeded() || !a.Framed || a.skipped || a.response.Close || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
+		if a.unframed != nil {
+			a.unframed.close()
+		}
 		return
 	}
 	a.exchanger.keep(a.conn, a.Header.Get("Keep-Alive"))
--- a/exchanger/unframed_test.go
+++ b/exchanger/unframed_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -98,3 +101,73 @@
 		t.Errorf("%d connections opened, want 1", n)
 	}
 }
+
+// Guards against an answer whose target died and is up again by the time at which its end is read,
+// as its reader had to wait: the next process accepts connections.
+func TestEndThatIsReadLateIsNotTheEndOfAnAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := listener.Addr().String()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		id, _ := next(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nhalf")
+		ended <- errors.Join(listener.Close(), conn.Close())
+	}()
+	x, _ := newExchanger(t)
+	answer, err := x.Exchange(t.Context(), sd.Address(at), call("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	// The process is down for some seconds as a rule; the probe takes a round trip.
+	time.Sleep(50 * time.Millisecond)
+	again, err := net.Listen("tcp4", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = again.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	answer.Close(err == nil)
+	if string(body) != "half" || !errorx.IsOfType(err, sd.BrokenResponse) {
+		t.Errorf("%q, %v, want half and a broken answer", body, err)
+	}
+}
+
+// Guards against the memory of a host being filled by answers without a frame that are not read.
+func TestAnswerIsReadAheadOfItsReaderInBounds(t *testing.T) {
+	const (
+		answers = 30
+		// most is what is read ahead of an answer, four buffers of both ends, and both heads.
+		most = answers * (16 + 4*4 + 2*4) << 10
+	)
+	at := pour(t, "HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\n", same(strings.Repeat("body", 1<<10)))
+	x, _ := newExchanger(t)
+	base := heap()
+	var open []*exchanger.Answer
+	for range answers {
+		answer, err := x.Exchange(t.Context(), at, call("a"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, answer)
+	}
+	time.Sleep(100 * time.Millisecond)
+	grown := int64(heap()) - int64(base)
+	t.Logf("%d answers hold %d KB", answers, grown>>10)
+	if grown > most {
+		t.Errorf("over %d KB", most>>10)
+	}
+	for _, answer := range open {
+		answer.Close(false)
+	}
+}
