receiver: the death of a host does not end a stream to an HTTP/1.0 caller (ORDER)

What callers saw: a caller without chunks, which knows the end of a stream by that of its connection, took a stream for complete as the process of its host was killed.

Why it works: while a stream is sent to such a caller its connection has a linger time of 0, so it is reset however the process ends. It is closed in order again once the stream has ended and the turn is stored. TestWholeStreamEndsInOrderForCallersWithoutChunks guards the sound case.

--- a/receiver/brokenstream_test.go
+++ b/receiver/brokenstream_test.go
@@ -179,3 +179,14 @@
 		}
 	}
 }
+
+// Guards against a whole stream that an HTTP/1.0 caller takes for broken, as its connection is reset.
+func TestWholeStreamEndsInOrderForCallersWithoutChunks(t *testing.T) {
+	b := newBench(t)
+	for n := range 20 {
+		conn := b.dial(fmt.Sprintf("POST /talk/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: t%d\r\nKey: k1\r\nProgram-Id: p%d\r\nToken-Usage: 1,56\r\nContent-Length: 1\r\n\r\nx", n, n))
+		if text, err := io.ReadAll(conn); err != nil || strings.Count(string(text), "data:") != 4 {
+			t.Fatalf("try %d: %q, %v", n, text, err)
+		}
+	}
+}
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -83,7 +83,9 @@
 	ends := make(chan error, 2)
 	go func() { ends <- archive.Run(ctx) }()
 	go func() { ends <- b.queue.Run(ctx) }()
-	b.server = httptest.NewServer(r)
+	b.server = httptest.NewUnstartedServer(r)
+	b.server.Config.ConnContext = receiver.ConnContext
+	b.server.Start()
 	t.Cleanup(func() {
 		b.server.Close()
 		x.Close()
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -42,7 +42,7 @@
 	} else if err != nil {
 		q.recordEnd(response, err, 0)
 	}
-	if err == nil && !complete && response.Length < 0 && !q.http.ProtoAtLeast(1, 1) {
+	if err == nil && !complete && response.Length < 0 && q.endsWithConn() {
 		// An HTTP/1.0 caller cannot tell a truncated response without a length from a
 		// complete one.
 		err = sd.BrokenResponse.New("no buffer memory for a response of unknown length")
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -103,6 +101,7 @@
 		if !s.finish() {
 			q.abort("turn not kept")
 		}
+		q.releaseEnd()
 		q.recordOutcome(response.Status, "")
 		return attemptAnswered
 	}
@@ -185,30 +184,6 @@
 	h := q.w.Header()
 	platform.CallerHeader(response.Header, h)
 	platform.MarkReply(h, q.params.Request)
+	q.holdEnd()
 	q.w.WriteHeader(response.Status)
 }
-
-// abort closes the connection of a response whose header was sent, so that the caller
-// does not take the response for complete.
-func (q *request) abort(reason string) {
-	q.recordOutcome(http.StatusOK, reason)
-	if !q.http.ProtoAtLeast(1, 1) {
-		// The response has no chunks, so its caller would take a regular close for its end.
-		if err := q.reset(); err != nil {
-			q.Log.Warn("cannot reset the caller's connection", zap.Int("event", eventResetFailed), q.idField(), zap.Error(err))
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// reset takes the caller's connection from the server and resets it.
-func (q *request) reset() error {
-	conn, _, err := q.controller().Hijack()
-	if err != nil {
-		return err
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		err = tcp.SetLinger(0)
-	}
-	return errors.Join(err, conn.Close())
-}
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -18,6 +18,7 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/receiver"
 	"sapphiredrum.example/sapphiredrum/relayer"
 )
 
@@ -47,7 +48,7 @@
 func (h *Host) serve(ctx, stop context.Context) error {
 	callers := &http.Server{
 		Handler: h.callerHandler(), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headTimeout.Duration(),
-		ConnState: h.idle.changed, ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ConnState: h.idle.changed, ConnContext: receiver.ConnContext, ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	peers := &http.Server{Handler: h.peerHandler(), ReadHeaderTimeout: headTimeout.Duration()}
 	ready := &http.Server{Handler: h.platformHandler(), ReadHeaderTimeout: headTimeout.Duration()}
