--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -11,6 +11,6 @@
 //
 // An answer without a frame ends with its connection. It is broken if the connection was
 // reset. If the connection was closed in order, it is whole only if the target then accepts
-// another one: the kernel also closes the connections of a process that died in order. The
-// new connection is kept for the next request.
+// another one for longer than the kernel takes to end a process: it also closes the connections
+// of a process that died in order. The new connection is kept for the next request.
 package exchanger
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -507,6 +507,12 @@
 // probe tries to connect to a target. A connection that it accepts is kept.
 func (x *Exchanger) probe(ctx context.Context, address sd.Address, timeout sd.Millis) Aftermath {
 	conn, err := x.dial(ctx, address, timeout)
+	return x.keepProbe(conn, err)
+}
+
+// keepProbe tells what the outcome of a connection attempt says of the target, and keeps the
+// connection.
+func (x *Exchanger) keepProbe(conn *connection, err error) Aftermath {
 	switch {
 	case err == nil:
 		x.keep(conn, "")
--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -44,7 +44,8 @@
 const (
 	// NotProbed means that the answer had a frame, has not ended, or was broken off.
 	NotProbed Aftermath = iota
-	// Accepts means that the target accepts connections: its process is up.
+	// Accepts means that the target accepts connections, and did so longer than the kernel takes
+	// to end a process: its process is up.
 	Accepts
 	// Refuses means that the target refuses connections: its process is down.
 	Refuses
@@ -65,6 +66,43 @@
 	return ""
 }
 
+// exitTime is how long the listener of a process that died may outlast its connections. The
+// kernel releases the descriptors of a process one after the other, the oldest last, and
+// thousands of them in less.
+const exitTime = 50 * sd.Millisecond
+
+// confirm reports what a target does that has just ended an answer with its connection. A
+// connection that it accepts is kept for the next request.
+func (x *Exchanger) confirm(ctx context.Context, address sd.Address) Aftermath {
+	began := x.settings.Clock.Now()
+	conn, err := x.dial(ctx, address, x.settings.Connect)
+	ended := errors.Is(err, syscall.ECONNRESET)
+	if err == nil && !conn.staysOpen(ctx, exitTime) {
+		_ = conn.Close()
+		ended = true
+	}
+	if ended {
+		// The target died, or it has too many connections or keeps no idle ones.
+		select {
+		case <-time.After((exitTime - x.settings.Clock.Now().Since(began)).Duration()):
+		case <-ctx.Done():
+		}
+		conn, err = x.dial(ctx, address, x.settings.Connect)
+	}
+	return x.keepProbe(conn, err)
+}
+
+// staysOpen reports whether a new connection neither ends nor yields anything for a time. The
+// connection is of no use if not.
+func (c *connection) staysOpen(ctx context.Context, quiet sd.Millis) bool {
+	if err := c.SetReadDeadline(time.Now().Add(quiet.Duration())); err != nil {
+		return false
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Now()) })
+	_, err := c.Conn.Read(make([]byte, 1))
+	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // readAhead is how much of an answer without a frame is read before it is asked for: more than
 // the usual stream has left when its target ends it.
 const readAhead = 16 << 10
@@ -98,7 +136,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	b := &unframedBody{
 		source: source, conn: conn, sending: sending, cancel: cancel, ended: make(chan struct{}),
-		probe: func() Aftermath { return x.probe(ctx, conn.address, x.settings.Connect) },
+		probe: func() Aftermath { return x.confirm(ctx, conn.address) },
 	}
 	b.changed = sync.NewCond(&b.lock)
 	go b.run()
--- a/exchanger/unframed_test.go
+++ b/exchanger/unframed_test.go
@@ -102,6 +102,48 @@
 	}
 }
 
+// Guards against an answer of a target that died being taken for whole, as its listener outlasts the
+// answer's connection by some milliseconds: the kernel releases the descriptors of a process one
+// after the other. A target that lives and ends new connections at once is up.
+func TestListenerThatOutlastsAConnectionConfirmsNothing(t *testing.T) {
+	for name, dies := range map[string]bool{"dies": true, "lives": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				for n := 0; ; n++ {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					if n == 0 {
+						id, _ := next(bufio.NewReader(conn))
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nhalf or whole")
+						_ = conn.Close()
+						continue
+					}
+					if dies {
+						time.Sleep(5 * time.Millisecond)
+						_ = listener.Close()
+					}
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					_ = conn.Close()
+				}
+			}()
+			x, _ := newExchanger(t)
+			if body, err := fetch(t, x, sd.Address(listener.Addr().String()), call("a")); (err != nil) != dies {
+				t.Errorf("%q, %v", body, err)
+			}
+			_ = listener.Close()
+			<-ended
+		})
+	}
+}
+
 // Guards against an answer whose target died and is up again by the time at which its end is read,
 // as its reader had to wait: the next process accepts connections.
 func TestEndThatIsReadLateIsNotTheEndOfAnAnswer(t *testing.T) {
--- a/receiver/deadtarget_test.go
+++ b/receiver/deadtarget_test.go
@@ -7,15 +7,20 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
 	"sapphiredrum.example/sapphiredrum/receiver"
 )
 
+// listenerOutlasts is how long the listener of a target that dies outlasts its connections, as
+// seen on processes with some hundred descriptors.
+const listenerOutlasts = 5 * time.Millisecond
+
 // replaceByMortals replaces the targets of a pool by count others. The one that gets the first
-// request writes what answer returns and dies, as the kernel ends a process that is killed: it
-// stops listening and its connections are closed in order. The others answer with next.
+// request writes what answer returns and dies, as the kernel ends a process that is killed: its
+// connections are closed in order and it stops listening. The others answer with next.
 func (b *bench) replaceByMortals(pool string, count int, answer func(id string) string, next func(w *bufio.Writer, id string) bool) []*rawTarget {
 	var died atomic.Bool
 	var targets []*rawTarget
@@ -27,7 +32,7 @@
 		_ = w.Flush()
 		for _, g := range targets {
 			if times, _ := countRuns([]*rawTarget{g}, id); times > 0 {
-				_ = g.listener.Close()
+				time.AfterFunc(listenerOutlasts, g.die)
 			}
 		}
 		return false
--- a/receiver/endless_test.go
+++ b/receiver/endless_test.go
@@ -37,6 +37,8 @@
 	ran         map[string]int
 	connections int
 	bodies      map[string]string
+	// unused are the connections that no request came on.
+	unused map[*net.TCPConn]bool
 }
 
 func (g *rawTarget) body(id string) string {
@@ -64,7 +66,7 @@
 		if err != nil {
 			b.t.Fatal(err)
 		}
-		g := &rawTarget{address: sd.Address(listener.Addr().String()), listener: listener, ran: map[string]int{}, bodies: map[string]string{}}
+		g := &rawTarget{address: sd.Address(listener.Addr().String()), listener: listener, ran: map[string]int{}, bodies: map[string]string{}, unused: map[*net.TCPConn]bool{}}
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
@@ -90,10 +92,23 @@
 	return list
 }
 
+// die stops listening and resets the connections that no request came on.
+func (g *rawTarget) die() {
+	_ = g.listener.Close()
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for conn := range g.unused {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
 func (g *rawTarget) serve(conn net.Conn, serve func(w *bufio.Writer, id string) bool) {
 	defer func() { _ = conn.Close() }()
+	tcp := conn.(*net.TCPConn)
 	g.lock.Lock()
 	g.connections++
+	g.unused[tcp] = true
 	g.lock.Unlock()
 	r, w := bufio.NewReader(conn), bufio.NewWriter(conn)
 	for {
@@ -107,6 +122,7 @@
 		}
 		id := req.Header.Get("Request-Id")
 		g.lock.Lock()
+		delete(g.unused, tcp)
 		g.ran[id]++
 		g.bodies[id] = string(body)
 		g.lock.Unlock()
