receiver: a target that leaves after its answer has not crashed on it

What callers saw: 503 for 10 minutes for a sound request, after three targets had answered it without a frame and left right after, as in a rolling release.

Cause: a target that refuses the connection that is to confirm its answer counted as crashed on the request, like any target that refuses connections after a break. One that leaves may do so after a whole answer.

Before: TestTargetsThatLeaveAfterTheirAnswerAreNoCrashes fails: the request is suspected after three targets that announce that they leave. After: it passes; targets that do not announce it count as before. Why it works: the end of such an answer says nothing of a crash, and the target has said why it is down. Breaks inside an answer count as before, from targets that leave as well. The answer itself still counts as broken off, as nothing tells whether it was whole.

The target is not asked twice any more whether it refuses connections.

--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -16,11 +16,14 @@
 // instance returns the instance that is registered.
 func (t *target) instance() instance { return instance{t.ID, t.Incarnation, t.Address} }
 
+// sentTo returns the instance to which a request was sent.
+func sentTo(req *Request) instance { return instance{req.Target, req.Incarnation, req.Address} }
+
 // MarkLeaving records that the instance to which a request was sent has announced that it
 // leaves. It gets no requests from then on, whatever its registration says. MarkLeaving reports
 // whether this was not known.
 func (s *State) MarkLeaving(now sd.Instant, req *Request) bool {
-	sender := instance{req.Target, req.Incarnation, req.Address}
+	sender := sentTo(req)
 	_, known := s.announced[sender]
 	s.announced[sender] = now
 	if t := s.targets[req.Target]; t != nil && t.instance() == sender {
@@ -29,6 +32,15 @@
 	return !known
 }
 
+// Leaves reports whether the instance to which a request was sent is known to leave.
+func (s *State) Leaves(req *Request) bool {
+	if _, announced := s.announced[sentTo(req)]; announced {
+		return true
+	}
+	t := s.targets[req.Target]
+	return t != nil && t.instance() == sentTo(req) && t.Leaving
+}
+
 // accepts reports whether a target may get requests at all.
 func (s *State) accepts(t *target) bool { return !t.Leaving && !t.announced && !s.evacuated[t.Zone] }
 
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -67,7 +67,7 @@
 			}
 		}
 		q.attempts++
-		q.target, q.address, q.crashesKnown, q.end = ticket.Target, ticket.Address, q.knownCrashes(), responseEnd{}
+		q.ticket, q.target, q.address, q.crashesKnown, q.end = ticket, ticket.Target, ticket.Address, q.knownCrashes(), responseEnd{}
 		end := q.send(ctx, ticket)
 		if end == attemptAnswered {
 			return
--- a/receiver/queue.go
+++ b/receiver/queue.go
@@ -41,6 +41,13 @@
 	g.advance(now)
 }
 
+// Leaves reports whether the target to which a request was sent is known to leave.
+func (g *TargetQueue) Leaves(ticket *balancer.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Leaves(ticket)
+}
+
 // Targets returns the registered targets in no particular order.
 func (g *TargetQueue) Targets() []sd.TargetRegistration {
 	g.mu.Lock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,6 +16,7 @@
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/archiver"
+	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/meterer"
 	"sapphiredrum.example/sapphiredrum/platform"
@@ -150,8 +151,9 @@
 	possibleRuns int
 	// attempts counts the targets to which the request was sent.
 	attempts int
-	// target and address are those of the last attempt; crashesKnown is the request's count
-	// at the Screener when it was sent.
+	// ticket, target and address are those of the last attempt; crashesKnown is the request's
+	// count at the Screener when it was sent.
+	ticket       *balancer.Request
 	target       sd.TargetID
 	address      sd.Address
 	crashesKnown screener.Crashes
--- a/receiver/screen.go
+++ b/receiver/screen.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/screener"
 )
 
@@ -40,9 +41,16 @@
 }
 
 // reportBroken takes an attempt that its target broke off. If the target's process is
-// down, it counts as a crash.
+// down, it counts as a crash, unless it may just have left after a whole answer.
 func (q *request) reportBroken(ctx context.Context) {
-	if q.Screener == nil || ctx.Err() != nil || !q.Exchanger.Refuses(ctx, q.address) {
+	if q.Screener == nil || ctx.Err() != nil {
+		return
+	}
+	if q.end.aftermath == exchanger.Refuses {
+		if q.TargetQueue.Leaves(q.ticket) {
+			return
+		}
+	} else if !q.Exchanger.Refuses(ctx, q.address) {
 		return
 	}
 	crashes := q.Screener.ReportCrash(q.signature(), q.crashesKnown)
--- a/receiver/screen_test.go
+++ b/receiver/screen_test.go
@@ -109,3 +109,29 @@
 		}
 	}
 }
+
+// Guards against a sound request being refused as its targets left one after the other right after
+// they had answered it: each refused the connection that was to confirm its answer.
+func TestTargetsThatLeaveAfterTheirAnswerAreNoCrashes(t *testing.T) {
+	for _, path := range []string{"/pay/x", "/talk/x"} {
+		for _, leaving := range []bool{true, false} {
+			option, s := screened()
+			b := newBench(t, option)
+			pool, lines := "desk", []string{"Content-Type: text/event-stream"}
+			if path == "/talk/x" {
+				pool = "engines"
+			}
+			if leaving {
+				lines = append(lines, leavingHeader)
+			}
+			for n := range 3 {
+				answer := func(id string) string { return responseHead(id, lines...) + "\r\n" + event(1, "one") }
+				b.replaceByMortals(pool, 1, answer, whole)
+				b.ask("POST", path, fmt.Sprint("r", n), "body", "Program-Id", fmt.Sprint("p", n))
+			}
+			if s.Idle() != leaving {
+				t.Errorf("%s: targets leave %v, request suspected %v", path, leaving, !s.Idle())
+			}
+		}
+	}
+}
