--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -41,6 +41,20 @@
 	return t != nil && t.instance() == sentTo(req) && t.Leaving
 }
 
+// Replaced reports whether another instance is registered under the ID or the address of the one
+// to which a request was sent.
+func (s *State) Replaced(req *Request) bool {
+	if t := s.targets[req.Target]; t != nil {
+		return t.instance() != sentTo(req)
+	}
+	for _, t := range s.targets {
+		if t.Address == req.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // accepts reports whether a target may get requests at all.
 func (s *State) accepts(t *target) bool { return !t.Leaving && !t.announced && !s.evacuated[t.Zone] }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -84,6 +84,9 @@
 	// Received, if set, is called for each head that the target sends, also for those of
 	// interim answers and of answers to other requests.
 	Received func(status int, header http.Header)
+	// Replaced, if set, reports whether the target's process is known to be another one by now.
+	// It is called after the end of an answer without a frame.
+	Replaced func() bool
 	// Fresh asks for a new connection.
 	Fresh bool
 }
@@ -307,7 +310,7 @@
 			exchanger: x, conn: conn, response: response, stop: stop, sending: body, skipped: skipped,
 		}
 		if !answer.Framed && response.Body != http.NoBody {
-			answer.unframed = x.readUnframed(ctx, response.Body, conn, body)
+			answer.unframed = x.readUnframed(ctx, call, response.Body, conn, body)
 			answer.Body = answer.unframed
 		}
 		return answer, false, nil
--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -51,6 +51,8 @@
 	Refuses
 	// Unreached means that no connection was opened or refused in time.
 	Unreached
+	// Replaced means that another process accepts connections in place of the target's.
+	Replaced
 )
 
 // String returns the name in logs and metrics, empty for NotProbed.
@@ -62,6 +64,8 @@
 		return "refuses"
 	case Unreached:
 		return "unreached"
+	case Replaced:
+		return "replaced"
 	}
 	return ""
 }
@@ -132,11 +136,17 @@
 }
 
 // readUnframed begins to read the body of an answer, which must be closed.
-func (x *Exchanger) readUnframed(ctx context.Context, source io.Reader, conn *connection, sending *sending) *unframedBody {
+func (x *Exchanger) readUnframed(ctx context.Context, call Call, source io.Reader, conn *connection, sending *sending) *unframedBody {
 	ctx, cancel := context.WithCancel(ctx)
 	b := &unframedBody{
 		source: source, conn: conn, sending: sending, cancel: cancel, ended: make(chan struct{}),
-		probe: func() Aftermath { return x.confirm(ctx, conn.address) },
+		probe: func() Aftermath {
+			found := x.confirm(ctx, conn.address)
+			if found == Accepts && call.Replaced != nil && call.Replaced() {
+				return Replaced
+			}
+			return found
+		},
 	}
 	b.changed = sync.NewCond(&b.lock)
 	go b.run()
@@ -210,7 +220,7 @@
 	b.aftermath = found
 	b.lock.Unlock()
 	if found != Accepts {
-		return sd.BrokenResponse.New("target %s connections right after it closed one without a frame", found)
+		return sd.BrokenResponse.New("answer without a frame was not confirmed: target's address %s", found)
 	}
 	return io.EOF
 }
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -97,6 +97,7 @@
 				q.markLeaving(ticket)
 			}
 		},
+		Replaced: func() bool { return q.TargetQueue.Replaced(ticket) },
 	}
 	if q.stream != nil && q.stream.lastID != "" {
 		platform.ResumeAfter(call.Header, q.stream.lastID)
--- a/receiver/deadtarget_test.go
+++ b/receiver/deadtarget_test.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/receiver"
 )
 
@@ -157,3 +159,32 @@
 		})
 	}
 }
+
+// Guards against a stream whose target died after its next start had taken over the address, or
+// a target of another pool: that process accepts the connection that is to confirm the end.
+func TestNextProcessAtTheAddressConfirmsNothing(t *testing.T) {
+	for name, next := range map[string]sd.TargetRegistration{
+		"next start":     {ID: "raw-0", Pool: "engines", Zone: "z", Slots: 8, Incarnation: 7},
+		"another target": {ID: "other", Pool: "desk", Zone: "z", Slots: 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			var targets []*rawTarget
+			targets = b.replaceTargets("engines", 1, func(w *bufio.Writer, id string) bool {
+				_, _ = w.WriteString(unframedStream(2)(id))
+				_ = w.Flush()
+				next.Address = targets[0].address
+				b.queue.Update(func(s *balancer.State, _ sd.Instant) {
+					if next.ID != "raw-0" {
+						s.Remove("raw-0")
+					}
+					s.Register(next)
+				})
+				return false
+			})
+			if status, text, complete := b.turn("t1", "", "x"); status == 200 && complete {
+				t.Errorf("stream of a replaced target looks complete: %q", text)
+			}
+		})
+	}
+}
--- a/receiver/queue.go
+++ b/receiver/queue.go
@@ -48,6 +48,14 @@
 	return g.state.Leaves(ticket)
 }
 
+// Replaced reports whether another target, or another start of it, is registered in place of the
+// one to which a request was sent.
+func (g *TargetQueue) Replaced(ticket *balancer.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Replaced(ticket)
+}
+
 // Targets returns the registered targets in no particular order.
 func (g *TargetQueue) Targets() []sd.TargetRegistration {
 	g.mu.Lock()
