receiver, exchanger: a crash counts though the target's listener outlasts its connections

What callers saw: requests that crash their targets may run on more of them than the limit, as crashes are not counted.

A target that breaks an answer off has crashed if it refuses a connection right after; the listener of a process that is killed may still accept it then.

Before: TestCrashIsCountedThoughTheListenerOutlastsTheConnection fails. After: it passes.

What asks a target whether it is up is in probe.go. TestRefusesTellsWhetherATargetIsDown waits until the connection is kept.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -43,9 +42,6 @@
 	DefaultIdle = 4 * sd.Second
 	// DefaultKept covers the requests that one host has at one target at once.
 	DefaultKept = 16
-	// refusalTimeout is many times what a target in another zone takes to refuse a
-	// connection, and leaves time to ask some other hosts whether it does.
-	refusalTimeout = 150 * sd.Millisecond
 	// idleMargin is kept from an idle timeout that a target names.
 	idleMargin = 700 * sd.Millisecond
 	// inlineBody is the size up to which a body is sent before the answer is read;
@@ -380,27 +376,6 @@
 	}
 }
 
-// check opens a connection to a target that has been silent, and keeps it. A connection
-// that was opened before a partition shows nothing of it, but a new one does.
-func (x *Exchanger) check(address sd.Address) {
-	now := x.settings.Clock.Now()
-	x.lock.Lock()
-	defer x.lock.Unlock()
-	if x.ended || x.checking || now.Since(x.checkedAt) < x.settings.Silence {
-		return
-	}
-	x.checking, x.checkedAt = true, now
-	x.checks.Go(func() {
-		conn, err := x.dial(x.closing, address, x.settings.Connect)
-		if err == nil {
-			x.keep(conn, "")
-		}
-		x.lock.Lock()
-		x.checking = false
-		x.lock.Unlock()
-	})
-}
-
 // Forget drops the idle connections to a target that is gone.
 func (x *Exchanger) Forget(address sd.Address) {
 	x.lock.Lock()
@@ -501,31 +476,6 @@
 	return x.dial(ctx, address, x.settings.Connect)
 }
 
-// Refuses reports whether the target refuses connections, as it does while its process
-// is down. A connection that it accepts is kept.
-func (x *Exchanger) Refuses(ctx context.Context, address sd.Address) bool {
-	return x.probe(ctx, address, refusalTimeout) == Refuses
-}
-
-// probe tries to connect to a target. A connection that it accepts is kept.
-func (x *Exchanger) probe(ctx context.Context, address sd.Address, timeout sd.Millis) Aftermath {
-	conn, err := x.dial(ctx, address, timeout)
-	return x.keepProbe(conn, err)
-}
-
-// keepProbe tells what the outcome of a connection attempt says of the target, and keeps the
-// connection.
-func (x *Exchanger) keepProbe(conn *connection, err error) Aftermath {
-	switch {
-	case err == nil:
-		x.keep(conn, "")
-		return Accepts
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refuses
-	}
-	return Unreached
-}
-
 // dial opens a connection.
 func (x *Exchanger) dial(ctx context.Context, address sd.Address, timeout sd.Millis) (*connection, error) {
 	raw, err := x.settings.Dialer.Dial(ctx, address, timeout)
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -311,9 +311,14 @@
 		}
 	})
 	x, opened := newExchanger(t)
-	if x.Refuses(t.Context(), at) {
+	down := make(chan struct{}, 3)
+	later := func() { down <- struct{}{} }
+	if x.Refuses(t.Context(), at, later) {
 		t.Error("a target that runs counts as down")
 	}
+	for end := time.Now().Add(patience); x.Idle() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	if body, err := fetch(t, x, at, call("a")); err != nil || body != "body" || *opened != 1 {
 		t.Errorf("%q, %v, %d connections, want the one that was kept", body, err, *opened)
 	}
@@ -324,12 +329,16 @@
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if !x.Refuses(t.Context(), sd.Address(listener.Addr().String())) {
+	if !x.Refuses(t.Context(), sd.Address(listener.Addr().String()), later) {
 		t.Error("a target that is down counts as running")
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	if x.Refuses(ended, at) {
+	if x.Refuses(ended, at, later) {
 		t.Error("a check that was given up says that the target is down")
 	}
+	x.Close()
+	if len(down) > 0 {
+		t.Error("later was called though nothing changed")
+	}
 }
--- a/receiver/screen.go
+++ b/receiver/screen.go
@@ -46,18 +46,21 @@
 	if q.Screener == nil || ctx.Err() != nil {
 		return
 	}
+	sign, known, target := q.signature(), q.crashesKnown, q.target
+	report := func() {
+		crashes := q.Screener.ReportCrash(sign, known)
+		q.Metrics.Set.GetOrCreateCounter("target_crashes_total").Inc()
+		q.Log.Warn("target crashed while it ran the request", zap.Int("event", eventCrash), q.idField(), zap.String("target", string(target)),
+			zap.Stringer("fingerprint", sign.Whole), zap.Stringer("start", sign.Start),
+			zap.Int("crashes", crashes.Whole), zap.Int("start_crashes", crashes.Start))
+	}
 	if q.end.aftermath == exchanger.Refuses {
-		if q.TargetQueue.Leaves(q.ticket) {
-			return
+		if !q.TargetQueue.Leaves(q.ticket) {
+			report()
 		}
-	} else if !q.Exchanger.Refuses(ctx, q.address) {
-		return
+	} else if q.Exchanger.Refuses(ctx, q.address, report) {
+		report()
 	}
-	crashes := q.Screener.ReportCrash(q.signature(), q.crashesKnown)
-	q.Metrics.Set.GetOrCreateCounter("target_crashes_total").Inc()
-	q.Log.Warn("target crashed while it ran the request", zap.Int("event", eventCrash), q.idField(), zap.String("target", string(q.target)),
-		zap.Stringer("fingerprint", q.signature().Whole), zap.Stringer("start", q.signature().Start),
-		zap.Int("crashes", crashes.Whole), zap.Int("start_crashes", crashes.Start))
 }
 
 // reportSurvived takes an attempt that its target has answered whole.
--- a/receiver/screen_test.go
+++ b/receiver/screen_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -135,3 +136,20 @@
 		}
 	}
 }
+
+// Guards against a crash that is not counted, as the target's listener outlasted the connection
+// of its broken answer by some milliseconds.
+func TestCrashIsCountedThoughTheListenerOutlastsTheConnection(t *testing.T) {
+	option, s := screened()
+	b := newBench(t, option)
+	b.replaceByMortals("desk", 1, func(id string) string { return responseHead(id, "Content-Length: 9") + "\r\nhalf" }, whole)
+	if status, _, _, _ := b.ask("POST", "/pay/x", "r", "body"); status != 502 {
+		t.Errorf("status %d, want 502", status)
+	}
+	for end := time.Now().Add(maxWait); s.Idle() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if s.Idle() {
+		t.Error("crash not counted")
+	}
+}
