exchanger: idle connections past their time are closed

What targets saw: connections that a host no longer uses stay open until the next request to the same address, or until the target ends them. A connection that confirmed an answer without a frame is kept too, so a target that serves few connections at once was held up by it for longer than the idle time of the host.

Cause: the time until which a connection may be idle was looked at only when the connection was taken. Found by the review.

After: it passes.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -361,18 +361,23 @@
 	x.checks.Wait()
 }
 
-// Sweep drops the idle connections that the Dialer no longer counts as usable.
+// Sweep drops the idle connections that have been so for too long, or that the Dialer no longer
+// counts as usable.
 func (x *Exchanger) Sweep() {
+	now := x.settings.Clock.Now()
 	x.lock.Lock()
 	defer x.lock.Unlock()
 	for address, list := range x.idle {
-		x.idle[address] = slices.DeleteFunc(list, func(conn *connection) bool {
-			usable := x.settings.Dialer.Usable(conn.Conn, address)
+		list = slices.DeleteFunc(list, func(conn *connection) bool {
+			usable := now < conn.until && x.settings.Dialer.Usable(conn.Conn, address)
 			if !usable {
 				_ = conn.Close()
 			}
 			return !usable
 		})
+		if x.idle[address] = list; len(list) == 0 {
+			delete(x.idle, address)
+		}
 	}
 }
 
--- a/exchanger/path_test.go
+++ b/exchanger/path_test.go
@@ -94,3 +94,34 @@
 		t.Error("an unusable connection is kept")
 	}
 }
+
+// Guards against idle connections that are past their time being kept open until the next request
+// to their target: one that opens no more than a few is held up by them.
+func TestSweepDropsConnectionsThatWereIdleForTooLong(t *testing.T) {
+	closed := make(chan struct{})
+	at := target(t, func(conn net.Conn, _ int) {
+		r := bufio.NewReader(conn)
+		if id, ok := next(r); ok {
+			_, _ = io.WriteString(conn, reply(id, "x"))
+			_, _ = r.ReadByte()
+			close(closed)
+		}
+	})
+	x := exchanger.New(exchanger.Settings{Clock: sd.NewClock(), Idle: 50 * sd.Millisecond})
+	defer x.Close()
+	if _, err := fetch(t, x, at, call("a")); err != nil {
+		t.Fatal(err)
+	}
+	if x.Sweep(); x.Idle() != 1 {
+		t.Fatalf("%d idle connections, want 1", x.Idle())
+	}
+	time.Sleep(100 * time.Millisecond)
+	if x.Sweep(); x.Idle() != 0 {
+		t.Errorf("%d idle connections, want none", x.Idle())
+	}
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Error("the connection was not closed")
+	}
+}
