exchanger: answers that are read ahead stay within their bounds, and end with the Exchanger

Two faults that came with, found by the review. And Close did not end the search for what a target does that neither accepts nor refuses connections: TestSearchForASilentTargetEnds fails before ("the search goes on") and passes now.

--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -58,7 +57,8 @@
 	lock sync.Mutex
 	// changed is signalled when the fields below change.
 	changed *sync.Cond
-	ahead   bytes.Buffer
+	// ahead is what was read and not asked for yet.
+	ahead []byte
 	// err is how the body ends, behind what was read ahead.
 	err       error
 	closed    bool
@@ -79,7 +79,11 @@
 		},
 	}
 	b.changed = sync.NewCond(&b.lock)
-	go b.run()
+	stop := context.AfterFunc(x.closing, cancel)
+	go func() {
+		defer stop()
+		b.run()
+	}()
 	return b
 }
 
@@ -109,24 +113,24 @@
 func (b *unframedBody) awaitSpace() int {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	for b.ahead.Len() >= readAhead && !b.closed {
+	for len(b.ahead) >= readAhead && !b.closed {
 		b.changed.Wait()
 	}
 	if b.closed {
 		return 0
 	}
-	return readAhead - b.ahead.Len()
+	return readAhead - len(b.ahead)
 }
 
 // add appends what was read, or the end.
 func (b *unframedBody) add(text []byte, err error) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if left := b.ahead.Len(); left > 0 {
+	if len(b.ahead) > 0 && cap(b.ahead) < readAhead {
 		// Growing by doubling would take more than is read ahead.
-		b.ahead.Grow(readAhead - left)
+		b.ahead = append(make([]byte, 0, readAhead), b.ahead...)
 	}
-	b.ahead.Write(text)
+	b.ahead = append(b.ahead, text...)
 	b.err = err
 	b.changed.Broadcast()
 }
@@ -160,13 +164,15 @@
 func (b *unframedBody) Read(p []byte) (int, error) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	for b.ahead.Len() == 0 && b.err == nil && !b.closed {
+	for len(b.ahead) == 0 && b.err == nil && !b.closed {
 		b.changed.Wait()
 	}
 	switch {
-	case b.ahead.Len() > 0:
+	case len(b.ahead) > 0:
+		n := copy(p, b.ahead)
+		b.ahead = append(b.ahead[:0], b.ahead[n:]...)
 		b.changed.Broadcast()
-		return b.ahead.Read(p)
+		return n, nil
 	case b.err != nil:
 		return 0, b.err
 	}
--- a/exchanger/unframed_test.go
+++ b/exchanger/unframed_test.go
@@ -203,6 +203,13 @@
 		}
 		open = append(open, answer)
 	}
+	// A reader that falls behind must not make the buffers grow either.
+	for _, answer := range open {
+		time.Sleep(5 * time.Millisecond)
+		if _, err := io.CopyN(io.Discard, answer.Body, 25<<10); err != nil {
+			t.Fatal(err)
+		}
+	}
 	time.Sleep(100 * time.Millisecond)
 	grown := int64(heap()) - int64(base)
 	t.Logf("%d answers hold %d KB", answers, grown>>10)
@@ -213,3 +220,45 @@
 		answer.Close(false)
 	}
 }
+
+// Guards against a host that stops waiting for targets that do not answer: the end of the
+// Exchanger, or of an answer, ends the search for what its target does.
+func TestSearchForASilentTargetEnds(t *testing.T) {
+	for name, end := range map[string]func(x *exchanger.Exchanger, answer *exchanger.Answer){
+		"exchanger closed": func(x *exchanger.Exchanger, _ *exchanger.Answer) { x.Close() },
+		"answer closed":    func(_ *exchanger.Exchanger, answer *exchanger.Answer) { answer.Close(false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := target(t, func(conn net.Conn, _ int) {
+				if id, ok := next(bufio.NewReader(conn)); ok {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n\r\nhalf")
+				}
+			})
+			dialer := &lastingDialer{Dialer: exchanger.Direct(), hang: true}
+			x := exchanger.New(exchanger.Settings{Clock: sd.NewClock(), Dialer: dialer, Connect: sd.Minute})
+			defer x.Close()
+			answer, err := x.Exchange(t.Context(), at, call("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() {
+				_, err := io.ReadAll(answer.Body)
+				ended <- err
+			}()
+			for stop := time.Now().Add(patience); dialer.dials.Load() < 2 && time.Now().Before(stop); {
+				time.Sleep(time.Millisecond)
+			}
+			end(x, answer)
+			select {
+			case err := <-ended:
+				if err == nil {
+					t.Error("answer taken for whole")
+				}
+			case <-time.After(patience):
+				t.Error("the search goes on")
+			}
+			answer.Close(false)
+		})
+	}
+}
