exchanger: a connection that stays open does not confirm an answer either (ORDER)

What callers saw: still a broken answer that looks complete, about one in 400 of those that a target with 50 open connections was sending as it was killed.

Cause: took a connection for confirmation that was accepted and stayed open for 50 ms. The kernel forgets some of the connections that nobody has accepted yet without a reset, when it closes the listener.

Why it works: the target is asked twice, by connections of their own: at once, as one that is down may be up again soon, and 50 ms after that, when the kernel has closed the listener of one that died. Its second connection is kept for the next request. So an answer without a frame costs one connection more than before the incident. A living target with too many connections accepts and resets both. The same holds for crashes that are counted later.

--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -10,7 +10,7 @@
 // with nothing behind it.
 //
 // An answer without a frame ends with its connection. It is broken if the connection was
-// reset. If the connection was closed in order, it is whole only if the target then accepts
-// another one for longer than the kernel takes to end a process: it also closes the connections
-// of a process that died in order. The new connection is kept for the next request.
+// reset. If the connection was closed in order, it is whole only if the target accepts
+// another one a little later: the kernel also closes the connections of a process that died in
+// order. The new connection is kept for the next request.
 package exchanger
--- a/exchanger/probe.go
+++ b/exchanger/probe.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
-	"os"
 	"syscall"
-	"time"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/worker"
 )
 
 // exitTime is how long the listener of a process that died may outlast its connections. The
@@ -19,15 +18,14 @@
 // connection, and leaves time to ask some other hosts whether it does.
 const refusalTimeout = 150 * sd.Millisecond
 
-// Aftermath is what a target does right after an answer without a frame has ended in order.
+// Aftermath is what a target does soon after an answer without a frame has ended in order.
 // The kernel closes the connections of a process that dies in the same way.
 type Aftermath int
 
 const (
 	// NotProbed means that the answer had a frame, has not ended, or was broken off.
 	NotProbed Aftermath = iota
-	// Accepts means that the target accepts connections, and did so longer than the kernel takes
-	// to end a process: its process is up.
+	// Accepts means that the target accepts connections: its process is up.
 	Accepts
 	// Refuses means that the target refuses connections: its process is down.
 	Refuses
@@ -64,71 +62,62 @@
 	return Unreached
 }
 
-// confirm reports what a target does that has just ended a connection. One that it accepts is
-// kept for the next request.
+// confirm reports whether a target is up that has ended a connection. It asks twice: at once, as a
+// target that is down may be up again soon, and after exitTime. The second connection is kept for
+// the next request. The first tells nothing more, even if it stays open, as the kernel may forget
+// it without a reset.
 func (x *Exchanger) confirm(ctx context.Context, address sd.Address) Aftermath {
 	conn, err := x.dial(ctx, address, x.settings.Connect)
-	if err != nil && !errors.Is(err, syscall.ECONNRESET) {
-		return result(err)
-	}
-	return x.watch(ctx, address, conn)
-}
-
-// watch reports whether a target is up that has just accepted a connection, which is nil if it
-// was reset at once.
-func (x *Exchanger) watch(ctx context.Context, address sd.Address, conn *connection) Aftermath {
-	settled := time.After(exitTime.Duration())
-	if conn != nil {
-		if conn.staysOpen(ctx, exitTime) {
-			x.keep(conn, "")
-			return Accepts
-		}
+	if err == nil {
 		_ = conn.Close()
 	}
-	// The target died, or it has too many connections or keeps no idle ones.
-	select {
-	case <-settled:
-	case <-ctx.Done():
+	if found := aftermathOf(err); found != Accepts {
+		return found
 	}
-	conn, err := x.dial(ctx, address, x.settings.Connect)
+	if !worker.Pause(ctx, exitTime) {
+		return Unreached
+	}
+	return x.probe(ctx, address, x.settings.Connect)
+}
+
+// probe tries to connect to a target. A connection that it accepts is kept.
+func (x *Exchanger) probe(ctx context.Context, address sd.Address, timeout sd.Millis) Aftermath {
+	conn, err := x.dial(ctx, address, timeout)
 	if err == nil {
 		x.keep(conn, "")
 	}
-	return result(err)
+	return aftermathOf(err)
 }
 
-// staysOpen reports whether a new connection neither ends nor yields anything for a time. The
-// connection is of no use if not.
-func (c *connection) staysOpen(ctx context.Context, quiet sd.Millis) bool {
-	if err := c.SetReadDeadline(time.Now().Add(quiet.Duration())); err != nil {
-		return false
+// aftermathOf returns what the outcome of a connection attempt tells of a target.
+func aftermathOf(err error) Aftermath {
+	switch {
+	case err == nil, errors.Is(err, syscall.ECONNRESET):
+		// A living target with too many connections accepts more of them and resets them.
+		return Accepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refuses
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Now()) })
-	_, err := c.Conn.Read(make([]byte, 1))
-	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+	return Unreached
 }
 
 // Refuses reports whether the target refuses connections, as it does while its process
 // is down. A connection that it accepts is kept. The listener of a process that is dying may
 // accept it: later is called if the target turns out to be down a little later.
 func (x *Exchanger) Refuses(ctx context.Context, address sd.Address, later func()) bool {
-	conn, err := x.dial(ctx, address, refusalTimeout)
-	if err != nil && !errors.Is(err, syscall.ECONNRESET) {
-		return result(err) == Refuses
+	found := x.probe(ctx, address, refusalTimeout)
+	if found != Accepts {
+		return found == Refuses
 	}
 	x.lock.Lock()
 	defer x.lock.Unlock()
-	if x.ended {
-		if conn != nil {
-			_ = conn.Close()
-		}
-		return false
+	if !x.ended {
+		x.checks.Go(func() {
+			if worker.Pause(x.closing, exitTime) && x.probe(x.closing, address, x.settings.Connect) == Refuses {
+				later()
+			}
+		})
 	}
-	x.checks.Go(func() {
-		if x.watch(x.closing, address, conn) == Refuses {
-			later()
-		}
-	})
 	return false
 }
 
