exchanger: a listener that outlives its connections does not confirm an answer (ORDER)

What callers saw: a broken answer that looks complete, for some of the answers that a killed target was sending, although the target is asked at the end of each.

Cause: the kernel closes the sockets of a dead process one after the other, and the listener not always first. Until it is closed it accepts connections, so a target that was asked at once could confirm an answer of a process that was dead already.

Why it works: the target is asked 25 ms after the end. A wait bounds the risk and does not end it, as docs/PLATFORM.md says.

--- a/exchanger/unframed.go
+++ b/exchanger/unframed.go
@@ -12,6 +12,7 @@
 	"time"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/worker"
 )
 
 // sending is the transfer of a request, which may go on while its answer is read.
@@ -37,7 +38,7 @@
 	return s.err != nil && !errors.Is(s.err, os.ErrDeadlineExceeded) && !errors.Is(s.err, net.ErrClosed) && !errors.Is(s.err, syscall.EPIPE)
 }
 
-// Aftermath is what a target does right after an answer without a frame has ended in order.
+// Aftermath is what a target does soon after an answer without a frame has ended in order.
 // The kernel closes the connections of a process that dies in the same way.
 type Aftermath int
 
@@ -69,6 +70,10 @@
 // the usual stream has left when its target ends it.
 const readAhead = 16 << 10
 
+// closingTime is how long the kernel may take to close the sockets of a process that died. Its
+// listener, which accepts connections until then, may be closed after the others.
+const closingTime = 25 * sd.Millisecond
+
 // unframedBody is the body of an answer that ends with its connection.
 //
 // The end has to be looked into when it comes: a target that died may be back by the time at
@@ -98,7 +103,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	b := &unframedBody{
 		source: source, conn: conn, sending: sending, cancel: cancel, ended: make(chan struct{}),
-		probe: func() Aftermath { return x.probe(ctx, conn.address, x.settings.Connect) },
+		probe: func() Aftermath {
+			if !worker.Pause(ctx, closingTime) {
+				return Unreached
+			}
+			return x.probe(ctx, conn.address, x.settings.Connect)
+		},
 	}
 	b.changed = sync.NewCond(&b.lock)
 	go b.run()
@@ -172,7 +182,7 @@
 	b.aftermath = found
 	b.lock.Unlock()
 	if found != Accepts {
-		return sd.BrokenResponse.New("target %s connections right after it closed one without a frame", found)
+		return sd.BrokenResponse.New("target %s connections after it closed one without a frame", found)
 	}
 	return io.EOF
 }
