--- a/server/callers.go
+++ b/server/callers.go
@@ -103,7 +103,7 @@
 		return refuse(c, refusalOf(c.Request().Context(), err))
 	}
 	c.Response().Header().Set(headHeader, status.Head)
-	return c.JSON(code, programAnswer(status))
+	return writeJSON(c, code, programAnswer(status))
 }
 
 // call answers a request on a route.
--- a/server/status.go
+++ b/server/status.go
@@ -85,7 +85,7 @@
 		seconds := (refusal.RetryAfter + sd.Second - 1) / sd.Second
 		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	return c.JSON(StatusOf(refusal.Reason), detailOf(refusal))
+	return writeJSON(c, StatusOf(refusal.Reason), detailOf(refusal))
 }
 
 // Headers of the callers' protocol.
--- a/server/writer.go
+++ b/server/writer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,10 +77,7 @@
 	}
 	w.context.Response().Header().Set(headHeader, end.Head)
 	w.started = true
-	if err := w.context.JSON(http.StatusOK, wholeAnswer(w.model, w.text.String(), end)); err != nil {
-		return sd.Uncertain.Wrap(err, "the caller no longer reads")
-	}
-	return nil
+	return writeJSON(w.context, http.StatusOK, wholeAnswer(w.model, w.text.String(), end))
 }
 
 // serviceEnd writes a service's whole answer with the headers that may pass.
@@ -96,6 +94,7 @@
 	}
 	response.Header().Set(outcomeHeader, sd.Ran.String())
 	w.expire()
+	setLength(response.Header(), w.service.Body)
 	response.WriteHeader(w.service.Status)
 	if _, err := response.Write(w.service.Body); err != nil {
 		return sd.Uncertain.Wrap(err, "the caller no longer reads")
@@ -103,6 +102,28 @@
 	return nil
 }
 
+// writeJSON writes a whole answer in JSON.
+func writeJSON(c echo.Context, status int, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return sd.BrokenResponse.Wrap(err, "encode an answer")
+	}
+	encoded = append(encoded, '\n')
+	setLength(c.Response().Header(), encoded)
+	if err := c.JSONBlob(status, encoded); err != nil {
+		return sd.Uncertain.Wrap(err, "the caller no longer reads")
+	}
+	return nil
+}
+
+// setLength sets the length of an answer that has a body. HTTP/1.0 callers could not tell one
+// that breaks off from a whole one without it.
+func setLength(header http.Header, body []byte) {
+	if len(body) > 0 {
+		header.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
+	}
+}
+
 // expire bounds the time that the next write waits for a slow reader.
 func (w *answerWriter) expire() {
 	control := http.NewResponseController(w.context.Response().Writer)
