cmd/sapphiredrum: targets that are killed while they answer (ORDER)

What callers saw: answers without a frame that broke off as their target's process was killed, and looked complete. The fix was tested with targets within the test's process, which close in the order that the test asks for.

Tests run targets as processes that are killed while they send kept and resumable streams and calls that may run once or again, and look at every answer.

The kernel closes the files of a killed process from the highest descriptor to the lowest, and a server's listener is usually older than its connections. Until it is closed, it accepts the connection that is to confirm the end of the answer.

--- a/cmd/sapphiredrum/process_test.go
+++ b/cmd/sapphiredrum/process_test.go
@@ -27,6 +27,9 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	if text := os.Getenv(targetVariable); text != "" {
+		serveTarget(text)
+	}
 	folder, err := os.MkdirTemp("", "sapphiredrum")
 	if err != nil {
 		panic(err)
--- a/cmd/sapphiredrum/soak_test.go
+++ b/cmd/sapphiredrum/soak_test.go
@@ -72,7 +72,9 @@
 	started time.Time
 	rows    *faker.Rows
 	targets []*emulator.Target
-	hosts   []*soakHost
+	// killable are targets as processes of their own.
+	killable []*soakTarget
+	hosts    []*soakHost
 	// power is held while all hosts are off.
 	power sync.Mutex
 
@@ -104,26 +106,43 @@
 	}
 }
 
-// newSoak starts a store, targets and hosts.
+// newSoak starts a store, targets in the test's process and hosts.
 func newSoak(t *testing.T, seed uint64, hosts int) *soak {
-	s := &soak{
-		t: t, started: time.Now(), since: time.Now(), rows: faker.NewRows(seed), handed: map[string]int{}, promise: map[string]string{},
-		sent: map[string]string{}, text: map[string]string{}, most: map[string]int{},
-	}
-	store := httptest.NewServer(emulator.Store(s.rows))
-	t.Cleanup(store.Close)
-	s.rows.Write(sd.RecordKey{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(1, 0, "k1"))
+	t.Helper()
+	return newSoakWith(t, seed, hosts, func(s *soak) { s.addTargets(2 * hosts) })
+}
+
+// addTargets adds targets in the test's process.
+func (s *soak) addTargets(slots int) {
 	for i, pool := range []string{"engines", "engines", "desk", "desk"} {
-		target := &emulator.Target{ID: sd.TargetID(fmt.Sprintf("i-%d", i)), Pause: 5, Slots: 2 * hosts}
+		target := &emulator.Target{ID: sd.TargetID(fmt.Sprintf("i-%d", i)), Pause: 5, Slots: slots}
 		if pool == "engines" {
 			target.Events = soakEvents
 		}
 		at := httptest.NewServer(target)
-		t.Cleanup(at.Close)
+		s.t.Cleanup(at.Close)
 		s.targets = append(s.targets, target)
-		s.rows.Write(sd.RecordKey{Table: platform.TargetTable, Key: string(target.ID)},
-			target.Registration(pool, "z", sd.Address(strings.TrimPrefix(at.URL, "http://")), target.Slots, "ready"))
+		s.register(target, pool, sd.Address(strings.TrimPrefix(at.URL, "http://")))
 	}
+}
+
+// register enters a target in the store.
+func (s *soak) register(target *emulator.Target, pool string, address sd.Address) {
+	s.rows.Write(sd.RecordKey{Table: platform.TargetTable, Key: string(target.ID)},
+		target.Registration(pool, "z", address, target.Slots, "ready"))
+}
+
+// newSoakWith starts a store, targets and hosts.
+func newSoakWith(t *testing.T, seed uint64, hosts int, addTargets func(*soak)) *soak {
+	t.Helper()
+	s := &soak{
+		t: t, started: time.Now(), since: time.Now(), rows: faker.NewRows(seed), handed: map[string]int{}, promise: map[string]string{},
+		sent: map[string]string{}, text: map[string]string{}, most: map[string]int{},
+	}
+	store := httptest.NewServer(emulator.Store(s.rows))
+	t.Cleanup(store.Close)
+	s.rows.Write(sd.RecordKey{Table: platform.OperatorTable, Key: "config"}, emulator.Plan(1, 0, "k1"))
+	addTargets(s)
 	s.settleGrantors(hosts)
 	folder := t.TempDir()
 	if kept := os.Getenv("SOAK_LOGS"); kept != "" {
@@ -343,6 +362,14 @@
 			}
 		}
 	}
+	for _, g := range s.killable {
+		for _, run := range g.runs() {
+			ran[run.ID]++
+			if run.Body != s.sent[run.ID] {
+				wrong = append(wrong, fmt.Sprintf("UNASKED: %s ran with %q, not %q", run.ID, run.Body, s.sent[run.ID]))
+			}
+		}
+	}
 	for id, n := range ran {
 		if n > s.most[id] {
 			wrong = append(wrong, fmt.Sprintf("%s ran %d times", id, n))
--- a/cmd/sapphiredrum/soakcaller_test.go
+++ b/cmd/sapphiredrum/soakcaller_test.go
@@ -41,9 +41,12 @@
 }
 
 // Paths of turns: what is said on the first is kept; streams on the second may be resumed.
+// Calls on the third may be repeated, those on the last run once.
 const (
-	keptTurns      = "/talk/x"
-	resumableTurns = "/ask/x"
+	keptTurns       = "/talk/x"
+	resumableTurns  = "/ask/x"
+	repeatableCalls = "/look/x"
+	singleCalls     = "/pay/x"
 )
 
 func (s *soak) caller(random *rand.Rand) *soakCaller {
@@ -110,7 +113,7 @@
 			c.pause()
 		}
 		if c.random.IntN(3) == 0 {
-			c.ask("/pay/x", id+"-pay", program, "")
+			c.ask(singleCalls, id+"-pay", program, "")
 		}
 		time.Sleep(upTo(c.random, 0, 20))
 	}
@@ -186,7 +189,7 @@
 	c.lock.Lock()
 	text := c.text[previous] + input
 	c.sent[id], c.most[id] = text, 1
-	if path == resumableTurns {
+	if path == resumableTurns || path == repeatableCalls {
 		c.most[id] = soakAttempts
 	}
 	c.lock.Unlock()
@@ -207,7 +210,11 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.asked(sent, whole)
-	if path != "/pay/x" {
+	if path == singleCalls || path == repeatableCalls {
+		if whole && string(body) != "answer of "+id {
+			c.wrong = append(c.wrong, fmt.Sprintf("ORDER: %s was ended as whole after %q", id, body))
+		}
+	} else {
 		events := strings.Count(string(body), "data:")
 		c.handed[program] += events * soakMost / soakEvents
 		if whole {
