--- a/cmd/sapphiredrum/soak_test.go
+++ b/cmd/sapphiredrum/soak_test.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// soakUnframed is the number of requests in ten that targets answer without a frame.
+const soakUnframed = 3
+
 // soak is one run.
 type soak struct {
 	t       *testing.T
@@ -176,7 +179,17 @@
 
 func runSoak(t *testing.T, seed uint64, hosts int, length time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 7))
-	s := newSoak(t, seed, hosts)
+	s := newSoakWith(t, seed, hosts, func(s *soak) {
+		s.addTargets(2 * hosts)
+		for _, target := range s.targets {
+			target.Unframed = func(id string) bool { return hash(id)%10 < soakUnframed }
+		}
+		for _, pool := range []string{"engines", "desk"} {
+			s.addKillable(pool, targetSettings{
+				ID: sd.TargetID("k-" + pool), Pause: 5, Slots: 2 * hosts, Unframed: soakUnframed, ListenerFirst: true,
+			})
+		}
+	})
 	during, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
 	calling, stop := context.WithCancel(t.Context())
@@ -190,7 +203,7 @@
 			}
 		})
 	}
-	for i, fault := range []func(context.Context, *rand.Rand){s.hostFaults, s.targetFaults, s.storeFaults} {
+	for i, fault := range []func(context.Context, *rand.Rand){s.hostFaults, s.targetFaults, s.storeFaults, s.targetDeaths} {
 		luck := rand.New(rand.NewPCG(random.Uint64(), uint64(1+i)))
 		faults.Go(func() { fault(during, luck) })
 	}
--- a/cmd/sapphiredrum/soakfaults_test.go
+++ b/cmd/sapphiredrum/soakfaults_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// targetDeaths kills targets that are processes, and starts them again at the same address.
+func (s *soak) targetDeaths(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		g, down := s.killable[random.IntN(len(s.killable))], upTo(random, 1, 1500)
+		if random.IntN(2) == 0 {
+			down = upTo(random, 1, 50)
+		}
+		s.tell("%s: killed for %v", g.ID, down)
+		g.kill()
+		time.Sleep(down)
+		g.start()
+		time.Sleep(upTo(random, 50, 1000))
+	}
+}
+
 // storeFaults strikes the store, and at times all hosts with it; the last strike does.
 func (s *soak) storeFaults(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
