tunneler: a host that was just partitioned does not say that a target is down

What callers saw: sound answers without a frame that count as broken, in the first second after hosts were partitioned from targets that refuse their connections.

Cause: a host that is asked for a tunnel and refused says that the target is down if it reached any target in the last second. A partition may have begun since.

Before: TestHostThatWasJustPartitionedDoesNotSayThatATargetIsDown fails. Why it works: what a host reached in the last 0.1 s counts, otherwise it tries another target first, as it did without evidence.

A function that nothing used is removed from exchanger/probe.go.

--- a/exchanger/probe.go
+++ b/exchanger/probe.go
@@ -50,18 +50,6 @@
 	return ""
 }
 
-// result returns what the outcome of a connection attempt tells of a target. One that resets a
-// connection has accepted it.
-func result(err error) Aftermath {
-	switch {
-	case err == nil, errors.Is(err, syscall.ECONNRESET):
-		return Accepts
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refuses
-	}
-	return Unreached
-}
-
 // confirm reports whether a target is up that has ended a connection. It asks twice: at once, as a
 // target that is down may be up again soon, and after exitTime. The second connection is kept for
 // the next request. The first tells nothing more, even if it stays open, as the kernel may forget
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -36,8 +36,9 @@
 	// a probe waits for the connection.
 	probeInterval = 250 * sd.Millisecond
 	probeTimeout  = 200 * sd.Millisecond
-	// evidenceTTL is how long a direct connection is evidence that this host reaches targets.
-	evidenceTTL = sd.Second
+	// evidenceTTL is how long a direct connection is evidence that this host reaches targets. A
+	// partition may have begun since.
+	evidenceTTL = 100 * sd.Millisecond
 	// maxRoutes is the number of hosts tried for one connection.
 	maxRoutes = 4
 	// routeDelay is how long a host may take to open a tunnel before the next one is asked.
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -446,3 +446,23 @@
 		t.Error("an idle tunnel is used")
 	}
 }
+
+// Guards against a host that takes a target for down because another one, which was partitioned a
+// moment ago as well, says so: sound answers without a frame then count as broken.
+func TestHostThatWasJustPartitionedDoesNotSayThatATargetIsDown(t *testing.T) {
+	target := listen(t, func(conn *net.TCPConn) { _ = conn.Close() })
+	other := listen(t, func(conn *net.TCPConn) { _ = conn.Close() })
+	hosts := newHosts(t, []sd.Address{target, other}, "z", "z")
+	_ = hosts[1].dial(t).Close()
+	time.Sleep(200 * time.Millisecond)
+	for _, h := range hosts {
+		h.path.cut.Store(true)
+	}
+	conn, err := hosts[0].Dial(t.Context(), target, sd.Second)
+	if err == nil {
+		_ = conn.Close()
+	}
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("error %v, want one that leaves open whether the target is down", err)
+	}
+}
