--- a/balancer/load.go
+++ b/balancer/load.go
@@ -103,7 +103,7 @@
 // it may send as many requests as it has announced to the other hosts, plus its share of what
 // they leave unused, less a reserve.
 func (s *State) withinColdLimit(now sd.Instant, p *pool, t *target, heard int) bool {
-	if p.settings.ColdRate == 0 {
+	if p.settings.ColdRate == 0 || s.settings.ColdUnlimited {
 		return true
 	}
 	if s.hosts == 0 || (!s.fleetRunning && now.Since(s.countingSince) < startupHold) {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -18,6 +18,8 @@
 	// ColdRateFactor and ColdSlack limit the requests to a cold target within a second to
 	// its cold rate times ColdRateFactor plus ColdSlack.
 	ColdRateFactor, ColdSlack float64
+	// ColdUnlimited turns that limit off.
+	ColdUnlimited bool
 	// Connected reports whether an idle connection to a target exists. If nil, connections
 	// are not considered.
 	Connected func(sd.Address) bool
--- a/plan.go
+++ b/plan.go
@@ -10,6 +10,8 @@
 	Workspaces []Workspace
 	Keys       []APIKey
 	Limits     RequestLimits
+	// Skipped names the entries and fields that could not be read.
+	Skipped []string
 }
 
 // RoutingRule configures the requests for a host name and path prefix.
--- a/starter/host.go
+++ b/starter/host.go
@@ -45,6 +45,7 @@
 	eventCounts     = 661
 	eventIsolated   = 662
 	eventSuspended  = 665
+	eventOmitted    = 666
 )
 
 const (
@@ -177,7 +178,8 @@
 	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: h.tunneler, Silence: targetSilence})
 	h.gate = receiver.NewTargetQueue(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdRateFactor: settings.ColdOver, ColdSlack: settings.ColdSlack,
-		Connected: h.exchanger.HasIdle,
+		ColdUnlimited: !settings.ColdLimited,
+		Connected:     h.exchanger.HasIdle,
 	}, h.clock)
 	h.meter = &meter{clock: h.clock, state: meterer.New(meterer.Settings{
 		Window: settings.RateWindow, ExcessFraction: settings.RateOver, Slack: settings.RateSlack,
@@ -207,6 +209,10 @@
 	h.log.Info("host starts", zap.Int("event", eventStarts), zap.String("host", string(h.settings.Host)),
 		zap.String("zone", string(h.settings.Zone)), zap.String("callers", string(h.settings.Callers)),
 		zap.Stringer("incarnation", h.incarnation))
+	if h.settings.Omitted != "" {
+		h.log.Info("settings omitted", zap.Int("event", eventOmitted), zap.String("keys", h.settings.Omitted),
+			zap.Bool("cold_limit", h.settings.ColdLimited))
+	}
 	// Work goes on until the drain has ended.
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -58,6 +59,9 @@
 		server  *http.Server
 		address sd.Address
 	}{{peers, h.settings.Peers}, {measures, h.settings.Metrics}, {callers, h.settings.Callers}, {ready, h.settings.Ready}}
+	if h.settings.Metrics == "" {
+		open = slices.Delete(open, 1, 2)
+	}
 	for i, o := range open {
 		listener, err := net.Listen("tcp4", string(o.address))
 		if err != nil {
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -33,6 +33,10 @@
 			h.log.Error("plan cannot be used", zap.Int("event", eventPlanBad), zap.Uint64("version", record.Version), zap.Error(err))
 			continue
 		}
+		if len(plan.Skipped) > 0 {
+			h.log.Error("plan is used without what cannot be read", zap.Int("event", eventPlanBad), zap.Uint64("version", record.Version),
+				zap.Strings("skipped", plan.Skipped))
+		}
 		h.planLock.Lock()
 		newest := h.table == nil || h.table.FleetConfig.Revision < plan.Revision
 		if newest {
