receiver, balancer: programs that come through many hosts are not refused halfway

Cause: under rules that do not keep turns, a host took every program that it had not served itself for a new one. Turns of one program also went to another target at each host, which then read the prompt again.

Change: a host that would refuse such a turn looks at the program's account, which the reservation returns, and asks again for a program under way. Such turns prefer a target by rendezvous hash of the program, within the host's zone.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -287,6 +287,10 @@
 	return begins && taken <= budget
 }
 
+// UnderWay reports whether the program has had output before, according to its account as this
+// host last saw it. A finished Reserve leaves the account as the sequencer saw it.
+func (a *Archive) UnderWay(program Key) bool { return a.snapshot(program).Account.Spent > 0 }
+
 // cancelAbandoned cancels reservations that a lost sequencer may have made.
 func (a *Archive) cancelAbandoned(order ReserveRequest) {
 	w := a.worker(order.Program)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 )
@@ -152,6 +155,9 @@
 	Pool sd.GroupName
 	// PreferredTarget is the target that has the request's prefix cached, or empty.
 	PreferredTarget sd.TargetID
+	// Affinity is a hash of the request's program, or zero. All hosts prefer the same target for
+	// it if none is named by PreferredTarget.
+	Affinity uint64
 	// Prompt is the length of the request's prompt, which any other target has to read
 	// again.
 	Prompt sd.Tokens
@@ -430,6 +436,12 @@
 		req.RefusalReason = NoTarget
 		return false
 	}
+	if req.Affinity != 0 {
+		if t := highestRanked(req.Affinity, subset, sameZone); t != nil {
+			s.dispatch(now, req, t)
+			return true
+		}
+	}
 	for _, list := range [][]*target{subset, sameZone, otherZones} {
 		if len(list) > 0 {
 			s.dispatch(now, req, s.pickLessLoaded(now, s.preferConnected(now, list)))
@@ -443,6 +455,30 @@
 	return false
 }
 
+// highestRanked returns the target with the highest rendezvous hash for an affinity, or nil if
+// the lists are empty. Hosts that see room at the same targets choose the same one without a
+// message, so that the prompts of a program are read once.
+func highestRanked(affinity uint64, lists ...[]*target) *target {
+	var best *target
+	most := uint64(0)
+	for _, list := range lists {
+		for _, t := range list {
+			if rank := affinityRank(affinity, t.code); best == nil || rank > most {
+				best, most = t, rank
+			}
+		}
+	}
+	return best
+}
+
+// affinityRank returns the rendezvous hash of an affinity and a target.
+func affinityRank(affinity uint64, code gossiper.IDHash) uint64 {
+	var key [12]byte
+	binary.BigEndian.PutUint64(key[:8], affinity)
+	binary.BigEndian.PutUint32(key[8:], uint32(code))
+	return xxhash.Sum64(key[:])
+}
+
 // preferConnected returns the targets of the list that have an idle connection and are not
 // nearly full, or the whole list if there are none.
 func (s *State) preferConnected(now sd.Instant, list []*target) []*target {
--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -9,7 +9,13 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/archiver"
+	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/faker"
+	"sapphiredrum.example/sapphiredrum/gossiper"
 	"sapphiredrum.example/sapphiredrum/platform/emulator"
 )
 
@@ -178,3 +184,36 @@
 		<-ends
 	}
 }
+
+// Load: a pool without room for new programs, and a turn of a program that other hosts have
+// served. Guards against refusing it as a new program: this host has never seen it, but its
+// account tells.
+func TestProgramsServedByOtherHostsAreNotNew(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	elsewhere := archiver.New(archiver.Settings{}, b.rows, archiver.Peers{}, sd.NewClock(), zap.NewNop())
+	ends := make(chan error, 1)
+	go func() { ends <- elsewhere.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ends
+	}()
+	program, turn := archiver.ProgramKey("w-k1", "p"), archiver.TurnKey("w-k1", "a1")
+	hold, err := elsewhere.Reserve(ctx, program, turn, 56, 5000)
+	if err != nil || elsewhere.Settle(ctx, program, hold, 56, nil) != nil {
+		t.Fatal(err)
+	}
+	b.queue.Update(func(s *balancer.State, now sd.Instant) {
+		s.ReportPeerLoad(now, "other", map[gossiper.IDHash]int{gossiper.HashID(sd.TargetID("e1")): 30}, nil)
+	})
+	ask := func(id, program string) (int, string) {
+		status, _, text, _ := b.ask("POST", "/ask/x", id, "x", "Program-Id", program, "Token-Budget", "5000", "Token-Usage", "100,56")
+		return status, text
+	}
+	if status, text := ask("b1", "q"); status != 503 || !strings.Contains(text, string(balancer.Saturated)) {
+		t.Fatalf("new program: %d %s", status, text)
+	}
+	if status, text := ask("a2", "p"); status != 200 {
+		t.Fatalf("program under way: %d %s", status, text)
+	}
+}
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
@@ -36,13 +37,17 @@
 		}
 		ticket := &balancer.Request{
 			Pool: q.pool, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
-			StartsProgram: q.startsProgram(),
+			StartsProgram: q.startsProgram(), Affinity: q.affinity(),
 		}
 		if q.params.ProgramLeft > 0 {
 			ticket.ProgramDeadline = q.arrived.Add(q.params.ProgramLeft)
 		}
 		queuedAt := q.Clock.Now()
 		err := q.TargetQueue.Acquire(ctx, ticket)
+		if err == nil && ticket.RefusalReason == balancer.Saturated && q.servedElsewhere(ctx) {
+			ticket.RefusalReason, ticket.StartsProgram = "", false
+			err = q.TargetQueue.Acquire(ctx, ticket)
+		}
 		q.recordStage(stageWait, queuedAt)
 		if err != nil || ticket.RefusalReason != "" {
 			reason := string(ticket.RefusalReason)
@@ -80,6 +85,25 @@
 	}
 }
 
+// servedElsewhere reports whether the program of a turn that this host takes for a new one has
+// been served by other hosts. Turns of one program may come through many hosts, and the account
+// tells; to wait for it costs less than to refuse a program halfway.
+func (q *request) servedElsewhere(ctx context.Context) bool {
+	if q.rule.RetainTurns || q.stream == nil || q.stream.reservation == nil || q.waitReservation(ctx) != nil {
+		return false
+	}
+	return q.Archive.UnderWay(q.program)
+}
+
+// affinity returns the hash by which all hosts prefer the same targets for a program whose turns
+// do not name one.
+func (q *request) affinity() uint64 {
+	if q.rule.RetainTurns || !q.isTurn() {
+		return 0
+	}
+	return xxhash.Sum64(q.program[:])
+}
+
 // send sends the request to the ticket's target and forwards the response.
 func (q *request) send(ctx context.Context, ticket *balancer.Request) attemptResult {
 	start := q.Clock.Now()
