--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -114,10 +114,14 @@
 func TestBeatsOfAnotherStartAreNotTaken(t *testing.T) {
 	g := &Gossiper{Clock: sd.Clock{Source: func() sd.Instant { return 1 }}, Log: zap.NewNop()}
 	g.Set(Peer{Host: "h", Incarnation: 2})
-	if g.accept(Heartbeat{Host: "h", Incarnation: 1, Number: 9}) || g.accept(Heartbeat{Host: "x", Incarnation: 1, Number: 1}) {
+	accept := func(beat Heartbeat) bool {
+		fresh, _ := g.accept(beat)
+		return fresh
+	}
+	if accept(Heartbeat{Host: "h", Incarnation: 1, Number: 9}) || accept(Heartbeat{Host: "x", Incarnation: 1, Number: 1}) {
 		t.Fatal("a heartbeat of an earlier incarnation or an unknown host was accepted")
 	}
-	if !g.accept(Heartbeat{Host: "h", Incarnation: 2, Number: 1}) || g.accept(Heartbeat{Host: "h", Incarnation: 2, Number: 1}) {
+	if !accept(Heartbeat{Host: "h", Incarnation: 2, Number: 1}) || accept(Heartbeat{Host: "h", Incarnation: 2, Number: 1}) {
 		t.Fatal("a heartbeat must be accepted exactly once")
 	}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -441,7 +441,14 @@
 		}
 		for _, body := range splitBatch(buffer[:n]) {
 			beat, ok := DecodeHeartbeat(body)
-			if !ok || !g.accept(beat) {
+			if !ok {
+				continue
+			}
+			fresh, storeLost := g.accept(beat)
+			if storeLost && g.OnStoreUnreachable != nil {
+				g.OnStoreUnreachable()
+			}
+			if !fresh {
 				continue
 			}
 			if beat.relay && g.queueRelay(body) {
@@ -456,22 +463,21 @@
 }
 
 // accept records that a peer is alive. It reports whether the heartbeat is a new one
-// of a known peer.
-func (g *Gossiper) accept(beat Heartbeat) bool {
+// of a known peer, and whether the peer has lost the store since its last one. Callbacks run
+// without the lock: they take locks of packages that call this one.
+func (g *Gossiper) accept(beat Heartbeat) (fresh, storeLost bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	p := g.peers[beat.Host]
 	if p == nil || p.Incarnation != beat.Incarnation || p.number >= beat.Number {
-		return false
-	}
-	if p.reaches && !beat.ReachesStore && g.OnStoreUnreachable != nil {
-		g.OnStoreUnreachable()
+		return false, false
 	}
+	storeLost = p.reaches && !beat.ReachesStore
 	p.number, p.reaches, p.lastHeard, p.Leaving, p.Detached = beat.Number, beat.ReachesStore, g.Clock.Now(), beat.Leaving, beat.Detached
 	if p.lost {
 		p.lost = false
 		g.Log.Info("receiving heartbeats from peer", zap.Int("event", eventPeerFound), zap.String("peer", string(p.Host)),
 			zap.Bool("reaches_store", p.reaches))
 	}
-	return true
+	return true, storeLost
 }
--- a/relayer/probe.go
+++ b/relayer/probe.go
@@ -142,15 +142,17 @@
 	return due.Since(now), true
 }
 
-func (r *Relay) changed() {
-	if r.Changed != nil {
+// note takes the outcome of a direct call, when that was sent, and as how many failures
+// one counts. Changed is called without the lock: it takes locks of packages that call
+// this one.
+func (r *Relay) note(err error, sent sd.Instant, weight int) {
+	if r.record(err, sent, weight) && r.Changed != nil {
 		r.Changed()
 	}
 }
 
-// note takes the outcome of a direct call, when that was sent, and as how many failures
-// one counts.
-func (r *Relay) note(err error, sent sd.Instant, weight int) {
+// record does what note says, and reports whether the store was lost or found by it.
+func (r *Relay) record(err error, sent sd.Instant, weight int) (changed bool) {
 	now := r.clock.Now()
 	took := now.Since(sent)
 	r.lock.Lock()
@@ -167,14 +169,14 @@
 			r.lost, r.backAt = false, now
 			close(r.found)
 			r.found = make(chan struct{})
-			r.changed()
 			r.log.Info("store is reached again", zap.Int("event", eventStoreBack), zap.Int64("lost_ms", int64(now.Since(r.lostAt))))
+			return true
 		}
-		return
+		return false
 	}
 	if sent < r.quickAt {
 		// Only this call failed, or only its part of the store.
-		return
+		return false
 	}
 	if errorx.IsOfType(err, sd.Busy) {
 		// The store refuses some calls of all hosts when there are too many, and all
@@ -187,7 +189,7 @@
 			r.look(now)
 		}
 		if r.refused < refusedCalls || now.Since(r.refusedAt) < refusedFor {
-			return
+			return false
 		}
 	}
 	r.failures += weight
@@ -197,8 +199,9 @@
 			r.probing = true
 			go r.probe(probeEvery)
 		}
-		r.changed()
 		r.log.Warn("store is not reached", zap.Int("event", eventStoreLost), zap.Int("failures", r.failures),
 			zap.Int64("took_ms", int64(took)), zap.Error(err))
+		return true
 	}
+	return false
 }
