receiver: reserve_ms ends with the reservation, and left_ms tells the program's time

reserve_ms of events 640 and 641 was measured when the reservation's result was looked at, which is after the target's first event, so it was never less than first_ms. It is now taken as the reservation ends. left_ms is what Program-Deadline-Ms named when the request came; 0 means that the time had passed, no field that none was named.

The test fails on the code before (reserve_ms 306, first_ms 306, a store of 20 ms and a target of 300 ms).

--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -98,6 +98,38 @@
 	}
 }
 
+// The reservation runs beside the target's work. Its logged duration must not include the
+// time until the target's answer, when its result is looked at.
+func TestReservationIsMeasuredUntilItEnds(t *testing.T) {
+	const storeDelay, targetDelay = 20, 300
+	capture, logs := captureLog()
+	b := newBench(t, capture)
+	if status, _, _ := b.turn("first", "", "x"); status != 200 {
+		t.Fatal(status)
+	}
+	for _, e := range b.engines {
+		e.Started = func(string, string) { time.Sleep(targetDelay * time.Millisecond) }
+	}
+	b.rows.Trouble(faker.RowsTrouble{Delay: storeDelay})
+	for id, left := range map[string]string{"a1": "1500", "late": "0"} {
+		status, _, _, _ := b.ask("POST", "/ask/x", id, "x", "Program-Id", id, "Token-Budget", "300", "Token-Usage", "1,56", "Program-Deadline-Ms", left)
+		if status != 200 {
+			t.Fatal(status)
+		}
+		fields := logs.FilterField(zap.Int("event", 640)).FilterField(zap.String("request", id)).All()[0].ContextMap()
+		reserve, _ := fields["reserve_ms"].(int64)
+		if first, _ := fields["first_ms"].(int64); reserve < storeDelay || reserve > targetDelay/2 || first < targetDelay {
+			t.Errorf("reserve_ms %d, first_ms %d; the store takes %d ms a call, the target %d", reserve, first, storeDelay, targetDelay)
+		}
+		if fmt.Sprint(fields["left_ms"]) != left {
+			t.Errorf("left_ms %v, want %s", fields["left_ms"], left)
+		}
+	}
+	if first := logs.FilterField(zap.Int("event", 640)).All()[0].ContextMap(); first["left_ms"] != nil {
+		t.Errorf("left_ms %v of a request that names none", first["left_ms"])
+	}
+}
+
 // A target may start while the store takes the reservation, but no token is forwarded
 // before the store has it.
 func TestNoTokenBeforeTheStoreHasTheReservation(t *testing.T) {
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -71,6 +71,10 @@
 	if kind == "turn" {
 		fields = append(fields, zap.Stringer("turn", archiver.TurnKey(q.workspace, q.params.Request)))
 	}
+	if q.params.ProgramTimed {
+		fields = append(fields, zap.Int64("left_ms", int64(q.params.ProgramLeft)))
+	}
+	q.recordReservation()
 	fields = append(fields, q.stageFields()...)
 	if q.stream != nil && q.end.framing != "" {
 		fields = append(fields, zap.Int("events", q.stream.events))
--- a/receiver/reservation.go
+++ b/receiver/reservation.go
@@ -17,13 +17,15 @@
 type reservation struct {
 	cancel context.CancelFunc
 	done   chan struct{}
-	// hold and err are set before done is closed.
-	hold archiver.Key
-	err  error
-	// requestedAt is when the reservation was requested. observed is set once
-	// waitReservation has seen its result, so that the stage is measured once.
+	// hold, err and endedAt, when the reservation succeeded or failed, are set before done
+	// is closed.
+	hold    archiver.Key
+	err     error
+	endedAt sd.Instant
+	// requestedAt is when the reservation was requested. recorded is set once its duration
+	// has been recorded.
 	requestedAt sd.Instant
-	observed    bool
+	recorded    bool
 }
 
 // reserve starts reserving budget for the turn's maximum number of tokens.
@@ -33,6 +35,7 @@
 	go func() {
 		defer close(g.done)
 		g.hold, g.err = q.Archive.Reserve(ctx, q.program, turn, q.params.Limit, budget)
+		g.endedAt = q.Clock.Now()
 	}()
 	return g
 }
@@ -64,17 +67,28 @@
 	if g == nil {
 		return nil
 	}
-	if g.observed {
+	if g.finished() {
 		return g.err
 	}
 	select {
 	case <-g.done:
+		return g.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	g.observed = true
-	q.recordStage(stageReserve, g.requestedAt)
-	return g.err
+}
+
+// recordReservation records how long the reservation took, if it has ended. It runs beside
+// the wait for a target and the target's own work, so its duration is not measured where
+// its result is used.
+func (q *request) recordReservation() {
+	if q.stream == nil || q.stream.reservation == nil {
+		return
+	}
+	if g := q.stream.reservation; !g.recorded && g.finished() {
+		g.recorded = true
+		q.addStage(stageReserve, g.endedAt.Since(g.requestedAt))
+	}
 }
 
 // reserveBeforeSend waits for the reservation before the turn is sent to any target,
--- a/receiver/stage.go
+++ b/receiver/stage.go
@@ -15,7 +15,8 @@
 const (
 	// stageHistory: loading the earlier turns.
 	stageHistory stage = iota
-	// stageReserve: waiting for the budget reservation.
+	// stageReserve: from requesting the budget reservation to its end, beside the stages
+	// that follow.
 	stageReserve
 	// stageWait: waiting for a target.
 	stageWait
@@ -45,7 +46,11 @@
 
 // recordStage adds the time since the given instant to a stage.
 func (q *request) recordStage(s stage, since sd.Instant) {
-	took := q.Clock.Now().Since(since)
+	q.addStage(s, q.Clock.Now().Since(since))
+}
+
+// addStage adds a duration to a stage.
+func (q *request) addStage(s stage, took sd.Millis) {
 	q.stageTimes[s] += took
 	q.Metrics.Set.GetOrCreateHistogram(`stage_seconds{stage="` + s.String() + `"}`).Update(float64(took) / float64(sd.Second))
 }
