receiver: held_ms and retry_ms, by which logs give the parts of a program's time

The reservation runs beside the wait for a target and its work, so reserve_ms cannot be added to the other stages. held_ms is the part in which the request stood still for it; that part no longer counts as wait_ms. retry_ms is the Retry-After of a refusal.

--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -99,34 +99,63 @@
 }
 
 // The reservation runs beside the target's work. Its logged duration must not include the
-// time until the target's answer, when its result is looked at.
+// time until the target's answer, when its result is looked at, and only what the request
+// stands still for it counts as held.
 func TestReservationIsMeasuredUntilItEnds(t *testing.T) {
-	const storeDelay, targetDelay = 20, 300
 	capture, logs := captureLog()
 	b := newBench(t, capture)
 	if status, _, _ := b.turn("first", "", "x"); status != 200 {
 		t.Fatal(status)
 	}
-	for _, e := range b.engines {
-		e.Started = func(string, string) { time.Sleep(targetDelay * time.Millisecond) }
+	line := func(id string) map[string]any {
+		return logs.FilterField(zap.Int("event", 640)).FilterField(zap.String("request", id)).All()[0].ContextMap()
+	}
+	if left, found := line("first")["left_ms"]; found {
+		t.Errorf("left_ms %v of a request that names none", left)
 	}
-	b.rows.Trouble(faker.RowsTrouble{Delay: storeDelay})
-	for id, left := range map[string]string{"a1": "1500", "late": "0"} {
-		status, _, _, _ := b.ask("POST", "/ask/x", id, "x", "Program-Id", id, "Token-Budget", "300", "Token-Usage", "1,56", "Program-Deadline-Ms", left)
+	for _, c := range []struct {
+		id, left                string
+		storeDelay, targetDelay sd.Millis
+	}{{"fast-store", "1500", 20, 300}, {"late", "0", 20, 300}, {"slow-store", "1500", 300, 0}} {
+		b.rows.Trouble(faker.RowsTrouble{Delay: c.storeDelay})
+		for _, e := range b.engines {
+			e.Started = func(string, string) { time.Sleep(c.targetDelay.Duration()) }
+		}
+		status, _, _, _ := b.ask("POST", "/ask/x", c.id, "x", "Program-Id", c.id, "Token-Budget", "300", "Token-Usage", "1,56", "Program-Deadline-Ms", c.left)
 		if status != 200 {
 			t.Fatal(status)
 		}
-		fields := logs.FilterField(zap.Int("event", 640)).FilterField(zap.String("request", id)).All()[0].ContextMap()
-		reserve, _ := fields["reserve_ms"].(int64)
-		if first, _ := fields["first_ms"].(int64); reserve < storeDelay || reserve > targetDelay/2 || first < targetDelay {
-			t.Errorf("reserve_ms %d, first_ms %d; the store takes %d ms a call, the target %d", reserve, first, storeDelay, targetDelay)
+		fields := line(c.id)
+		field := func(name string) sd.Millis {
+			value, _ := fields[name].(int64)
+			return sd.Millis(value)
+		}
+		slowStore := c.storeDelay > c.targetDelay
+		if reserve := field("reserve_ms"); reserve < c.storeDelay || !slowStore && reserve > c.targetDelay/2 {
+			t.Errorf("%s: reserve_ms %d at a store of %d ms", c.id, reserve, c.storeDelay)
+		}
+		if first := field("first_ms"); first < c.targetDelay {
+			t.Errorf("%s: first_ms %d at a target of %d ms", c.id, first, c.targetDelay)
+		}
+		if held := field("held_ms"); held > c.storeDelay/2 != slowStore {
+			t.Errorf("%s: held_ms %d at a store of %d ms", c.id, held, c.storeDelay)
 		}
-		if fmt.Sprint(fields["left_ms"]) != left {
-			t.Errorf("left_ms %v, want %s", fields["left_ms"], left)
+		if fmt.Sprint(fields["left_ms"]) != c.left {
+			t.Errorf("%s: left_ms %v, want %s", c.id, fields["left_ms"], c.left)
 		}
 	}
-	if first := logs.FilterField(zap.Int("event", 640)).All()[0].ContextMap(); first["left_ms"] != nil {
-		t.Errorf("left_ms %v of a request that names none", first["left_ms"])
+}
+
+// A refusal's line gives its Retry-After, so that logs tell which pauses of callers it caused.
+func TestRefusalLogsItsRetryAfter(t *testing.T) {
+	capture, logs := captureLog()
+	b := newBench(t, capture)
+	b.meter.refuse = true
+	if status, _, _ := b.turn("r", "", "x"); status != 429 {
+		t.Fatal(status)
+	}
+	if n := logs.FilterField(zap.Int("event", 641)).FilterField(zap.Int64("retry_ms", 250)).Len(); n != 1 {
+		t.Fatalf("%d lines 641 with retry_ms 250", n)
 	}
 }
 
--- a/receiver/allotment.go
+++ b/receiver/allotment.go
@@ -53,6 +53,7 @@
 	if len(s.allotted.parts) > 0 && tokens <= s.allotted.tokens {
 		return nil
 	}
+	defer q.recordStage(stageHeld, q.Clock.Now())
 	if !q.waitAllotmentDue(ctx) || !q.allottable() {
 		return q.waitReservation(ctx)
 	}
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -42,13 +42,14 @@
 		if q.params.ProgramLeft > 0 {
 			ticket.ProgramDeadline = q.arrived.Add(q.params.ProgramLeft)
 		}
-		queuedAt := q.Clock.Now()
+		queuedAt, held := q.Clock.Now(), q.stageTimes[stageHeld]
 		err := q.TargetQueue.Acquire(ctx, ticket)
 		if err == nil && ticket.RefusalReason == balancer.Saturated && q.servedElsewhere(ctx) {
 			ticket.RefusalReason, ticket.StartsProgram = "", false
 			err = q.TargetQueue.Acquire(ctx, ticket)
 		}
-		q.recordStage(stageWait, queuedAt)
+		// servedElsewhere waits for the reservation, which is a stage of its own.
+		q.recordStage(stageWait, queuedAt.Add(q.stageTimes[stageHeld]-held))
 		if err != nil || ticket.RefusalReason != "" {
 			reason := string(ticket.RefusalReason)
 			if err != nil {
@@ -89,7 +90,11 @@
 // been served by other hosts. Turns of one program may come through many hosts, and the account
 // tells; to wait for it costs less than to refuse a program halfway.
 func (q *request) servedElsewhere(ctx context.Context) bool {
-	if q.rule.RetainTurns || q.stream == nil || q.stream.reservation == nil || q.waitReservation(ctx) != nil {
+	if q.rule.RetainTurns || q.stream == nil || q.stream.reservation == nil {
+		return false
+	}
+	defer q.recordStage(stageHeld, q.Clock.Now())
+	if q.waitReservation(ctx) != nil {
 		return false
 	}
 	return q.Archive.UnderWay(q.program)
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -88,5 +88,8 @@
 	if reason == reasonCrashes {
 		fields = append(fields, zap.Stringer("fingerprint", q.signature().Whole), zap.Stringer("start", q.signature().Start))
 	}
+	if q.retryAfter > 0 {
+		fields = append(fields, zap.Int64("retry_ms", int64(q.retryAfter)))
+	}
 	q.Log.Warn("not served", append(fields, zap.String("reason", reason))...)
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -160,6 +160,8 @@
 	// end is how the last target's response ended.
 	end        responseEnd
 	stageTimes [stageCount]sd.Millis
+	// retryAfter is the Retry-After of a refusal; zero if it has none.
+	retryAfter sd.Millis
 }
 
 // ServeHTTP implements http.Handler.
@@ -324,7 +326,7 @@
 func (q *request) refuse(status int, reason string, wait sd.Millis) {
 	h := q.w.Header()
 	platform.MarkReply(h, q.params.Request)
-	if wait > 0 {
+	if q.retryAfter = wait; wait > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(float64(wait)/float64(sd.Second), 'f', 3, 64)}
 	}
 	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
--- a/receiver/stage.go
+++ b/receiver/stage.go
@@ -18,6 +18,8 @@
 	// stageReserve: from requesting the budget reservation to its end, beside the stages
 	// that follow.
 	stageReserve
+	// stageHeld: the part of stageReserve in which nothing else went on.
+	stageHeld
 	// stageWait: waiting for a target.
 	stageWait
 	// stageFirst: from sending the request to the response header.
@@ -34,6 +36,8 @@
 		return "history"
 	case stageReserve:
 		return "reserve"
+	case stageHeld:
+		return "held"
 	case stageWait:
 		return "wait"
 	case stageFirst:
