--- a/cmd/sapphiredrum/commands.go
+++ b/cmd/sapphiredrum/commands.go
@@ -16,6 +16,7 @@
 	"sapphiredrum.example/sapphiredrum/measurer"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/operator"
+	"sapphiredrum.example/sapphiredrum/profiler"
 )
 
 // badUsage marks a command line or settings that cannot be used.
@@ -25,9 +26,9 @@
 type commands struct {
 	parser *flaggy.Parser
 
-	host, entry, explain, check, diff, apply, show, zone, key, status, report *flaggy.Subcommand
-	zoneOut, zoneIn, keyIssue, keyWithdraw                                    *flaggy.Subcommand
-	try, measure, slopes                                                      *flaggy.Subcommand
+	host, entry, explain, programs, check, diff, apply, show, zone, key, status, report *flaggy.Subcommand
+	zoneOut, zoneIn, keyIssue, keyWithdraw                                              *flaggy.Subcommand
+	try, measure, slopes                                                                *flaggy.Subcommand
 
 	config   string
 	platform string
@@ -40,8 +41,13 @@
 	second   string
 	format   string
 	files    []string
-	stay     bool
-	seeds    int
+	asCSV    bool
+	profile  profiler.Settings
+	// span and objective are in the units of the command line, seconds and milliseconds.
+	span      float64
+	objective int
+	stay      bool
+	seeds     int
 }
 
 // newCommands returns the command line's parser.
@@ -73,6 +79,12 @@
 	c.explain = c.add("explain", "Tells the story of one request or program from the logs of several hosts.")
 	c.explain.AddPositionalValue(&c.name, "ID", 1, true, "the request's or the program's id")
 	c.explain.StringSlice(&c.files, "f", "file", "a host's log; repeat for each host")
+	c.programs = c.add("programs", "Tells from hosts' logs how programs ended and where their time went.")
+	c.programs.StringSlice(&c.files, "f", "file", "a host's log; repeat for each host")
+	c.programs.Bool(&c.asCSV, "", "csv", "print comma-separated values, times in ms")
+	c.programs.Float64(&c.span, "", "span", "length in seconds of the spans of the day; chosen by the length of the logs if not given")
+	c.programs.Float64(&c.profile.Factor, "", "factor", "assume that programs without left_ms have this many times their calm time")
+	c.programs.Int(&c.objective, "", "objective", "milliseconds that --factor adds")
 	c.status = c.add("status", "Asks every registered host how it is.")
 	c.withPlatform(c.status)
 	c.report = c.add("report", "Prints the service-level burn of all hosts that answer.")
@@ -148,6 +160,9 @@
 		return runEntry(ctx, c.config)
 	case c.explain.Used:
 		return runExplain(c.name, c.files)
+	case c.programs.Used:
+		c.profile.Span, c.profile.Objective = sd.Millis(c.span*float64(sd.Second)), sd.Millis(c.objective)
+		return runPrograms(c.profile, c.asCSV, c.files)
 	case c.try.Used:
 		return runTry(ctx, c.stay, os.Stdout)
 	case c.measure.Used:
--- a/cmd/sapphiredrum/entry.go
+++ b/cmd/sapphiredrum/entry.go
@@ -10,6 +10,7 @@
 	"sapphiredrum.example/sapphiredrum/explainer"
 	"sapphiredrum.example/sapphiredrum/logger"
 	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/profiler"
 	"sapphiredrum.example/sapphiredrum/starter"
 )
 
@@ -25,18 +26,59 @@
 }
 
 // runExplain prints the lines of one request or program from log files.
-func runExplain(id string, files []string) error {
-	if len(files) == 0 {
-		return badUsage.New("name at least one --file")
+func runExplain(id string, names []string) error {
+	logs, err := openLogs(names)
+	defer closeAll(logs)
+	if err != nil {
+		return err
 	}
 	var sources []explainer.Source
-	for _, name := range files {
+	for _, log := range logs {
+		sources = append(sources, explainer.Source{Name: log.Name(), Text: log})
+	}
+	return explainer.Explain(os.Stdout, id, sources...)
+}
+
+// runPrograms prints where the time of programs went, from log files.
+func runPrograms(settings profiler.Settings, asCSV bool, names []string) error {
+	logs, err := openLogs(names)
+	defer closeAll(logs)
+	if err != nil {
+		return err
+	}
+	var sources []profiler.Source
+	for _, log := range logs {
+		sources = append(sources, profiler.Source{Name: log.Name(), Text: log})
+	}
+	profile, err := profiler.New(settings, sources...)
+	if err != nil {
+		return err
+	}
+	if asCSV {
+		return profile.WriteCSV(os.Stdout)
+	}
+	return profile.WriteText(os.Stdout)
+}
+
+// openLogs opens log files. On an error it returns those already open.
+func openLogs(names []string) ([]*os.File, error) {
+	if len(names) == 0 {
+		return nil, badUsage.New("name at least one --file")
+	}
+	var logs []*os.File
+	for _, name := range names {
 		file, err := os.Open(name)
 		if err != nil {
-			return badUsage.Wrap(err, "log cannot be read")
+			return logs, badUsage.Wrap(err, "log cannot be read")
 		}
-		defer func() { _ = file.Close() }()
-		sources = append(sources, explainer.Source{Name: name, Text: file})
+		logs = append(logs, file)
+	}
+	return logs, nil
+}
+
+// closeAll closes files that were only read.
+func closeAll(files []*os.File) {
+	for _, file := range files {
+		_ = file.Close()
 	}
-	return explainer.Explain(os.Stdout, id, sources...)
 }
--- a/cmd/sapphiredrum/main.go
+++ b/cmd/sapphiredrum/main.go
@@ -18,6 +18,7 @@
 //	sapphiredrum status                      asks every host how it is
 //	sapphiredrum report                      prints the service-level burn
 //	sapphiredrum explain ID --file LOG...    tells a request's story from hosts' logs
+//	sapphiredrum programs --file LOG...      tells where programs' time went
 //	sapphiredrum try                         drives a program through a host of its own
 //	sapphiredrum measure                     prints the tables of docs/MEASURES.md
 //	sapphiredrum slopes                      prints the figures of docs/CAPACITY.md
--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -137,6 +137,9 @@
 		if first := field("first_ms"); first < c.targetDelay {
 			t.Errorf("%s: first_ms %d at a target of %d ms", c.id, first, c.targetDelay)
 		}
+		if fields["held_ms"] == nil {
+			t.Errorf("%s: no held_ms", c.id)
+		}
 		if held := field("held_ms"); held > c.storeDelay/2 != slowStore {
 			t.Errorf("%s: held_ms %d at a store of %d ms", c.id, held, c.storeDelay)
 		}
--- a/receiver/stage.go
+++ b/receiver/stage.go
@@ -59,11 +59,13 @@
 	q.Metrics.Set.GetOrCreateHistogram(`stage_seconds{stage="` + s.String() + `"}`).Update(float64(took) / float64(sd.Second))
 }
 
-// stageFields returns log fields for the stages that took time.
+// stageFields returns log fields for the stages that took time. The time held is also given
+// if it is zero and the reservation's is given, as its absence marks lines of older builds.
 func (q *request) stageFields() []zap.Field {
 	var fields []zap.Field
 	for s := range stageCount {
-		if q.stageTimes[s] > 0 {
+		reserved := s == stageHeld && q.stageTimes[stageReserve] > 0
+		if q.stageTimes[s] > 0 || reserved {
 			fields = append(fields, zap.Int64(s.String()+"_ms", int64(q.stageTimes[s])))
 		}
 	}
