profiler: a request sent again within a millisecond has been followed

A refusal and the request that follows it may have the same times in the log, which gives durations in whole milliseconds; the program counted as given up. A request now counts as followed by those that end after it.

--- a/profiler/program.go
+++ b/profiler/program.go
@@ -141,17 +141,17 @@
 // program sent no later request of the same rule.
 func (p *program) judge(last sd.WallTime) outcome {
 	served, failed, faulty := false, false, false
+	// lastArrival is that of the requests that ended later, by rule.
 	lastArrival := map[string]sd.WallTime{}
-	for _, r := range p.requests {
+	for _, r := range slices.Backward(p.requests) {
+		followed := lastArrival[r.Rule] >= r.ended-clockSkew
 		lastArrival[r.Rule] = max(lastArrival[r.Rule], r.arrived)
-	}
-	for _, r := range p.requests {
 		switch {
 		case r.Status == http.StatusPaymentRequired:
 			return overBudget
 		case r.served():
 			served = served || r.streamed() || r.Rule == p.rule
-		case lastArrival[r.Rule] >= r.ended-clockSkew && lastArrival[r.Rule] > r.arrived:
+		case followed:
 		case r.refused() || r.Status == 0 || r.Status >= http.StatusInternalServerError:
 			failed = true
 		default:
