--- a/receiver/stage.go
+++ b/receiver/stage.go
@@ -15,8 +15,11 @@
 const (
 	// stageHistory: loading the earlier turns.
 	stageHistory stage = iota
-	// stageReserve: waiting for the budget reservation.
+	// stageReserve: from requesting the budget reservation to its end, beside the stages
+	// that follow.
 	stageReserve
+	// stageHeld: the part of stageReserve in which nothing else went on.
+	stageHeld
 	// stageWait: waiting for a target.
 	stageWait
 	// stageFirst: from sending the request to the response header.
@@ -33,6 +36,8 @@
 		return "history"
 	case stageReserve:
 		return "reserve"
+	case stageHeld:
+		return "held"
 	case stageWait:
 		return "wait"
 	case stageFirst:
@@ -45,16 +50,22 @@
 
 // recordStage adds the time since the given instant to a stage.
 func (q *request) recordStage(s stage, since sd.Instant) {
-	took := q.Clock.Now().Since(since)
+	q.addStage(s, q.Clock.Now().Since(since))
+}
+
+// addStage adds a duration to a stage.
+func (q *request) addStage(s stage, took sd.Millis) {
 	q.stageTimes[s] += took
 	q.Metrics.Set.GetOrCreateHistogram(`stage_seconds{stage="` + s.String() + `"}`).Update(float64(took) / float64(sd.Second))
 }
 
-// stageFields returns log fields for the stages that took time.
+// stageFields returns log fields for the stages that took time. The time held is also given
+// if it is zero and the reservation's is given, as its absence marks lines of older builds.
 func (q *request) stageFields() []zap.Field {
 	var fields []zap.Field
 	for s := range stageCount {
-		if q.stageTimes[s] > 0 {
+		reserved := s == stageHeld && q.stageTimes[stageReserve] > 0
+		if q.stageTimes[s] > 0 || reserved {
 			fields = append(fields, zap.Int64(s.String()+"_ms", int64(q.stageTimes[s])))
 		}
 	}
