overloader: crowds at the port for other hosts, and kept turns that are loaded

On the code as it stands (one run, bounds 112 MB and 500 descriptors) all three fail: messages of other hosts short of the end 319 MB, 80 descriptors; half heads 25 MB, 619; kept turns loaded for 60 requests 138 MB, 164.

--- a/overloader/crowd_test.go
+++ b/overloader/crowd_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -296,3 +297,78 @@
 		}
 	}
 }
+
+// Guards against messages of other hosts, or of whoever reaches their port, filling the memory, and
+// against connections there taking all descriptors.
+func TestPeers(t *testing.T) {
+	text := `{"Turn":"` + strings.Repeat("0", maxBody)
+	for name, c := range map[string]struct {
+		connections int
+		send        string
+	}{
+		"messages short of the end": {senders, "POST /peer/recall HTTP/1.1\r\nHost: peer\r\nContent-Type: application/json\r\nContent-Length: 5000000\r\n\r\n" + text},
+		"half heads":                {holders, "POST /peer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t, nil)
+			h.overloadAt(h.peers, c.connections, func(conn net.Conn) {
+				if _, err := io.WriteString(conn, c.send); err == nil {
+					time.Sleep(settling)
+				}
+			})
+		})
+	}
+}
+
+// Guards against kept turns that are loaded from the store for many requests at once filling the
+// memory: the cache may have evicted them, but the requests go on using them.
+func TestKeptTurns(t *testing.T) {
+	const programs, turns, copies = 12, 8, 5
+	input := strings.Repeat("x", 400_000)
+	h := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if strings.HasSuffix(r.URL.Path, "/hold") {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, "id: 1\ndata: y\n\n")
+	})
+	ask := func(path, id, program, previous, body string) (*http.Response, error) {
+		request, err := http.NewRequest(http.MethodPost, "http://"+h.callers+path, strings.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		request.Host = "h.example"
+		for name, value := range map[string]string{"Request-Id": id, "Key": "k1", "Program-Id": program, "Token-Usage": "10,56", "Previous-Turn": previous} {
+			if value != "" {
+				request.Header.Set(name, value)
+			}
+		}
+		return http.DefaultClient.Do(request)
+	}
+	for p := range programs {
+		previous := ""
+		for n := range turns {
+			id := fmt.Sprintf("t%d-%d", p, n)
+			answer, err := ask("/talk/x", id, "p"+strconv.Itoa(p), previous, input)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+			if answer.StatusCode != http.StatusOK || err != nil {
+				t.Fatalf("turn %s: status %d, %v", id, answer.StatusCode, err)
+			}
+			previous = id
+		}
+	}
+	var crowd atomic.Int64
+	h.overload(programs*copies, func(conn net.Conn) {
+		n := int(crowd.Add(1))
+		program := strconv.Itoa(n % programs)
+		text := fmt.Sprintf("POST /talk/hold HTTP/1.1\r\nHost: h.example\r\nKey: k1\r\nRequest-Id: c%d\r\nProgram-Id: p%s\r\nToken-Usage: 10,56\r\nPrevious-Turn: t%s-%d\r\nContent-Length: 1\r\n\r\nx", n, program, program, turns-1)
+		if _, err := io.WriteString(conn, text); err == nil {
+			time.Sleep(settling)
+		}
+	})
+}
--- a/overloader/host_test.go
+++ b/overloader/host_test.go
@@ -72,8 +72,9 @@
 	t       *testing.T
 	process *os.Process
 	ended   chan struct{}
-	callers string
-	ids     atomic.Int64
+	// callers and peers are the addresses of its ports for callers and other hosts.
+	callers, peers string
+	ids            atomic.Int64
 	// descriptors is the largest number of open descriptors seen.
 	descriptors atomic.Int64
 }
@@ -117,7 +118,7 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	h := &host{t: t, process: command.Process, ended: make(chan struct{}), callers: fmt.Sprintf("127.0.0.1:%d", p[0])}
+	h := &host{t: t, process: command.Process, ended: make(chan struct{}), callers: fmt.Sprintf("127.0.0.1:%d", p[0]), peers: fmt.Sprintf("127.0.0.1:%d", p[2])}
 	go func() {
 		// How the process ended does not matter: it must not end before the test has.
 		_ = command.Wait()
@@ -178,6 +179,12 @@
 // overload opens connections, has act send on each, and checks the host while the connections
 // are held open and after they were closed.
 func (h *host) overload(connections int, act func(conn net.Conn)) {
+	h.t.Helper()
+	h.overloadAt(h.callers, connections, act)
+}
+
+// overloadAt is overload on one of the host's ports.
+func (h *host) overloadAt(address string, connections int, act func(conn net.Conn)) {
 	h.t.Helper()
 	h.ordinary("before the crowd")
 	sampling, sampled := make(chan struct{}), make(chan struct{})
@@ -199,7 +206,7 @@
 	var crowd sync.WaitGroup
 	for range connections {
 		crowd.Go(func() {
-			conn, err := net.Dial("tcp4", h.callers)
+			conn, err := net.Dial("tcp4", address)
 			if err != nil {
 				// The host may refuse connections of a crowd.
 				return
