reserver, receiver, starter: bytes and connections of clients have a bound

Cause: receiver.readBody read each body with io.ReadAll, with a limit for one request and none for all; heads were bounded in bytes, but fields of a few bytes take many times their size; connections had no bound but the process's descriptors; turns that were loaded, events, heads of answers and messages of other hosts were bounded one by one only. A crowd took 593 MB of a host of 112 MB.

Change: package reserver accounts for the bytes of callers, targets and other hosts against a quarter of the host's memory, with shares for a request, a workspace, requests without a key, heads, targets and other hosts. If there is no room, bodies and messages that are not whole, heads, and whole answers that are not read give way, the one that has held the most for the longest without progress first; else the newcomer is refused: 503 before it has been sent to a target. Bodies are held in the pieces in which they came. Connections of callers are limited by memory and by the new setting host.descriptors (limits.maxFds); one without a request gives way to a new one.

Heads are now refused 4 KB above the plan's limit (with 400), in place of above 64 KB (with 431). Idle connections to all targets together are bounded as well.

--- a/archiver/read.go
+++ b/archiver/read.go
@@ -23,6 +23,10 @@
 	indexed bool
 	// asked and answered count the hosts that were asked for a turn, and those that responded.
 	asked, answered int
+	// reserve, if set, accounts for the memory of a turn.
+	reserve func(n int) bool
+	// full is set once reserve has returned false.
+	full bool
 	// storing is set if a host has yet to store the turn.
 	storing bool
 }
@@ -31,20 +35,35 @@
 // NotFound (there is no such turn), Unavailable, and Malformed if the chain has more
 // than maxChainLength turns.
 func (a *Archive) Chain(ctx context.Context, program, last Key) ([]*Turn, error) {
+	return a.ChainWithin(ctx, program, last, nil)
+}
+
+// ChainWithin is Chain for a caller that accounts for the memory of the turns, which stay in use
+// when the cache evicts them. If reserve returns false, the error is Unavailable.
+func (a *Archive) ChainWithin(ctx context.Context, program, last Key, reserve func(n int) bool) ([]*Turn, error) {
 	var chain []*Turn
-	s := &search{read: map[Key]*Turn{}, programs: map[Key]bool{}}
+	s := &search{read: map[Key]*Turn{}, programs: map[Key]bool{}, reserve: reserve}
 	for key, of := last, program; key != (Key{}); {
 		t := s.read[key]
 		if t == nil {
-			t = a.cachedTurn(key)
+			if t = a.cachedTurn(key); t != nil && !s.add(t) {
+				return nil, s.exhausted()
+			}
 		}
 		if t == nil {
 			if err := a.loadTurn(ctx, of, key, s); err != nil {
+				if s.full {
+					// A turn that was found is not missing.
+					err = s.exhausted()
+				}
 				a.logMissing(key, of, len(chain), s, err)
 				return nil, err
 			}
 			t = s.read[key]
 		}
+		if s.full {
+			return nil, s.exhausted()
+		}
 		if len(chain) >= maxChainLength {
 			return nil, Malformed.New("turn %s has more than %d turns before it", last, maxChainLength)
 		}
@@ -55,6 +74,20 @@
 	return chain, nil
 }
 
+// add adds a turn that was found. It returns false if there is no memory for it.
+func (s *search) add(t *Turn) bool {
+	if s.read[t.Key] == nil && s.reserve != nil && !s.reserve(t.Size()) {
+		s.full = true
+		return false
+	}
+	s.read[t.Key] = t
+	return true
+}
+
+func (s *search) exhausted() error {
+	return sd.Unavailable.New("no memory for the turns of the program, %d were read", len(s.read))
+}
+
 // logMissing logs how a turn was looked for in vain. depth is the number of later turns
 // of its chain that were found.
 func (a *Archive) logMissing(turn, program Key, depth int, s *search, err error) {
@@ -112,7 +145,7 @@
 func (a *Archive) recallMissing(ctx context.Context, turn Key, s *search) error {
 	storing := a.isStoring(turn)
 	if t := a.cachedTurn(turn); t != nil {
-		s.read[turn] = t
+		s.add(t)
 		return nil
 	}
 	answered := a.recallFromAll(ctx, turn, s)
@@ -142,7 +175,7 @@
 			a.log.Error("cannot decode stored turn", zap.Int("event", eventMalformed), zap.Stringer("program", program),
 				zap.Stringer("turn", current), zap.Error(err))
 		} else {
-			s.read[current] = t
+			s.add(t)
 			s.rows++
 			a.cacheTurn(t)
 		}
@@ -171,6 +204,9 @@
 			}
 			pieces = append(pieces, record.Value...)
 		}
+		if s.full {
+			return s.exhausted()
+		}
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
--- a/archiver/recall.go
+++ b/archiver/recall.go
@@ -58,7 +58,7 @@
 		}
 		s.answered = answered
 		s.storing = s.storing || r.answer.Storing
-		a.addTurns(r.answer.Turns, s.read)
+		a.addTurns(r.answer.Turns, s)
 		if s.read[turn] != nil {
 			break
 		}
@@ -114,7 +114,7 @@
 		a.suspects.add(a.clock.Now(), at)
 		return
 	}
-	a.addTurns(answer.Turns, s.read)
+	a.addTurns(answer.Turns, s)
 }
 
 func (a *Archive) requestTurns(ctx context.Context, at sd.Address, turn Key) (RecallResponse, error) {
@@ -123,9 +123,9 @@
 	return messenger.Ask[RecallRequest, RecallResponse](ctx, a.peers.Client, at, messageRecall, RecallRequest{turn})
 }
 
-func (a *Archive) addTurns(turns []*Turn, read map[Key]*Turn) {
+func (a *Archive) addTurns(turns []*Turn, s *search) {
 	for _, t := range turns {
-		read[t.Key] = t
+		s.add(t)
 		a.cacheTurn(t)
 	}
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // Settings of an Exchanger; zero fields take the defaults.
@@ -29,6 +30,10 @@
 	Clock sd.Clock
 	// Dialer opens the connections; nil connects to targets directly.
 	Dialer sd.Dialer
+	// Total bounds the idle connections to all targets; zero means any number.
+	Total int
+	// Budget, if set, bounds the memory of all heads of answers.
+	Budget *reserver.Budget
 	// Silence is how long a target may take to begin its answer before a new connection
 	// checks the path to it; zero means for ever.
 	Silence sd.Millis
@@ -116,6 +121,11 @@
 	// heading tells that a head is being read, of which headLeft bytes may still come.
 	heading  bool
 	headLeft int
+	// head measures the head that is read. holder accounts for it until the connection is closed
+	// or kept, and held is what it has taken.
+	head   reserver.Head
+	holder *reserver.Holder
+	held   int
 	// since is when the connection was last used, until when it may no longer be.
 	since, until sd.Instant
 	used         bool
@@ -128,12 +138,33 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.headLeft -= n
+	if cost := c.measure(p[:n]); cost > 0 {
+		if !c.holder.Reserve(cost) {
+			return 0, sd.BrokenResponse.New("no memory for the head of an answer, after %d bytes of it", c.head.Bytes())
+		}
+		c.held += cost
+	}
 	return n, err
 }
 
+// measure returns the further memory that text takes if a head is being read.
+func (c *connection) measure(text []byte) int {
+	if !c.heading || c.holder == nil {
+		return 0
+	}
+	return c.head.Add(text)
+}
+
+// Close closes the connection and frees its head.
+func (c *connection) Close() error {
+	c.holder.Close()
+	return c.Conn.Close()
+}
+
 // readHead reads the head of the next answer.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	c.heading, c.headLeft = true, headBytes-c.reader.Buffered()
+	c.head = reserver.Head{}
 	response, err := http.ReadResponse(c.reader, request)
 	c.heading = false
 	return response, err
@@ -448,6 +479,8 @@
 		_ = conn.Close()
 		return
 	}
+	conn.holder.Return(conn.held)
+	conn.held = 0
 	conn.used = true
 	conn.since = x.settings.Clock.Now()
 	x.lock.Lock()
@@ -456,7 +489,7 @@
 	}
 	conn.until = conn.since.Add(idle)
 	list := x.idle[conn.address]
-	if x.ended || len(list) >= x.settings.Kept {
+	if x.ended || len(list) >= x.settings.Kept || !x.roomForIdle() {
 		x.lock.Unlock()
 		_ = conn.Close()
 		return
@@ -465,6 +498,18 @@
 	x.lock.Unlock()
 }
 
+// roomForIdle reports whether another idle connection may be kept. The lock is held.
+func (x *Exchanger) roomForIdle() bool {
+	if x.settings.Total <= 0 {
+		return true
+	}
+	count := 0
+	for _, list := range x.idle {
+		count += len(list)
+	}
+	return count < x.settings.Total
+}
+
 // connect returns the most recently used idle connection that is still clean, or
 // a new one.
 func (x *Exchanger) connect(ctx context.Context, address sd.Address, fresh bool) (*connection, error) {
@@ -491,6 +536,7 @@
 		x.Opened(address)
 	}
 	conn := &connection{Conn: raw, address: address}
+	conn.holder, _ = x.settings.Budget.Open(reserver.Group{Kind: reserver.Targets})
 	conn.reader = bufio.NewReaderSize(conn, bufferSize)
 	return conn, nil
 }
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -12,11 +12,14 @@
 	"time"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // Client sends messages to peers. NewClient makes one.
 type Client struct {
-	http *http.Client
+	// Budget, if set, bounds the memory of all answers to Ask.
+	Budget *reserver.Budget
+	http   *http.Client
 }
 
 // NewClient returns a client with its own connections. A nil transport means
@@ -42,7 +45,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var sealed envelope
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxMessage)).Decode(&sealed); err != nil {
+	holder, _ := c.Budget.Open(reserver.Group{Kind: reserver.Peers})
+	defer holder.Close()
+	body := holder.Reader(io.LimitReader(response.Body, maxMessage), reserver.FreeMessageBytes, reserver.MessageFactor)
+	if err := json.NewDecoder(body).Decode(&sealed); err != nil {
 		return answer, sd.Uncertain.Wrap(err, "the answer of %s to %s was lost", to, name)
 	}
 	return answer, sealed.open(&answer)
--- a/receiver/buffer.go
+++ b/receiver/buffer.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/exchanger"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 const (
@@ -26,12 +28,27 @@
 	minChunkBytes, maxChunkBytes = 2 << 10, 256 << 10
 )
 
-// memoryQuota limits the total memory of all buffers on the host.
+// memoryQuota limits the total memory of all buffered answers on the host. They draw on the
+// host's reserver.Budget as well, of which answers alone may not take all.
 type memoryQuota struct {
 	limit    int64
 	reserved atomic.Int64
 }
 
+// budgetShare is the share of host memory that all bytes of callers and targets may take
+// together. With the cache (a fifth), the connections (0.12) and what the process takes at rest,
+// it stays below the limit at which the runtime collects garbage at any price (0.7).
+const budgetShare = 0.25
+
+// BudgetSettings returns the settings of the budget of a host; zero memory selects the smallest
+// supported host.
+func BudgetSettings(memory sd.Bytes) reserver.Settings {
+	if memory <= 0 {
+		memory = minHostMemory
+	}
+	return reserver.Settings{Capacity: int64(float64(memory) * budgetShare), Answer: maxResponseBytes}
+}
+
 func newMemoryQuota(memory sd.Bytes) *memoryQuota {
 	if memory <= 0 {
 		memory = minHostMemory
@@ -52,14 +69,18 @@
 	}
 }
 
-// buffer holds a response body, or the output of a stream, as a list of chunks, so
-// that growing does not copy.
+// buffer holds a body, or the output of a stream, as a list of chunks, so that growing does
+// not copy.
 type buffer struct {
+	// quota and holder may be nil.
 	quota  *memoryQuota
+	holder *reserver.Holder
 	chunks [][]byte
 	// size is the number of bytes held, capacity the space allocated for them, and
 	// reserved the part of capacity that counts towards the quota.
 	size, capacity, reserved int
+	// asReceived has large bodies take memory as they arrive, and not as they were announced.
+	asReceived bool
 }
 
 // freeSpace returns unused space, allocating a chunk if needed, or nil if the quota
@@ -70,15 +91,20 @@
 		return b.chunks[last][len(b.chunks[last]):cap(b.chunks[last])]
 	}
 	length := min(max(b.capacity, minChunkBytes), maxChunkBytes)
-	if more > 0 {
+	if more > 0 && (!b.asReceived || more <= reserver.SmallBytes) {
 		length = int(min(more, maxChunkBytes))
+	} else if more > 0 {
+		length = int(min(more, int64(length)))
 	}
-	if need := max(b.capacity+length-exemptBytes, 0) - b.reserved; need > 0 {
+	if need := max(b.capacity+length-exemptBytes, 0) - b.reserved; b.quota != nil && need > 0 {
 		if !b.quota.reserve(need) {
 			return nil
 		}
 		b.reserved += need
 	}
+	if !b.holder.Reserve(length) {
+		return nil
+	}
 	b.capacity += length
 	b.chunks = append(b.chunks, make([]byte, 0, length))
 	return b.chunks[len(b.chunks)-1][:length]
@@ -116,6 +142,35 @@
 	}
 }
 
+// readRequest reads the body of a caller's request of at most limit bytes. It returns false
+// without an error if the body is longer. The error is reserver.Exhausted if there is no memory
+// for the body.
+func (b *buffer) readRequest(request *http.Request, limit int64) (whole bool, err error) {
+	var beyond [1]byte
+	for {
+		space := beyond[:]
+		if left := request.ContentLength - int64(b.size); left != 0 {
+			space = b.freeSpace(left)
+		}
+		if space == nil {
+			return false, reserver.Exhausted.New("no memory after %d bytes", b.size)
+		}
+		n, err := request.Body.Read(space)
+		if n > 0 && request.ContentLength != int64(b.size) {
+			b.advance(n)
+			b.holder.Progress(n)
+		}
+		switch {
+		case int64(b.size) > limit:
+			return false, nil
+		case err == io.EOF:
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+	}
+}
+
 // write appends text. It returns false if the quota is exhausted.
 func (b *buffer) write(text []byte) bool {
 	for len(text) > 0 {
@@ -133,8 +188,11 @@
 // contents returns a copy of the buffered bytes.
 func (b *buffer) contents() []byte { return bytes.Join(b.chunks, nil) }
 
-// release frees the buffer's memory and returns it to the quota.
+// release frees the buffer's memory and returns it to the quota and the holder.
 func (b *buffer) release() {
-	b.quota.reserved.Add(-int64(b.reserved))
+	if b.quota != nil {
+		b.quota.reserved.Add(-int64(b.reserved))
+	}
+	b.holder.Return(b.capacity)
 	b.chunks, b.size, b.capacity, b.reserved = nil, 0, 0, 0
 }
--- a/receiver/callerconn.go
+++ b/receiver/callerconn.go
@@ -20,6 +20,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// lingerer is implemented by TCP connections.
+type lingerer interface{ SetLinger(seconds int) error }
+
 // endsWithConn reports whether the caller takes the end of its connection for that of a stream.
 // HTTP/1.0 has no chunks.
 func (q *request) endsWithConn() bool { return !q.http.ProtoAtLeast(1, 1) }
@@ -37,7 +40,7 @@
 		return
 	}
 	err := error(sd.Unavailable.New("connection of the caller is not known"))
-	if conn, ok := q.http.Context().Value(connKey{}).(*net.TCPConn); ok {
+	if conn, ok := q.http.Context().Value(connKey{}).(lingerer); ok {
 		err = conn.SetLinger(seconds)
 	}
 	if err != nil {
@@ -51,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(lingerer); ok {
 		err = tcp.SetLinger(0)
 	}
 	return errors.Join(err, conn.Close())
--- a/receiver/events.go
+++ b/receiver/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 const (
@@ -36,13 +37,48 @@
 	return len(rest) == 0 || (isKeepAlive(rest) && rest[len(rest)-1] == '\n')
 }
 
-// readEvent returns the next event of a stream as received, including its blank
+// freeEventBytes of an event are a part of what each connection takes; longer ones draw on the
+// budget.
+const freeEventBytes = 4 << 10
+
+// eventReader reads the events of a stream.
+type eventReader struct {
+	*bufio.Reader
+	holder *reserver.Holder
+	// held is the number of bytes reserved for the last event, room the length up to which it
+	// may grow.
+	held, room int
+}
+
+// grow makes room for an event of size bytes and its data. It returns false if there is none.
+func (r *eventReader) grow(size int) bool {
+	for size > r.room {
+		// The event and its data, whose copies grow by doubling.
+		if !r.holder.Reserve(2 * r.room) {
+			return false
+		}
+		r.held, r.room = r.held+2*r.room, 2*r.room
+	}
+	return true
+}
+
+// release frees the last event.
+func (r *eventReader) release() {
+	r.holder.Return(r.held)
+	r.held, r.room = 0, freeEventBytes
+}
+
+// next returns the next event of a stream as received, including its blank
 // line, and its data. At the end of the stream, the error is io.EOF and raw holds any
 // bytes after the last event, which may be the start of a broken one. The error is
-// BrokenResponse if the event is too long.
-func readEvent(r *bufio.Reader) (raw, data []byte, err error) {
+// BrokenResponse if the event is too long or there is no memory for it. What was returned may be
+// used until release.
+func (r *eventReader) next() (raw, data []byte, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
+		if !r.grow(min(len(raw)+len(line), maxEventBytes)) {
+			return nil, nil, sd.BrokenResponse.New("no memory for an event of more than %d bytes", len(raw))
+		}
 		raw = append(raw, line...)
 		if len(raw) > maxEventBytes {
 			return nil, nil, sd.BrokenResponse.New("event exceeds the limit of %d bytes", maxEventBytes)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -20,6 +21,7 @@
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/meterer"
 	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/reserver"
 	"sapphiredrum.example/sapphiredrum/screener"
 )
 
@@ -48,6 +50,8 @@
 	// Memory is the memory size of the host; zero selects that of the smallest
 	// supported host.
 	Memory sd.Bytes
+	// Budget limits the memory of all requests; nil selects one of the usual share of Memory.
+	Budget *reserver.Budget
 }
 
 // Receiver is the http.Handler for callers' requests.
@@ -64,13 +68,19 @@
 
 // New returns a Receiver that answers 503 until SetRoutingTable is called.
 func New(config Config) *Receiver {
+	if config.Budget == nil {
+		config.Budget = reserver.New(BudgetSettings(config.Memory), config.Clock)
+	}
 	r := &Receiver{Config: config, bufferQuota: newMemoryQuota(config.Memory)}
 	config.Metrics.Set.GetOrCreateGauge("answer_buffer_bytes", func() float64 { return float64(r.bufferQuota.reserved.Load()) })
 	return r
 }
 
 // SetRoutingTable replaces the routing table for subsequent requests.
-func (r *Receiver) SetRoutingTable(t *RoutingTable) { r.table.Store(t) }
+func (r *Receiver) SetRoutingTable(t *RoutingTable) {
+	r.Budget.SetLargest(sd.Bytes(t.FleetConfig.Limits.MaxBodyBytes))
+	r.table.Store(t)
+}
 
 // SetIsolated sets whether this host is isolated from the store and its peers.
 // While it is, refusals ask callers to retry after the time in which their
@@ -136,7 +146,11 @@
 	tier      sd.Tier
 	arrived   sd.Instant
 	deadline  sd.Instant
-	body      []byte
+	// body is the concatenation of its parts, of bodySize bytes in all.
+	body     [][]byte
+	bodySize int
+	// holder accounts for the memory that the request takes.
+	holder *reserver.Holder
 	// sign is the request's signature if signed is set.
 	sign   screener.Signature
 	signed bool
@@ -180,6 +194,14 @@
 	if !q.resolve() {
 		return
 	}
+	holder, opened := r.Budget.Open(reserver.Group{Kind: reserver.Requests, Workspace: q.workspace})
+	if !opened {
+		q.closeUnread()
+		q.refuse(http.StatusServiceUnavailable, "too many requests of one workspace", retryDelay)
+		return
+	}
+	q.holder = holder
+	defer holder.Close()
 	limit := defaultTimeout
 	if q.rule.Timeout > 0 {
 		limit = q.rule.Timeout
@@ -287,10 +309,22 @@
 		return true
 	}
 	q.logDeadlineError("read", q.controller().SetReadDeadline(time.Now().Add(timeout.Duration())))
-	body, err := io.ReadAll(io.LimitReader(q.http.Body, limit+1))
-	q.logDeadlineError("read", q.controller().SetReadDeadline(time.Time{}))
+	q.holder.SetEvict(func() { _ = q.controller().SetReadDeadline(longPast) })
+	body := &buffer{holder: q.holder, asReceived: true}
+	whole, err := body.readRequest(q.http, limit)
+	evicted := !q.holder.SetEvict(nil)
+	if whole && !evicted {
+		q.logDeadlineError("read", q.controller().SetReadDeadline(time.Time{}))
+		q.body, q.bodySize = body.chunks, body.size
+		return true
+	}
+	q.closeUnread()
+	body.release()
+	if evicted || errorx.IsOfType(err, reserver.Exhausted) {
+		q.refuse(http.StatusServiceUnavailable, "no memory for the body", retryDelay)
+		return false
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		q.w.Header().Set("Connection", "close")
 		q.refuse(http.StatusRequestTimeout, "body not sent in time", 0)
 		return false
 	}
@@ -299,12 +333,21 @@
 		q.refuse(http.StatusBadRequest, "body broke off", 0)
 		return false
 	}
-	if int64(len(body)) > limit {
-		q.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return false
+	q.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+	return false
+}
+
+// longPast is a deadline that ends what waits for it.
+var longPast = time.Unix(1, 0)
+
+// closeUnread has the caller's connection closed after the response, and nothing more read from
+// it. The server would wait for the rest of a body of which little is missing.
+func (q *request) closeUnread() {
+	if q.http.ContentLength == 0 {
+		return
 	}
-	q.body = body
-	return true
+	q.w.Header().Set("Connection", "close")
+	q.logDeadlineError("read", q.controller().SetReadDeadline(longPast))
 }
 
 // startsProgram reports whether the request starts a program. Under rules that do
@@ -368,11 +411,11 @@
 // bodyParts returns the body sent to the target: the inputs and outputs of the
 // earlier turns, then the request's own body.
 func (q *request) bodyParts() [][]byte {
-	parts := make([][]byte, 0, 2*len(q.history)+1)
+	parts := make([][]byte, 0, 2*len(q.history)+len(q.body))
 	for _, t := range q.history {
 		parts = append(parts, t.Input, t.Output)
 	}
-	return append(parts, q.body)
+	return append(parts, q.body...)
 }
 
 func (q *request) idField() zap.Field { return zap.String("request", string(q.params.Request)) }
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -34,7 +34,7 @@
 // forwardResponse forwards a response that is not streamed: in one piece, or as it
 // arrives if it does not fit in the buffer.
 func (q *request) forwardResponse(ctx context.Context, response *exchanger.Answer, release func(balancer.Result)) attemptResult {
-	body := &buffer{quota: q.bufferQuota}
+	body := &buffer{quota: q.bufferQuota, holder: q.holder}
 	defer body.release()
 	complete, err := body.readBody(response)
 	if complete {
@@ -79,19 +79,28 @@
 		h["Content-Length"] = []string{strconv.FormatInt(response.Length, 10)}
 	}
 	q.w.WriteHeader(response.Status)
+	if complete {
+		// The request has run, and what is left is the caller's reading.
+		q.holder.SetEvict(func() { _ = q.controller().SetWriteDeadline(longPast) })
+	}
 	for _, part := range body.chunks {
 		if _, err = q.w.Write(part); err != nil {
 			break
 		}
+		q.holder.Progress(len(part))
 	}
+	evicted := !q.holder.SetEvict(nil)
 	if !complete {
 		return q.forwardRest(ctx, response, body, err, release)
 	}
-	if err != nil {
+	switch {
+	case err != nil && evicted:
+		q.recordOutcome(response.Status, "answer not read, memory needed")
+	case err != nil:
 		q.recordOutcome(response.Status, "caller left")
-		return attemptAnswered
+	default:
+		q.recordOutcome(response.Status, "")
 	}
-	q.recordOutcome(response.Status, "")
 	return attemptAnswered
 }
 
@@ -103,12 +112,19 @@
 	return balancer.Served
 }
 
+// minRestBytes is the size of the buffer of forwardRest if there is no memory for one of
+// exemptBytes. It is a part of what each connection takes; see starter.connectionBytes.
+const minRestBytes = 4 << 10
+
 // forwardRest forwards the rest of a long response as it arrives, after the buffered
 // start. Failure is the error from writing that start to the caller, if any.
 func (q *request) forwardRest(ctx context.Context, response *exchanger.Answer, buffered *buffer, failure error, release func(balancer.Result)) attemptResult {
 	size := buffered.size
 	buffered.release()
-	space := make([]byte, exemptBytes)
+	space := make([]byte, minRestBytes)
+	if q.holder.Reserve(exemptBytes) {
+		space = make([]byte, exemptBytes)
+	}
 	for failure == nil {
 		n, err := response.Body.Read(space)
 		size += n
--- a/receiver/screen.go
+++ b/receiver/screen.go
@@ -16,7 +16,7 @@
 // signature returns the request's signature.
 func (q *request) signature() screener.Signature {
 	if !q.signed {
-		q.signed, q.sign = true, screener.NewSignature(q.workspace, q.http.Method, q.http.Host+q.uri(), q.body)
+		q.signed, q.sign = true, screener.NewSignature(q.workspace, q.http.Method, q.http.Host+q.uri(), q.body...)
 	}
 	return q.sign
 }
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -125,11 +125,13 @@
 // regular end of the stream, attemptRetry if the target failed, and attemptGiveUp on
 // any other failure.
 func (q *request) forwardEvents(ctx context.Context, response *exchanger.Answer) (attemptResult, error) {
-	reader := bufio.NewReader(response.Body)
+	reader := &eventReader{Reader: bufio.NewReader(response.Body), holder: q.holder}
+	defer reader.release()
 	controller := http.NewResponseController(q.w)
 	keepAliveBytes, first := 0, true
 	for {
-		raw, data, err := readEvent(reader)
+		reader.release()
+		raw, data, err := reader.next()
 		switch {
 		case err == io.EOF:
 			q.recordEnd(response, io.EOF, len(raw))
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 
@@ -24,7 +25,7 @@
 // applies the budget. While the store cannot take the reservation, the turn runs on
 // allotments.
 func (q *request) serveTurn(ctx context.Context) {
-	if q.rule.RetainTurns && len(q.body) > maxTurnBytes {
+	if q.rule.RetainTurns && q.bodySize > maxTurnBytes {
 		q.RateLimiter.Return(q.workspace)
 		q.refuse(http.StatusRequestEntityTooLarge, "turn too long to keep", 0)
 		return
@@ -35,11 +36,15 @@
 		q.fail(ctx, "cut off from the store", isolatedRetryDelay)
 		return
 	}
-	turn := &archiver.Turn{Program: q.program, Key: archiver.TurnKey(q.workspace, q.params.Request), Input: q.body}
+	turn := &archiver.Turn{Program: q.program, Key: archiver.TurnKey(q.workspace, q.params.Request)}
+	if q.rule.RetainTurns {
+		turn.Input = bytes.Join(q.body, nil)
+		q.body = [][]byte{turn.Input}
+	}
 	if !q.loadHistory(ctx, turn) {
 		return
 	}
-	s := &stream{retain: q.rule.RetainTurns, output: buffer{quota: q.bufferQuota}, outputLeft: maxTurnBytes - len(q.body), lastID: q.params.After}
+	s := &stream{retain: q.rule.RetainTurns, output: buffer{quota: q.bufferQuota, holder: q.holder}, outputLeft: maxTurnBytes - q.bodySize, lastID: q.params.After}
 	defer s.output.release()
 	if size := q.table.TokensPerEvent(q.pool); q.params.Limit > 0 {
 		// Rounded up, as the last event may contain fewer tokens.
@@ -100,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (q.remaining() / storeTimeDivisor).Duration())
 	defer cancel()
 	start := q.Clock.Now()
-	chain, err := q.Archive.Chain(ctx, q.program, archiver.TurnKey(q.workspace, q.params.Previous))
+	chain, err := q.Archive.ChainWithin(ctx, q.program, archiver.TurnKey(q.workspace, q.params.Previous), q.holder.Reserve)
 	q.recordStage(stageHistory, start)
 	if errorx.IsOfType(err, sd.NotFound) {
 		q.Log.Info("previous turn not found", zap.Int("event", eventTurn), q.idField(), zap.String("previous", string(q.params.Previous)), zap.Error(err))
--- a/screener/state.go
+++ b/screener/state.go
@@ -46,17 +46,28 @@
 	Whole, Start Fingerprint
 }
 
-// NewSignature returns the signature of a request: address is its host and target URI.
-func NewSignature(workspace sd.WorkspaceID, method, address string, body []byte) Signature {
+// NewSignature returns the signature of a request: address is its host and target URI, and its
+// body is the concatenation of the parts.
+func NewSignature(workspace sd.WorkspaceID, method, address string, body ...[]byte) Signature {
 	h := sha256.New()
 	for _, part := range []string{string(workspace), method, address} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
-	start := min(len(body), startBytes)
-	h.Write(body[:start])
-	s := Signature{Start: Fingerprint(h.Sum(nil)[:fingerprintSize])}
-	h.Write(body[start:])
+	left := startBytes
+	var s Signature
+	for _, part := range body {
+		start := min(len(part), left)
+		h.Write(part[:start])
+		if left > 0 && left == start {
+			s.Start = Fingerprint(h.Sum(nil)[:fingerprintSize])
+		}
+		left -= start
+		h.Write(part[start:])
+	}
+	if left > 0 {
+		s.Start = Fingerprint(h.Sum(nil)[:fingerprintSize])
+	}
 	s.Whole = Fingerprint(h.Sum(nil)[:fingerprintSize])
 	return s
 }
--- /dev/null
+++ b/starter/connections.go
@@ -0,0 +1,282 @@
+package starter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/receiver"
+	"sapphiredrum.example/sapphiredrum/reserver"
+)
+
+const (
+	// fileDescriptors are kept for files, as the platform asks.
+	fileDescriptors = 200
+	// callerShare, idleShare and peerShare are the parts of the other descriptors that callers,
+	// idle connections to targets and other hosts may take. As many as for callers are left to
+	// the targets that serve them; the rest, a twentieth and more, is for the store and for
+	// connections that are closing.
+	callerShare, idleShare, peerShare = 0.35, 0.1, 0.15
+	// connectionShare is the part of memory that the connections of callers may take, and
+	// connectionBytes what one takes with a request under way: the stacks of its goroutines and
+	// the buffers on both sides. The rest of a request draws on the budget.
+	connectionShare = 0.12
+	connectionBytes = 24 << 10
+	// minConnections is the least number of connections of callers.
+	minConnections = 16
+	// readyConnections bounds those to the ports for the platform, which asks once a second.
+	readyConnections = 24
+	// youngTime is how long a connection that has sent no whole head is left alone: longer than
+	// a round trip and than the pauses of a sender on a busy link.
+	youngTime = 300 * sd.Millisecond
+	// readAhead is what the server reads at once, which may go beyond the end of a head.
+	readAhead = 4 << 10
+)
+
+// limits are the numbers of connections of a host.
+type limits struct{ callers, idle, peers int }
+
+// divide divides a host's descriptors and memory among connections.
+func divide(settings platform.Settings) limits {
+	free := float64(max(settings.Descriptors-fileDescriptors, settings.Descriptors/2))
+	byMemory := float64(settings.Memory) * connectionShare / connectionBytes
+	return limits{
+		callers: max(int(min(free*callerShare, byMemory)), minConnections),
+		idle:    int(free * idleShare), peers: int(free * peerShare),
+	}
+}
+
+// headTooLong marks heads that are longer than the plan allows, or for which there is no memory.
+var headTooLong = sd.Errors.NewSubNamespace("starter").NewType("head_too_long")
+
+// connections are those of one port. At their limit, a connection that serves no request gives
+// way to a new one, and after these one whose caller has stopped sending or reading. A request
+// that is whole and runs keeps its connection.
+type connections struct {
+	clock  sd.Clock
+	limit  int
+	budget *reserver.Budget
+	// idleLimit is the plan's idle timeout in milliseconds, headLimit its limit of a head in
+	// bytes; zero before there is a plan.
+	idleLimit, headLimit atomic.Int64
+
+	lock   sync.Mutex
+	open   map[*connection]struct{}
+	counts connectionCounts
+}
+
+// connectionCounts count connections closed by this host: those without a request that gave way,
+// new ones that were refused, and those with a head that is too long.
+type connectionCounts struct{ gaveWay, refused, heads uint64 }
+
+// connection is a connection to a port of this host.
+type connection struct {
+	*net.TCPConn
+	owner *connections
+	// state, since when it is so, and whether a handler runs. The owner's lock guards them.
+	state    http.ConnState
+	since    sd.Instant
+	handling bool
+	// heading is set while a head is awaited or read, which head measures and holder accounts for.
+	heading atomic.Bool
+	head    reserver.Head
+	holder  *reserver.Holder
+}
+
+func newConnections(limit int, budget *reserver.Budget, clock sd.Clock) *connections {
+	return &connections{clock: clock, limit: limit, budget: budget, open: map[*connection]struct{}{}}
+}
+
+// setHeadLimit sets the plan's limit of a head.
+func (c *connections) setHeadLimit(n int) { c.headLimit.Store(int64(n)) }
+
+// Read implements net.Conn. The error is headTooLong while a head goes beyond its limits.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n == 0 || c.owner.budget == nil || !c.heading.Load() {
+		return n, err
+	}
+	cost := c.head.Add(p[:n])
+	limit := c.owner.headLimit.Load()
+	tooLong := limit > 0 && int64(c.head.Bytes()) > limit+readAhead
+	if tooLong || (cost > 0 && !c.holder.Reserve(cost)) {
+		c.owner.lock.Lock()
+		c.owner.counts.heads++
+		c.owner.lock.Unlock()
+		return 0, headTooLong.New("head of a request: %d bytes", c.head.Bytes())
+	}
+	c.holder.Progress(n)
+	return n, err
+}
+
+// awaitHead prepares for the next head. It is called between two heads only.
+func (c *connection) awaitHead() {
+	c.holder.Close()
+	c.head = reserver.Head{}
+	c.holder, _ = c.owner.budget.Open(reserver.Group{Kind: reserver.Heads})
+	c.holder.SetEvict(func() { _ = c.SetReadDeadline(longPast) })
+	c.heading.Store(true)
+}
+
+// listener admits connections within their limit.
+type listener struct {
+	net.Listener
+	conns *connections
+}
+
+func (c *connections) listen(inner net.Listener) net.Listener { return &listener{inner, c} }
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := raw.(*net.TCPConn)
+		if !ok {
+			return raw, nil
+		}
+		if conn := l.conns.admit(tcp); conn != nil {
+			return conn, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// admit adds a connection, in place of another one if the limit is reached. It returns nil if
+// none gives way.
+func (c *connections) admit(tcp *net.TCPConn) *connection {
+	conn := &connection{TCPConn: tcp, owner: c, state: http.StateNew, since: c.clock.Now()}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if len(c.open) >= c.limit {
+		victim := c.victim(conn.since)
+		switch {
+		case victim != nil:
+			delete(c.open, victim)
+			_ = victim.Close()
+			c.counts.gaveWay++
+		case c.budget == nil || len(c.open) >= 2*c.limit || !c.budget.EvictStalled():
+			c.counts.refused++
+			return nil
+		}
+	}
+	c.open[conn] = struct{}{}
+	return conn
+}
+
+// victim returns the connection that gives way: one without a whole head, or whose response has
+// ended, then an idle one, each time that which has been so for the longest.
+func (c *connections) victim(now sd.Instant) *connection {
+	var worst *connection
+	most := 0
+	for conn := range c.open {
+		rank := 0
+		switch {
+		case conn.handling:
+			continue
+		case conn.state != http.StateIdle && now.Since(conn.since) >= youngTime:
+			rank = 3
+		case conn.state == http.StateIdle:
+			rank = 2
+		case conn.state == http.StateActive:
+			rank = 1
+		default:
+			continue
+		}
+		if rank > most || (rank == most && conn.since < worst.since) {
+			worst, most = conn, rank
+		}
+	}
+	return worst
+}
+
+// changed is the ConnState of the port's server.
+func (c *connections) changed(raw net.Conn, state http.ConnState) {
+	conn, ok := raw.(*connection)
+	if !ok {
+		return
+	}
+	if c.budget != nil {
+		switch state {
+		case http.StateNew, http.StateIdle:
+			conn.awaitHead()
+		case http.StateActive:
+			conn.heading.Store(false)
+			conn.holder.SetEvict(nil)
+		default:
+			conn.holder.Close()
+		}
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	conn.state, conn.since = state, c.clock.Now()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.open, conn)
+	}
+}
+
+// connKey is the key of a connection in a request's context.
+type connKey struct{}
+
+// connContext is the ConnContext of the servers.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(receiver.ConnContext(ctx, conn), connKey{}, conn)
+}
+
+// serving returns a handler that keeps a connection from giving way while it runs.
+func (c *connections) serving(inner http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*connection)
+		if !ok {
+			inner.ServeHTTP(w, r)
+			return
+		}
+		c.handle(conn, true)
+		defer c.handle(conn, false)
+		inner.ServeHTTP(w, r)
+	})
+}
+
+func (c *connections) handle(conn *connection, handling bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	conn.handling, conn.since = handling, c.clock.Now()
+}
+
+// figures returns the number of open connections and the counts.
+func (c *connections) figures() (int, connectionCounts) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.open), c.counts
+}
+
+// run closes connections that were idle for too long, until ctx ends.
+func (c *connections) run(ctx context.Context) error {
+	for pause(ctx, idlePoll) {
+		limit := sd.Millis(c.idleLimit.Load())
+		if limit <= 0 {
+			limit = defaultIdle
+		}
+		var old []*connection
+		c.lock.Lock()
+		now := c.clock.Now()
+		for conn := range c.open {
+			waits := conn.state == http.StateIdle || conn.state == http.StateNew
+			if waits && now.Since(conn.since) > limit {
+				old = append(old, conn)
+				delete(c.open, conn)
+			}
+		}
+		c.lock.Unlock()
+		for _, conn := range old {
+			_ = conn.Close()
+		}
+	}
+	return ctx.Err()
+}
--- a/starter/host.go
+++ b/starter/host.go
@@ -25,6 +25,7 @@
 	"sapphiredrum.example/sapphiredrum/platform"
 	"sapphiredrum.example/sapphiredrum/receiver"
 	"sapphiredrum.example/sapphiredrum/relayer"
+	"sapphiredrum.example/sapphiredrum/reserver"
 	"sapphiredrum.example/sapphiredrum/screener"
 	"sapphiredrum.example/sapphiredrum/tunneler"
 )
@@ -120,9 +121,11 @@
 	tunneler  *tunneler.Tunneler
 	receiver  *receiver.Receiver
 	measures  *receiver.Metrics
-	idle      idleConnections
-	lapsed    lapsed
-	outage    outage
+	budget    *reserver.Budget
+	// callers, peerConns and readyConns are the connections to this host's ports.
+	callers, peerConns, readyConns *connections
+	lapsed                         lapsed
+	outage                         outage
 
 	rowLock sync.Mutex
 	// rows holds the versions of the hosts' rows.
@@ -159,8 +162,15 @@
 		measures: receiver.NewMetrics(), rows: map[sd.HostID]sd.Record{}, removalAge: goneAfter, suspendAfter: cutOffLimit,
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
+	limits := divide(settings)
+	budget := receiver.BudgetSettings(settings.Memory)
+	budget.Requests = limits.callers
+	h.budget = reserver.New(budget, h.clock)
+	h.callers = newConnections(limits.callers, h.budget, h.clock)
+	h.peerConns, h.readyConns = newConnections(limits.peers, nil, h.clock), newConnections(readyConnections, nil, h.clock)
 	h.client = platform.NewClient(settings.Store)
 	h.peers = messenger.NewClient(nil)
+	h.peers.Budget = h.budget
 	h.gossiper = &gossiper.Gossiper{
 		Self: gossiper.Peer{Host: settings.Host, Zone: settings.Zone, Address: settings.Peers, Incarnation: h.incarnation, Cores: settings.Power},
 		Fill: h.fill, OnHeartbeat: h.heard, Clock: h.clock, Log: log,
@@ -173,9 +183,9 @@
 	}, log)
 	h.tunneler = tunneler.New(tunneler.Config{
 		Direct: dialer, Zone: settings.Zone, Peers: func() []gossiper.Peer { return h.gossiper.Alive(false) }, Targets: h.targetAddresses,
-		Changed: h.gossiper.SendSoon, MaxIdle: sd.Millis(tunnelIdle * float64(settings.Drain)), Clock: h.clock, Log: log,
+		Changed: h.gossiper.SendSoon, MaxIdle: sd.Millis(tunnelIdle * float64(settings.Drain)), Budget: h.budget, Clock: h.clock, Log: log,
 	})
-	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: h.tunneler, Silence: targetSilence})
+	h.exchanger = exchanger.New(exchanger.Settings{Clock: h.clock, Dialer: h.tunneler, Silence: targetSilence, Budget: h.budget, Total: limits.idle})
 	h.gate = receiver.NewTargetQueue(balancer.Settings{
 		Host: settings.Host, Zone: settings.Zone, ColdRateFactor: settings.ColdOver, ColdSlack: settings.ColdSlack,
 		ColdUnlimited: !settings.ColdLimited,
@@ -197,9 +207,8 @@
 	}, h.clock, log)
 	h.receiver = receiver.New(receiver.Config{
 		Clock: h.clock, Log: log, RateLimiter: h.meter, TargetQueue: h.gate, Archive: h.archive, Allotter: h.allotter, Screener: h.screener, Exchanger: h.exchanger,
-		Metrics: h.measures, Memory: settings.Memory,
+		Metrics: h.measures, Memory: settings.Memory, Budget: h.budget,
 	})
-	h.idle.clock = h.clock
 	h.count()
 	return h
 }
@@ -227,7 +236,8 @@
 	add(h.allotter.Run)
 	add(h.screener.Run)
 	add(h.tunneler.Run)
-	add(h.idle.run)
+	add(h.callers.run)
+	add(h.tellLimits)
 	add(h.publish)
 	add(h.sweepHosts)
 	add(h.reload)
@@ -375,6 +385,7 @@
 		}
 		set.GetOrCreateCounter(`store_commits_total{outcome="` + outcome + `"}`).Inc()
 	}
+	h.countLimits()
 	set.NewGauge("peers", func() float64 { return float64(len(h.gossiper.Alive(false))) })
 	set.NewGauge("tunnels_served", func() float64 { return float64(h.tunneler.Serving()) })
 	set.NewGauge("target_connections_idle", func() float64 { return float64(h.exchanger.Idle()) })
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -8,8 +8,6 @@
 	"os"
 	"os/signal"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,7 +17,6 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/platform"
-	"sapphiredrum.example/sapphiredrum/receiver"
 	"sapphiredrum.example/sapphiredrum/relayer"
 )
 
@@ -47,18 +44,25 @@
 
 // serve opens the ports and serves until stop ends, then drains.
 func (h *Host) serve(ctx, stop context.Context) error {
-	callers := &http.Server{
-		Handler: h.callerHandler(), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headTimeout.Duration(),
-		ConnState: h.idle.changed, ConnContext: receiver.ConnContext, ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	server := func(handler http.Handler, c *connections) *http.Server {
+		return &http.Server{
+			Handler: c.serving(handler), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headTimeout.Duration(),
+			ConnState: c.changed, ConnContext: connContext, ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		}
 	}
-	peers := &http.Server{Handler: h.peerHandler(), ReadHeaderTimeout: headTimeout.Duration()}
-	ready := &http.Server{Handler: h.platformHandler(), ReadHeaderTimeout: headTimeout.Duration()}
-	measures := &http.Server{Handler: h.platformHandler(), ReadHeaderTimeout: headTimeout.Duration()}
+	callers, peers := server(h.callerHandler(), h.callers), server(h.peerHandler(), h.peerConns)
+	ready, measures := server(h.platformHandler(), h.readyConns), server(h.platformHandler(), h.readyConns)
 	ends := make(chan error, 4)
 	open := []struct {
 		server  *http.Server
 		address sd.Address
-	}{{peers, h.settings.Peers}, {measures, h.settings.Metrics}, {callers, h.settings.Callers}, {ready, h.settings.Ready}}
+		conns   *connections
+	}{
+		{peers, h.settings.Peers, h.peerConns},
+		{measures, h.settings.Metrics, h.readyConns},
+		{callers, h.settings.Callers, h.callers},
+		{ready, h.settings.Ready, h.readyConns},
+	}
 	if h.settings.Metrics == "" {
 		open = slices.Delete(open, 1, 2)
 	}
@@ -71,7 +75,7 @@
 			}
 			return sd.Unavailable.Wrap(err, "port %s", o.address)
 		}
-		go func() { ends <- o.server.Serve(listener) }()
+		go func() { ends <- o.server.Serve(o.conns.listen(listener)) }()
 	}
 	var err error
 	select {
@@ -148,7 +152,7 @@
 	h.archive.RegisterHandlers(e)
 	h.allotter.RegisterHandlers(e)
 	h.tunneler.RegisterHandlers(e)
-	return e
+	return limitMessages(h.budget, e)
 }
 
 // reload reads the settings again on SIGHUP and when the file has changed.
@@ -190,51 +194,6 @@
 	}
 }
 
-// idleConnections closes callers' connections that were idle for too long.
-type idleConnections struct {
-	clock sd.Clock
-	// limit is the plan's idle timeout in milliseconds; zero before there is a plan.
-	limit atomic.Int64
-	lock  sync.Mutex
-	since map[net.Conn]sd.Instant
-}
-
-func (c *idleConnections) changed(conn net.Conn, state http.ConnState) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	if state != http.StateIdle && state != http.StateNew {
-		delete(c.since, conn)
-		return
-	}
-	if c.since == nil {
-		c.since = map[net.Conn]sd.Instant{}
-	}
-	c.since[conn] = c.clock.Now()
-}
-
-func (c *idleConnections) run(ctx context.Context) error {
-	for pause(ctx, idlePoll) {
-		limit := sd.Millis(c.limit.Load())
-		if limit <= 0 {
-			limit = defaultIdle
-		}
-		var old []net.Conn
-		c.lock.Lock()
-		now := c.clock.Now()
-		for conn, since := range c.since {
-			if now.Since(since) > limit {
-				old = append(old, conn)
-				delete(c.since, conn)
-			}
-		}
-		c.lock.Unlock()
-		for _, conn := range old {
-			_ = conn.Close()
-		}
-	}
-	return ctx.Err()
-}
-
 // pause waits, and reports false if ctx ended first.
 func pause(ctx context.Context, length sd.Millis) bool {
 	timer := time.NewTimer(length.Duration())
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -48,7 +48,8 @@
 		}
 		h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Configure(plan.Pools) })
 		h.meter.update(func(s *meterer.State, now sd.Instant) { s.Configure(now, plan.Workspaces) })
-		h.idle.limit.Store(int64(plan.Limits.IdleTimeout))
+		h.callers.idleLimit.Store(int64(plan.Limits.IdleTimeout))
+		h.callers.setHeadLimit(plan.Limits.MaxHeaderBytes)
 		h.enforce()
 		h.log.Info("plan in force", zap.Int("event", eventPlan), zap.Uint64("revision", uint64(plan.Revision)),
 			zap.Uint64("version", record.Version), zap.Int("rules", len(plan.Rules)), zap.Int("keys", len(plan.Keys)), zap.Bool("waits", !h.knows()))
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -19,6 +19,7 @@
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 const (
@@ -152,6 +153,11 @@
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	defer t.server.done()
+	holder, _ := t.Budget.Open(reserver.Group{Kind: reserver.Peers})
+	defer holder.Close()
+	if !holder.Reserve(2 * copyBytes) {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
 	ctx := c.Request().Context()
 	conn, err := t.Direct.Dial(ctx, target, connectTimeout)
 	if err != nil {
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -13,6 +13,7 @@
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // Log events of this package, listed in docs/EVENTS.md.
@@ -62,8 +63,10 @@
 	// MaxIdle is how long an idle tunnel may be used: less than targets that leave serve on.
 	// The host that carries it does not see their announcements.
 	MaxIdle sd.Millis
-	Clock   sd.Clock
-	Log     *zap.Logger
+	// Budget, if set, bounds the memory of the tunnels carried for other hosts.
+	Budget *reserver.Budget
+	Clock  sd.Clock
+	Log    *zap.Logger
 }
 
 // Tunneler implements sd.Dialer. It is safe for concurrent use.
