--- a/overloader/crowd_test.go
+++ b/overloader/crowd_test.go
@@ -372,3 +372,50 @@
 		}
 	})
 }
+
+// Guards against crowds of several kinds at once taking together what each of them may not.
+func TestMixedCrowd(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), maxBody)
+	h := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/look/") {
+			_, _ = io.CopyN(w, zeros{}, 8<<20)
+			return
+		}
+		<-r.Context().Done()
+	})
+	announced := "Content-Length: " + strconv.Itoa(maxBody)
+	acts := []func(conn net.Conn) error{
+		func(conn net.Conn) error {
+			_, err := io.WriteString(conn, h.head("GET", "/open/x", ""))
+			pour(conn, 15_000, shortFields)
+			return err
+		},
+		func(conn net.Conn) error {
+			_, err := io.WriteString(conn, h.head("POST", "/open/x", "", announced)+"\r\n"+string(body[1:]))
+			return err
+		},
+		func(conn net.Conn) error {
+			_, err := io.WriteString(conn, h.head("POST", "/talk/x", "k1", announced)+"\r\n"+string(body[1:]))
+			return err
+		},
+		func(conn net.Conn) error {
+			_, err := io.WriteString(conn, h.head("POST", "/open/x", "", announced)+"\r\n"+string(body))
+			return err
+		},
+		func(conn net.Conn) error {
+			_, err := io.WriteString(conn, h.head("GET", "/look/x", "k1")+"\r\n")
+			return err
+		},
+		func(conn net.Conn) error {
+			_, err := io.WriteString(conn, "\r\n")
+			return err
+		},
+	}
+	var number atomic.Int64
+	h.overload(askers, func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+		if acts[int(number.Add(1))%len(acts)](conn) == nil {
+			time.Sleep(settling)
+		}
+	})
+}
