promoter, balancer, gossiper, starter: rollouts of a version

Reports travel as an entry of their own behind the heartbeat in a batch datagram: builds before this one reject a heartbeat with anything behind the fields that they know (DecodeHeartbeat), and would take its sender for lost.

Deployments without bounds.canaryShare have no rollouts and choose targets as before.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -59,7 +59,7 @@
 	for _, t := range p.members {
 		if s.accepts(t) {
 			running += t.inflight
-			slots += int(t.Slots)
+			slots += s.openSlots(p, t)
 		}
 		for _, share := range s.shares[t.code] {
 			if now.Since(share.peer.heardAt) < peerLoadTTL {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -120,6 +120,9 @@
 	// tiers are the tiers of the programs that start in the pool, the most urgent first.
 	tiers   []sd.Tier
 	members []*target
+	// rollout is nil without an order. flights holds the version that runs each request.
+	rollout *rollout
+	flights map[*Request]sd.Version
 }
 
 type target struct {
@@ -153,6 +156,8 @@
 // Request is a request for a target, assigned at once or queued.
 type Request struct {
 	Pool sd.GroupName
+	// Rule is the rule of the request, by which its answers are counted in a rollout.
+	Rule sd.RouteName
 	// PreferredTarget is the target that has the request's prefix cached, or empty.
 	PreferredTarget sd.TargetID
 	// Affinity is a hash of the request's program, or zero. All hosts prefer the same target for
@@ -186,6 +191,9 @@
 
 	number uint64
 	queued bool
+	// rollout counts the request; cold is set if its target was cold as it was sent.
+	rollout *rollout
+	cold    bool
 }
 
 // Refusal is the reason why a request got no target.
@@ -404,7 +412,7 @@
 	var subset, sameZone, otherZones, unreachable []*target
 	usable, reachableCount, heard := 0, 0, s.heardHosts(now)
 	for _, t := range p.members {
-		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) {
+		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) || !s.takesVersion(now, p, req, t) {
 			continue
 		}
 		usable++
@@ -517,6 +525,7 @@
 func (s *State) dispatch(now sd.Instant, req *Request, t *target) {
 	req.Target, req.Address, req.Incarnation = t.ID, t.Address, t.Incarnation
 	t.inflight++
+	s.countDispatch(req, t)
 	if n := len(t.sent) - t.sentInWindow(now); n > 32 {
 		t.sent = slices.Delete(t.sent, 0, n)
 	}
@@ -542,6 +551,7 @@
 
 // Done records the outcome and duration of a request at its target.
 func (s *State) Done(now sd.Instant, req *Request, result Result, took sd.Millis) {
+	s.countDone(req, result, took)
 	t := s.targets[req.Target]
 	if t == nil || t.Address != req.Address {
 		return
--- /dev/null
+++ b/balancer/version.go
@@ -0,0 +1,243 @@
+package balancer
+
+import (
+	"slices"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/gossiper"
+	"sapphiredrum.example/sapphiredrum/promoter"
+)
+
+const (
+	// maxRolloutRoutes bounds the routes that are counted apart, and so the size of a heartbeat.
+	maxRolloutRoutes = 8
+	// slowFactor is how many times the median of the old version an answer must take to count as
+	// slow. A bad version is several times slower; load alone rarely doubles the median.
+	slowFactor = 2.5
+	// medianSize is the number of durations of which the median is taken, medianLeast the least.
+	medianSize  = 31
+	medianLeast = 8
+)
+
+// rollout is what this host counts of a pool's rollout. Counts begin with the order.
+type rollout struct {
+	split promoter.Split
+	// sent and sentNew are the requests since the order, of both sides and of the new one.
+	sent, sentNew float64
+	routes        map[promoter.RouteID]*rolloutRoute
+}
+
+// rolloutRoute counts one route.
+type rolloutRoute struct {
+	promoter.RouteCount
+	sent, sentNew float64
+	// durations are the last ones of the old version.
+	durations []sd.Millis
+	next      int
+}
+
+// SetSplit sets which targets of a pool get new requests. Counts start anew with another order.
+func (s *State) SetSplit(name sd.GroupName, split promoter.Split) {
+	p := s.pool(name)
+	if split.Mode == promoter.Ordinary && split.Order == 0 {
+		p.rollout = nil
+		return
+	}
+	if p.rollout == nil || p.rollout.split.Order != split.Order {
+		p.rollout = &rollout{routes: map[promoter.RouteID]*rolloutRoute{}}
+	}
+	p.rollout.split = split
+}
+
+// RolloutReport returns this host's counts of a pool's rollout. Its stage and age are not set.
+func (s *State) RolloutReport(name sd.GroupName) promoter.Report {
+	p := s.pool(name)
+	r := p.rollout
+	if r == nil {
+		return promoter.Report{}
+	}
+	report := promoter.Report{Order: r.split.Order, Routes: map[promoter.RouteID]promoter.RouteCount{}}
+	for _, version := range p.flights {
+		if r.split.Old(version) {
+			report.OldInflight++
+		}
+	}
+	for id, route := range r.routes {
+		report.Routes[id] = route.RouteCount
+	}
+	return report
+}
+
+// Versions counts the targets of a pool that do not leave, by version.
+func (s *State) Versions(name sd.GroupName) map[sd.Version]int {
+	versions := map[sd.Version]int{}
+	for _, t := range s.pool(name).members {
+		if !t.Leaving && !t.announced {
+			versions[t.Version]++
+		}
+	}
+	return versions
+}
+
+// takesVersion reports whether a request may go to a target by the version of the target.
+func (s *State) takesVersion(now sd.Instant, p *pool, req *Request, t *target) bool {
+	r := p.rollout
+	if r == nil || r.split.Mode == promoter.Ordinary {
+		return true
+	}
+	isNew, isOld := r.split.New(t.Version), r.split.Old(t.Version)
+	switch r.split.Mode {
+	case promoter.OldOnly:
+		return !isNew
+	case promoter.OldFirst:
+		return !isNew || !s.serves(p, func(v sd.Version) bool { return !r.split.New(v) })
+	case promoter.NewFirst:
+		return !isOld || !s.serves(p, func(v sd.Version) bool { return !r.split.Old(v) })
+	case promoter.Shared:
+		return isNew == (r.allowsNew(req) && s.newHasRoom(now, p, req))
+	case promoter.Ordinary:
+	}
+	return true
+}
+
+// serves reports whether the pool has a target that accepts requests of a version.
+func (s *State) serves(p *pool, version func(sd.Version) bool) bool {
+	return slices.ContainsFunc(p.members, func(t *target) bool { return version(t.Version) && s.accepts(t) })
+}
+
+// allowsNew reports whether the share allows one more request to the new version, and the request's
+// route has not had more than its part.
+func (r *rollout) allowsNew(req *Request) bool {
+	if r.sentNew+1 > r.split.Share*r.sent+r.split.Extra {
+		return false
+	}
+	route := r.routes[routeOf(req)]
+	return route == nil || route.sentNew <= r.split.Share*route.sent+r.split.Extra
+}
+
+// newHasRoom reports whether a target of the new version can take a request now. If none can, the
+// request goes to the old version at once.
+func (s *State) newHasRoom(now sd.Instant, p *pool, req *Request) bool {
+	heard := s.heardHosts(now)
+	return slices.ContainsFunc(p.members, func(t *target) bool {
+		return p.rollout.split.New(t.Version) && s.accepts(t) && !slices.Contains(req.ExcludedTargets, t.ID) && now >= t.backoffUntil &&
+			!slices.Contains(s.unreachableZones, t.Zone) && s.hasRoom(now, p, t, heard)
+	})
+}
+
+func routeOf(req *Request) promoter.RouteID { return promoter.RouteID(gossiper.HashID(req.Rule)) }
+
+// route returns the counts of a request's route; those of routes beyond maxRolloutRoutes are
+// summed.
+func (r *rollout) route(req *Request) *rolloutRoute {
+	id := routeOf(req)
+	if r.routes[id] == nil && len(r.routes) >= maxRolloutRoutes {
+		id = promoter.AllRoutes
+	}
+	if r.routes[id] == nil {
+		r.routes[id] = &rolloutRoute{}
+	}
+	return r.routes[id]
+}
+
+// countDispatch counts a request that is sent to a target.
+func (s *State) countDispatch(req *Request, t *target) {
+	p := s.pool(req.Pool)
+	if p.flights == nil {
+		p.flights = map[*Request]sd.Version{}
+	}
+	p.flights[req] = t.Version
+	r := p.rollout
+	if r == nil {
+		return
+	}
+	req.rollout, req.cold = r, t.ColdRemaining > 0
+	route := r.route(req)
+	r.sent++
+	route.sent++
+	if r.split.New(t.Version) {
+		r.sentNew++
+		route.sentNew++
+	}
+}
+
+// countDone counts the outcome of a request. One that did not run no longer counts as sent, except
+// to the new version.
+func (s *State) countDone(req *Request, result Result, took sd.Millis) {
+	flights := s.pool(req.Pool).flights
+	version, flies := flights[req]
+	delete(flights, req)
+	r := req.rollout
+	if r == nil || !flies {
+		return
+	}
+	req.rollout = nil
+	route := r.route(req)
+	if result == Rejected || result == ConnectFailed {
+		r.sent--
+		route.sent--
+		return
+	}
+	route.count(r.split.New(version), req.cold, result, took)
+}
+
+// count counts an answer. Abandoned requests count only if they were slow, as callers may leave at
+// any time; those of cold targets are not judged by their time.
+func (r *rolloutRoute) count(isNew, cold bool, result Result, took sd.Millis) {
+	c := &r.Old
+	if isNew {
+		c = &r.New
+	}
+	median, known := r.median()
+	slow := known && float64(took) > slowFactor*float64(max(median, 1))
+	if result != Abandoned {
+		c.Answers++
+	}
+	switch {
+	case result == Failed:
+		c.Failures++
+	case known && !cold && (result == Served || slow):
+		c.Timed++
+		if slow {
+			c.Slow++
+		}
+	}
+	if result == Served && !isNew {
+		if len(r.durations) < medianSize {
+			r.durations = append(r.durations, took)
+		} else {
+			r.durations[r.next] = took
+			r.next = (r.next + 1) % medianSize
+		}
+	}
+}
+
+// median returns the median duration of the old version, if it is known.
+func (r *rolloutRoute) median() (sd.Millis, bool) {
+	if len(r.durations) < medianLeast {
+		return 0, false
+	}
+	sorted := slices.Clone(r.durations)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2], true
+}
+
+// openSlots returns a target's slots as far as its version gets requests: while two versions run
+// side by side, the pool has no more room than the side that gets nearly all of them.
+func (s *State) openSlots(p *pool, t *target) int {
+	r := p.rollout
+	if r == nil || r.split.Mode == promoter.Ordinary {
+		return int(t.Slots)
+	}
+	isNew := r.split.New(t.Version)
+	if r.split.Mode == promoter.NewFirst {
+		if r.split.Old(t.Version) && s.serves(p, func(v sd.Version) bool { return !r.split.Old(v) }) {
+			return 0
+		}
+		return int(t.Slots)
+	}
+	if isNew && s.serves(p, func(v sd.Version) bool { return !r.split.New(v) }) {
+		return 0
+	}
+	return int(t.Slots)
+}
--- a/gossiper/beat.go
+++ b/gossiper/beat.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/promoter"
 )
 
 // IDHash is the hash of an identifier, used in place of it in heartbeats. Two
@@ -33,6 +34,8 @@
 	Inflight, Sent map[IDHash]int
 	// Admitted counts requests admitted since the host started, by workspace.
 	Admitted map[IDHash]uint64
+	// Rollouts are the host's reports of rollouts, by pool.
+	Rollouts map[IDHash]promoter.Report
 
 	// relay asks the receiver to forward the heartbeat within its zone.
 	relay bool
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -320,8 +320,8 @@
 	g.Fill(&beat)
 	body := beat.Encode()
 	direct, relays := g.recipients()
-	g.sendTo(conn, body, direct)
-	g.sendTo(conn, withRelay(body, true), relays)
+	g.sendTo(conn, beat.encodeWithSections(body), direct)
+	g.sendTo(conn, beat.encodeWithSections(withRelay(body, true)), relays)
 }
 
 // sendTo sends a datagram to each address.
@@ -379,11 +379,12 @@
 }
 
 // queueRelay queues a heartbeat of another zone for relaying. It reports whether the queue was empty.
-func (g *Gossiper) queueRelay(body []byte) bool {
+func (g *Gossiper) queueRelay(e entry) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.relayQueue = append(g.relayQueue, withRelay(body, false))
-	return len(g.relayQueue) == 1
+	empty := len(g.relayQueue) == 0
+	g.relayQueue = append(g.relayQueue, e.relayBodies()...)
+	return empty
 }
 
 // flushRelays sends the queued heartbeats to the peers of this zone.
@@ -402,7 +403,7 @@
 	g.lock.Unlock()
 	for len(beats) > 0 {
 		n, size := 0, 0
-		for ; n < len(beats) && (n == 0 || size+len(beats[n]) <= maxBatchBytes); n++ {
+		for ; n < len(beats) && (n == 0 || size+len(beats[n]) <= maxBatchBytes || beats[n][0] == formatSections); n++ {
 			size += len(beats[n])
 		}
 		g.sendTo(conn, encodeBatch(beats[:n]), to)
@@ -439,18 +440,17 @@
 			time.Sleep(readRetryDelay.Duration())
 			continue
 		}
-		for _, body := range splitBatch(buffer[:n]) {
-			beat, ok := DecodeHeartbeat(body)
-			if !ok || !g.accept(beat) {
+		for _, e := range entries(buffer[:n]) {
+			if !g.accept(e.beat) {
 				continue
 			}
-			if beat.relay && g.queueRelay(body) {
+			if e.beat.relay && g.queueRelay(e) {
 				select {
 				case queued <- struct{}{}:
 				default:
 				}
 			}
-			g.OnHeartbeat(beat)
+			g.OnHeartbeat(e.beat)
 		}
 	}
 }
--- a/plan.go
+++ b/plan.go
@@ -94,6 +94,8 @@
 	ColdRemaining Millis
 	// Incarnation distinguishes restarts of the target.
 	Incarnation Incarnation
+	// Version is the version of the target's program; empty if it is not told.
+	Version Version
 }
 
 // RecordKey identifies a row of the fleet's store. A transaction is limited to
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -36,7 +36,7 @@
 			return
 		}
 		ticket := &balancer.Request{
-			Pool: q.pool, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
+			Pool: q.pool, Rule: q.rule.Name, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
 			StartsProgram: q.startsProgram(), Affinity: q.affinity(),
 		}
 		if q.params.ProgramLeft > 0 {
--- a/starter/host.go
+++ b/starter/host.go
@@ -134,6 +134,7 @@
 	known bool
 
 	publisher *publisher
+	rollouts  *rollouts
 	// removalAge is the silence after which the rows of other hosts are removed.
 	removalAge sd.Millis
 	// cutoff tells how long this host has been cut off, suspendAfter after what time of that
@@ -195,6 +196,7 @@
 		Self: h.gossiper.Self, Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, HostCount: h.gossiper.Hosts,
 		StoreUnreachable: h.relay.Away, Client: h.peers, Budgets: h.allotter,
 	}, h.clock, log)
+	h.rollouts = newRollouts(h)
 	h.receiver = receiver.New(receiver.Config{
 		Clock: h.clock, Log: log, RateLimiter: h.meter, TargetQueue: h.gate, Archive: h.archive, Allotter: h.allotter, Screener: h.screener, Exchanger: h.exchanger,
 		Metrics: h.measures, Memory: settings.Memory,
@@ -235,6 +237,11 @@
 	add(h.follow(platform.TargetTable, targetWait, sd.Millis(targetPace*float64(h.settings.Drain)), h.targetsChanged))
 	add(h.follow(platform.CrashTable, crashWait, 0, h.screener.Change))
 	add(h.followPeers)
+	if settings := h.settings; settings.RolloutsBounded {
+		add(h.rollouts.run)
+		add(h.rollouts.write)
+		add(h.rollouts.follow)
+	}
 	add(h.lapse)
 	add(h.tell)
 	add(func(inner context.Context) error { return h.serve(inner, ctx) })
@@ -272,6 +279,7 @@
 	if t := h.receiver.RoutingTable(); t != nil {
 		beat.Revision = t.FleetConfig.Revision
 	}
+	beat.Rollouts = h.rollouts.reports()
 	silent := h.gossiper.SilentZones()
 	silentHosts := h.gossiper.HostsOf(silent)
 	hosts, reach := h.gossiper.Hosts(), h.gossiper.ReachableHosts(silent)
@@ -292,6 +300,7 @@
 
 // heard takes another host's beat.
 func (h *Host) heard(beat gossiper.Heartbeat) {
+	h.rollouts.hear(beat)
 	ran := sd.Millis(beat.Number) * h.gossiper.Interval()
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
 		s.ReportPeerLoad(now, beat.Host, beat.Inflight, beat.Sent)
--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/faker"
@@ -51,6 +49,8 @@
 	held *heldStore
 	// configure, if set, is called with each host before it runs.
 	configure func(*starter.Host)
+	// settings are added to those of each host.
+	settings string
 }
 
 func newSite(t *testing.T) *site {
@@ -108,7 +108,7 @@
 [cold]
 over = 1.5
 slack = 5
-`, name, p[0], p[1], p[2], p[3], s.store)
+%s`, name, p[0], p[1], p[2], p[3], s.store, s.settings)
 	path := filepath.Join(s.t.TempDir(), "host.ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -119,7 +119,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	ended := make(chan error, 1)
-	h := starter.NewOver(settings, path, dialer, zap.NewNop())
+	h := starter.NewOver(settings, path, dialer, s.log(name))
 	if s.configure != nil {
 		s.configure(h)
 	}
--- /dev/null
+++ b/starter/rollout_test.go
@@ -0,0 +1,218 @@
+package starter_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/platform"
+	"sapphiredrum.example/sapphiredrum/platform/emulator"
+)
+
+// log returns a host's log: a file in the folder that HOST_LOGS names, or none.
+func (s *site) log(name string) *zap.Logger {
+	folder := os.Getenv("HOST_LOGS")
+	if folder == "" {
+		return zap.NewNop()
+	}
+	config := zap.NewProductionConfig()
+	config.OutputPaths = []string{filepath.Join(folder, strings.ReplaceAll(s.t.Name(), "/", "-")+"-"+name+".log")}
+	log, err := config.Build()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return log
+}
+
+const rolloutSettings = "[rollout]\nshare = 0.1\nslack = 50\nback = 5000\n"
+
+// rolloutSite is a site whose desks get a second version.
+type rolloutSite struct {
+	*site
+	fresh []*emulator.Target
+	sent  atomic.Int64
+	// cut counts answers that failed although the target is good.
+	failed atomic.Int64
+	ran    sync.WaitGroup
+	stop   chan struct{}
+}
+
+// newRolloutSite starts hosts and two targets of v2 with a fault, and callers.
+func newRolloutSite(t *testing.T, hosts int, bad emulator.Bad) *rolloutSite {
+	s := &rolloutSite{site: newSite(t), stop: make(chan struct{})}
+	s.settings = rolloutSettings
+	var addresses []string
+	for i := range hosts {
+		callers, _, _ := s.host(fmt.Sprintf("h%d", i))
+		addresses = append(addresses, callers)
+	}
+	s.addFresh(bad)
+	for i := range 9 {
+		s.ran.Add(1)
+		go func() {
+			defer s.ran.Done()
+			s.call(addresses[i%hosts], i)
+		}()
+	}
+	t.Cleanup(s.end)
+	return s
+}
+
+// addFresh registers two targets of v2.
+func (s *rolloutSite) addFresh(bad emulator.Bad) {
+	for i := range 2 {
+		target := &emulator.Target{ID: sd.TargetID(fmt.Sprintf("n-%d", i)), Pause: 10, Version: "v2"}
+		target.SetBad(bad)
+		at := httptest.NewServer(target)
+		s.t.Cleanup(at.Close)
+		s.fresh = append(s.fresh, target)
+		s.rows.Write(sd.RecordKey{Table: platform.TargetTable, Key: string(target.ID)},
+			target.Registration("desk", "z", sd.Address(strings.TrimPrefix(at.URL, "http://")), 8, "ready"))
+	}
+}
+
+// call sends requests to a host on two routes until the site ends.
+func (s *rolloutSite) call(host string, caller int) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for i := 0; ; i++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(40 * time.Millisecond):
+		}
+		path := []string{"/look/x", "/pay/x"}[i%2]
+		req, err := http.NewRequest(http.MethodPost, host+path, strings.NewReader("in"))
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		req.Host = "h.example"
+		req.Header.Set("Request-Id", fmt.Sprintf("r-%d-%d", caller, i))
+		req.Header.Set("Key", "k1")
+		req.Header.Set("Deadline-Ms", "3000")
+		answer, err := client.Do(req)
+		s.sent.Add(1)
+		if err != nil {
+			s.failed.Add(1)
+			continue
+		}
+		if _, err = io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != 200 {
+			s.failed.Add(1)
+		}
+		_ = answer.Body.Close()
+	}
+}
+
+func (s *rolloutSite) end() {
+	select {
+	case <-s.stop:
+	default:
+		close(s.stop)
+	}
+	s.ran.Wait()
+}
+
+func (s *rolloutSite) order(to sd.Version, durationS float64) {
+	emulator.WriteOrder(func(key sd.RecordKey, value []byte) { s.rows.Write(key, value) }, "desk", to, durationS)
+}
+
+func (s *rolloutSite) state() (sd.RolloutState, sd.Version) {
+	return platform.DecodeRolloutState(s.rows.Row(platform.RolloutStateKey("desk")).Value)
+}
+
+// await waits for a state and returns how long it took.
+func (s *rolloutSite) await(want sd.RolloutState, limit time.Duration) time.Duration {
+	s.t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if state, _ := s.state(); state == want {
+			return time.Since(began)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	state, to := s.state()
+	s.t.Fatalf("not %s within %v: %q to %q; %d requests, %d to the new version", want, limit, state, to, s.sent.Load(), runs(s.fresh))
+	return 0
+}
+
+func runs(targets []*emulator.Target) (n int) {
+	for _, target := range targets {
+		for _, count := range target.Runs() {
+			n += count
+		}
+	}
+	return n
+}
+
+// Guards against a good version that is not completed within its time limit, and against
+// `completed` while requests run on the old targets, which are stopped at once then.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	t.Parallel()
+	s := newRolloutSite(t, 3, emulator.Bad{})
+	const limit = 16
+	s.order("v2", limit)
+	time.Sleep(5 * time.Second)
+	if all, fresh := s.sent.Load(), runs(s.fresh); fresh == 0 || float64(fresh) > 0.1*float64(all)+50 {
+		t.Errorf("%d of %d requests went to the new version while it was watched", fresh, all)
+	}
+	took := s.await(sd.RolloutCompleted, (limit-5)*time.Second)
+	before := runs(s.targets[2:])
+	running := s.targets[2].Running() + s.targets[3].Running()
+	time.Sleep(500 * time.Millisecond)
+	if after := runs(s.targets[2:]); running > 0 || after > before {
+		t.Errorf("%d requests ran on old targets at completed, %d were sent to them later", running, after-before)
+	}
+	s.end()
+	t.Logf("completed after %v; %d requests, %d to the new version, %d failed", took+5*time.Second, s.sent.Load(), runs(s.fresh), s.failed.Load())
+	if n := s.failed.Load(); n > 0 {
+		t.Errorf("%d requests failed, though both versions are good", n)
+	}
+}
+
+// Guards against bad versions that get more requests than the bound, or that are not rolled back.
+func TestBadVersionsAreRolledBack(t *testing.T) {
+	for name, bad := range map[string]emulator.Bad{
+		"a third fails":       {Spoil: emulator.Fail, Share: 0.3},
+		"a third breaks off":  {Spoil: emulator.Cut, Share: 0.3},
+		"half is slow":        {Slow: 6, Share: 0.5},
+		"one route fails":     {Spoil: emulator.Fail, Share: 0.5, Prefix: "/pay/"},
+		"fails late":          {Spoil: emulator.Fail, Share: 0.4, From: time.Now().Add(6 * time.Second)},
+		"fails under load":    {Spoil: emulator.Fail, Share: 0.5, Load: 2},
+		"fails once all move": {Spoil: emulator.Fail, Share: 0.5, From: time.Now().Add(11500 * time.Millisecond)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRolloutSite(t, 3, bad)
+			s.order("v2", 16)
+			took := s.await(sd.RolloutRolledBack, 16*time.Second)
+			time.Sleep(300 * time.Millisecond)
+			before := runs(s.fresh)
+			time.Sleep(700 * time.Millisecond)
+			if after := runs(s.fresh); after > before {
+				t.Errorf("%d requests went to the new version after it was rolled back", after-before)
+			}
+			s.end()
+			answers := 0
+			for _, target := range s.fresh {
+				answers += target.BadAnswers()
+			}
+			t.Logf("rolled back after %v; %d requests, %d to the new version, %d bad answers", took, s.sent.Load(), before, answers)
+			// The rate is that of the whole time limit; all requests have moved in the one case.
+			if all := float64(s.sent.Load()) * 16 / min(max(took.Seconds(), 1), 16); name != "fails once all move" && float64(before) > 0.1*all+50 {
+				t.Errorf("%d of %.0f requests went to a bad version", before, all)
+			}
+		})
+	}
+}
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -18,6 +18,8 @@
 
 // operatorChanged takes a new plan and evacuations.
 func (h *Host) operatorChanged(records []sd.Record) {
+	// Orders come first: a host that starts must not serve by the plan before it knows them.
+	h.rollouts.ordersChanged(records)
 	for _, record := range records {
 		if zone, ok := platform.Evacuated(record); ok {
 			h.log.Info("evacuation", zap.Int("event", eventEvacuation), zap.String("zone", string(zone)),
@@ -109,7 +111,7 @@
 func (h *Host) peersChanged(records []sd.Record) {
 	h.allotter.Change(records)
 	for _, record := range records {
-		if allotter.Owns(record.Key) {
+		if allotter.Owns(record.Key) || h.rollouts.stateChanged(record) {
 			continue
 		}
 		h.rowLock.Lock()
@@ -122,6 +124,7 @@
 		if record.Removed {
 			h.gossiper.Remove(sd.HostID(record.Key))
 			h.meter.update(func(s *meterer.State, _ sd.Instant) { s.RemoveHost(sd.HostID(record.Key)) })
+			h.rollouts.removeHost(sd.HostID(record.Key))
 			continue
 		}
 		var row platform.PeerRow
