--- a/balancer/state.go
+++ b/balancer/state.go
@@ -191,9 +191,9 @@
 
 	number uint64
 	queued bool
-	// rollout counts the request; cold is set if its target was cold as it was sent.
+	// rollout counts the request, also by its time unless untimed is set.
 	rollout *rollout
-	cold    bool
+	untimed bool
 }
 
 // Refusal is the reason why a request got no target.
--- a/balancer/version.go
+++ b/balancer/version.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"slices"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -24,7 +25,9 @@
 	split promoter.Split
 	// sent and sentNew are the requests since the order, of both sides and of the new one.
 	sent, sentNew float64
-	routes        map[promoter.RouteID]*rolloutRoute
+	// canaries are the targets of the new version that get its share.
+	canaries map[sd.TargetID]bool
+	routes   map[promoter.RouteID]*rolloutRoute
 }
 
 // rolloutRoute counts one route.
@@ -37,7 +40,7 @@
 }
 
 // SetSplit sets which targets of a pool get new requests. Counts start anew with another order.
-func (s *State) SetSplit(name sd.GroupName, split promoter.Split) {
+func (s *State) SetSplit(now sd.Instant, name sd.GroupName, split promoter.Split) {
 	p := s.pool(name)
 	if split.Mode == promoter.Ordinary && split.Order == 0 {
 		p.rollout = nil
@@ -47,6 +50,38 @@
 		p.rollout = &rollout{routes: map[promoter.RouteID]*rolloutRoute{}}
 	}
 	p.rollout.split = split
+	p.rollout.canaries = nil
+	if split.Mode == promoter.Shared {
+		p.rollout.canaries = s.canaries(now, p)
+	}
+}
+
+// canaries returns the targets of the new version that get its share: so few that each has about
+// the load of an old target, as some faults show only under load. All hosts choose the same ones
+// by a hash of the order.
+func (s *State) canaries(now sd.Instant, p *pool) map[sd.TargetID]bool {
+	var fresh []*target
+	old := 0
+	for _, t := range p.members {
+		switch {
+		case !s.accepts(t):
+		case !p.rollout.split.New(t.Version):
+			old += int(t.Slots)
+		case now >= t.backoffUntil && !slices.Contains(s.unreachableZones, t.Zone):
+			fresh = append(fresh, t)
+		}
+	}
+	order := p.rollout.split.Order
+	slices.SortFunc(fresh, func(a, b *target) int { return cmp.Compare(affinityRank(order, b.code), affinityRank(order, a.code)) })
+	chosen, slots := map[sd.TargetID]bool{}, 0
+	for _, t := range fresh {
+		if len(chosen) > 0 && float64(slots) >= p.rollout.split.Share*float64(old) {
+			break
+		}
+		chosen[t.ID] = true
+		slots += int(t.Slots)
+	}
+	return chosen
 }
 
 // RolloutReport returns this host's counts of a pool's rollout. Its stage and age are not set.
@@ -94,7 +129,10 @@
 	case promoter.NewFirst:
 		return !isOld || !s.serves(p, func(v sd.Version) bool { return !r.split.Old(v) })
 	case promoter.Shared:
-		return isNew == (r.allowsNew(req) && s.newHasRoom(now, p, req))
+		if r.allowsNew(req) && s.newHasRoom(now, p) {
+			return r.canaries[t.ID]
+		}
+		return !isNew
 	case promoter.Ordinary:
 	}
 	return true
@@ -106,9 +144,10 @@
 }
 
 // allowsNew reports whether the share allows one more request to the new version, and the request's
-// route has not had more than its part.
+// route has not had more than its part. A request that a target has failed or rejected goes to the
+// old version.
 func (r *rollout) allowsNew(req *Request) bool {
-	if r.sentNew+1 > r.split.Share*r.sent+r.split.Extra {
+	if len(req.ExcludedTargets) > 0 || r.sentNew+1 > r.split.Share*r.sent+r.split.Extra {
 		return false
 	}
 	route := r.routes[routeOf(req)]
@@ -117,11 +156,11 @@
 
 // newHasRoom reports whether a target of the new version can take a request now. If none can, the
 // request goes to the old version at once.
-func (s *State) newHasRoom(now sd.Instant, p *pool, req *Request) bool {
+func (s *State) newHasRoom(now sd.Instant, p *pool) bool {
 	heard := s.heardHosts(now)
 	return slices.ContainsFunc(p.members, func(t *target) bool {
-		return p.rollout.split.New(t.Version) && s.accepts(t) && !slices.Contains(req.ExcludedTargets, t.ID) && now >= t.backoffUntil &&
-			!slices.Contains(s.unreachableZones, t.Zone) && s.hasRoom(now, p, t, heard)
+		return p.rollout.canaries[t.ID] && s.accepts(t) && now >= t.backoffUntil && !slices.Contains(s.unreachableZones, t.Zone) &&
+			s.hasRoom(now, p, t, heard)
 	})
 }
 
@@ -151,7 +190,9 @@
 	if r == nil {
 		return
 	}
-	req.rollout, req.cold = r, t.ColdRemaining > 0
+	req.rollout = r
+	// A prompt that another target has read takes longer, and a cold target does.
+	req.untimed = t.ColdRemaining > 0 || req.PreferredTarget != "" || req.Affinity != 0 && !req.StartsProgram
 	route := r.route(req)
 	r.sent++
 	route.sent++
@@ -178,12 +219,12 @@
 		route.sent--
 		return
 	}
-	route.count(r.split.New(version), req.cold, result, took)
+	route.count(r.split.New(version), req.untimed, result, took)
 }
 
 // count counts an answer. Abandoned requests count only if they were slow, as callers may leave at
-// any time; those of cold targets are not judged by their time.
-func (r *rolloutRoute) count(isNew, cold bool, result Result, took sd.Millis) {
+// any time; untimed requests are not judged by their time.
+func (r *rolloutRoute) count(isNew, untimed bool, result Result, took sd.Millis) {
 	c := &r.Old
 	if isNew {
 		c = &r.New
@@ -196,13 +237,13 @@
 	switch {
 	case result == Failed:
 		c.Failures++
-	case known && !cold && (result == Served || slow):
+	case known && !untimed && (result == Served || slow):
 		c.Timed++
 		if slow {
 			c.Slow++
 		}
 	}
-	if result == Served && !isNew {
+	if result == Served && !isNew && !untimed {
 		if len(r.durations) < medianSize {
 			r.durations = append(r.durations, took)
 		} else {
--- a/cmd/sapphiredrum/soak_test.go
+++ b/cmd/sapphiredrum/soak_test.go
@@ -181,6 +181,7 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	s := newSoakWith(t, seed, hosts, func(s *soak) {
 		s.addTargets(2 * hosts)
+		s.addFresh(2 * hosts)
 		for _, target := range s.targets {
 			target.Unframed = func(id string) bool { return hash(id)%10 < soakUnframed }
 		}
@@ -203,12 +204,13 @@
 			}
 		})
 	}
-	for i, fault := range []func(context.Context, *rand.Rand){s.hostFaults, s.targetFaults, s.storeFaults, s.targetDeaths} {
+	for i, fault := range []func(context.Context, *rand.Rand){s.hostFaults, s.targetFaults, s.storeFaults, s.targetDeaths, s.orders} {
 		luck := rand.New(rand.NewPCG(random.Uint64(), uint64(1+i)))
 		faults.Go(func() { fault(during, luck) })
 	}
 	faults.Wait()
 	s.calmEnd()
+	s.judgeOrder()
 	stop()
 	callers.Wait()
 	s.judgeShare()
--- a/cmd/sapphiredrum/soakhost_test.go
+++ b/cmd/sapphiredrum/soakhost_test.go
@@ -36,7 +36,7 @@
 	_, port, _ := strings.Cut(string(free(t)), ":")
 	metricsAddress := string(free(t))
 	_, metrics, _ := strings.Cut(metricsAddress, ":")
-	text := fmt.Sprintf("[host]\nname = h%d\nzone = z\nip = 127.0.0.1\nmemory = 200\ncores = 1\n[listen]\ncallers = %s\nready = %s\nports = %s\nmetrics = %s\n[store]\naddress = %s\n[times]\nbeat = 1200\ndrain = 2000\ngrace = 8\n[rate]\nwindow = 5\nover = 0.1\nslack = 20\n[cold]\nover = 1.5\nslack = 5\n",
+	text := fmt.Sprintf("[host]\nname = h%d\nzone = z\nip = 127.0.0.1\nmemory = 200\ncores = 1\n[listen]\ncallers = %s\nready = %s\nports = %s\nmetrics = %s\n[store]\naddress = %s\n[times]\nbeat = 1200\ndrain = 2000\ngrace = 8\n[rate]\nwindow = 5\nover = 0.1\nslack = 20\n[cold]\nover = 1.5\nslack = 5\n[rollout]\nshare = 0.1\nslack = 50\nback = 5000\n",
 		i, callers, ready, port, metrics, store)
 	h := &soakHost{
 		t: t, config: filepath.Join(folder, fmt.Sprintf("h%d.ini", i)), callers: "http://" + string(callers),
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -53,8 +53,9 @@
 	// maxStep bounds what one tick adds, so that one burst, such as the answers that a killed
 	// target breaks off, does not decide.
 	maxStep = threshold / 2.5
-	// doubt is the ratio from which a version is not promoted.
-	doubt = 4
+	// doubt is the ratio from which a version is not promoted. At 4, 1 in 80 good versions of a service with
+	// 15 requests a second was in doubt for 4 s at the end.
+	doubt = 5.5
 	// recentHalfLife is how fast counts lose their weight in the rates of the old version and of
 	// single hosts: a few seconds, so that the versions are compared over the same seconds.
 	recentHalfLife = 4 * sd.Second
@@ -65,9 +66,9 @@
 	maxOldRate = 0.25
 	// fewAnswers is the number of recent answers under which other hosts cannot contradict.
 	fewAnswers = 10
-	// othersRate is the least rate of bad answers at the other hosts, as a fraction of the rate
-	// at all, that confirms a bad version. A single host with a bad path has others near zero.
-	othersRate = 0.2
+	// confirmation is the log-likelihood ratio, over the recent answers at all hosts but the one with
+	// most bad ones, that confirms a bad version. A single host with a bad path is not confirmed.
+	confirmation = 3
 )
 
 // kind is a kind of bad answers.
@@ -123,7 +124,7 @@
 
 // Verdict is the strongest evidence against the new version.
 type Verdict struct {
-	// Score is the evidence, where 1 is enough to roll back. Doubt is set from a third of that on.
+	// Score is the evidence, where 1 is enough to roll back. Doubt is set from about half of that on.
 	Score float64
 	Doubt bool
 	Route RouteID
@@ -171,7 +172,7 @@
 		t := e.tests[id]
 		t.old.add(g[1].bad, g[1].total)
 		t.always.add(g[1].bad, g[1].total)
-		t.step(id.kind, g[0])
+		t.step(id.kind, g[0], g[1])
 	}
 }
 
@@ -216,18 +217,28 @@
 	return max(p, minRate[k]) + math.Sqrt(p*(1-p)/n)
 }
 
-func (t *test) step(k kind, grown rate) {
+// step adds the growth of a tick. As trouble begins within a tick, the old version's rate in that
+// tick alone counts if it is higher.
+func (t *test) step(k kind, grown, oldGrown rate) {
 	old := t.oldRate(k)
+	if oldGrown.bad > 0 {
+		p := oldGrown.bad / oldGrown.total
+		old = max(old, p+math.Sqrt(p*(1-p)/oldGrown.total))
+	}
 	if grown.total == 0 || old > maxOldRate {
 		return
 	}
 	for i, effect := range effects {
-		bad := old + effect
-		gain := grown.bad*math.Log(bad/old) + (grown.total-grown.bad)*math.Log((1-bad)/(1-old))
-		t.sums[i] = max(0, t.sums[i]+min(gain, maxStep))
+		t.sums[i] = max(0, t.sums[i]+min(gain(grown, old, effect), maxStep))
 	}
 }
 
+// gain returns the log-likelihood ratio of a rate that is higher than the old one by an effect.
+func gain(r rate, old, effect float64) float64 {
+	bad := min(old+effect, 0.99)
+	return r.bad*math.Log(bad/old) + (r.total-r.bad)*math.Log((1-bad)/(1-old))
+}
+
 // Judge returns the strongest evidence. Several tells that more than one host is known.
 func (e *Evidence) Judge(several bool) Verdict {
 	var worst Verdict
@@ -264,10 +275,15 @@
 		needed *= uncomparedFactor
 	}
 	if others := (rate{all.bad - top.bad, all.total - top.total}); several {
+		confirmed := 0.0
+		for _, effect := range effects {
+			confirmed = max(confirmed, gain(others, v.Old, effect))
+		}
 		switch {
+		case confirmed >= confirmation:
 		case others.total < fewAnswers:
 			needed *= aloneFactor
-		case others.bad/others.total < othersRate*v.New:
+		default:
 			// Only one host sees the fault.
 			v.Doubt = false
 			sum = min(sum, doubt)
--- a/promoter/state.go
+++ b/promoter/state.go
@@ -192,6 +192,8 @@
 	heardAt sd.Instant
 	// seen are the counts that the evidence has taken.
 	seen map[RouteID]RouteCount
+	// own is set for this host itself.
+	own bool
 }
 
 // State is a host's view of one pool's rollout. It is not safe for concurrent use.
@@ -200,6 +202,8 @@
 	order    *sd.RolloutOrder
 	// since is when the order was given, as far as this host knows.
 	since sd.Instant
+	// live is set if the host saw the order being given.
+	live bool
 	// withdrawn is an unfinished order that was removed, until an instant.
 	withdrawn      sd.RolloutOrder
 	withdrawnUntil sd.Instant
@@ -232,8 +236,9 @@
 // Order returns the present order, or nil.
 func (s *State) Order() *sd.RolloutOrder { return s.order }
 
-// SetOrder takes the order's row; nil if there is none.
-func (s *State) SetOrder(now sd.Instant, order *sd.RolloutOrder) {
+// SetOrder takes the order's row; nil if there is none. Live tells that the row was written just
+// now, otherwise it was there as the host started.
+func (s *State) SetOrder(now sd.Instant, order *sd.RolloutOrder, live bool) {
 	if order != nil && s.order != nil && order.Row <= s.order.Row {
 		return
 	}
@@ -245,7 +250,7 @@
 			s.withdrawnMode = OldOnly
 		}
 	}
-	s.order, s.since = order, now
+	s.order, s.since, s.live = order, now, live
 	s.stage, s.stageAt, s.reason = None, now, ""
 	s.evidence, s.verdict, s.judgedAt = Evidence{}, Verdict{}, now
 	for _, p := range s.peers {
@@ -295,7 +300,6 @@
 	if s.order == nil || r.Order != s.order.Row {
 		return
 	}
-	s.since = min(s.since, now.Add(-min(r.Age, s.order.Duration)))
 	switch r.Stage {
 	case Back:
 		// Final for the order, before its row is written.
@@ -323,8 +327,8 @@
 	if s.order == nil {
 		return Output{Split: s.afterwards(v)}
 	}
-	if s.rowKnown && s.row.Order == s.order.Row && s.row.Began > 0 && v.Wall > s.row.Began {
-		s.since = min(s.since, v.Now.Add(-min(sd.Millis(v.Wall-s.row.Began), s.order.Duration)))
+	if !s.live {
+		s.date(v)
 	}
 	s.look(v)
 	out := Output{To: s.order.To, Expect: s.rowVersion, StateExpect: s.stateVersion, Verdict: s.verdict, Counts: s.sum()}
@@ -341,6 +345,25 @@
 	return out
 }
 
+// date sets the age of an order that was there as this host started: the least that another host
+// reports, as a wrong clock must not end the watch early, otherwise that of the row.
+func (s *State) date(v View) {
+	age, known := sd.Millis(0), false
+	for _, p := range s.peers {
+		if p.report.Order == s.order.Row && p.report.Stage != None && p.heardAt > 0 && !p.own {
+			if reported := p.report.Age + v.Now.Since(p.heardAt); !known || reported < age {
+				age, known = reported, true
+			}
+		}
+	}
+	if !known && s.rowKnown && s.row.Order == s.order.Row && s.row.Began > 0 {
+		age, known = sd.Millis(max(v.Wall-s.row.Began, 0)), true
+	}
+	if known {
+		s.since = v.Now.Add(-min(age, s.order.Duration))
+	}
+}
+
 // look takes the growth of all counts into the evidence.
 func (s *State) look(v View) {
 	if v.StoreAway != s.away {
@@ -371,7 +394,7 @@
 	}
 	own := s.peers[s.settings.Host]
 	if own == nil {
-		own = &peer{}
+		own = &peer{own: true}
 		s.peers[s.settings.Host] = own
 	}
 	own.report, own.heardAt = v.Own, v.Now
--- a/starter/rollout.go
+++ b/starter/rollout.go
@@ -57,8 +57,8 @@
 	lock   sync.Mutex
 	pools  map[sd.GroupName]*rollout
 	hashes map[gossiper.IDHash]*rollout
-	// read is set once the table of stages was read.
-	read bool
+	// listed is set once the orders were read for the first time, read once the table of stages was.
+	listed, read bool
 	// unbounded is set once orders were said to be ignored, as the deployment has no bounds.
 	unbounded bool
 }
@@ -116,6 +116,8 @@
 	h := r.host
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	live := r.listed
+	r.listed = true
 	for _, record := range records {
 		name, ok := platform.RolloutOf(record)
 		if !ok {
@@ -142,7 +144,7 @@
 			if o := r.pools[name]; o != nil && o.state.Order() != nil {
 				h.log.Info("order of a rollout is withdrawn", zap.Int("event", eventOrderEnds), zap.String("service", string(name)),
 					zap.Stringer("stage", o.state.Stage()), zap.Int64("age_ms", int64(o.state.Age(now))))
-				o.state.SetOrder(now, nil)
+				o.state.SetOrder(now, nil, live)
 				r.step(o, now)
 			}
 			continue
@@ -153,7 +155,7 @@
 		}
 		h.log.Info("rollout is ordered", zap.Int("event", eventOrder), zap.String("service", string(name)), zap.String("to", string(order.To)),
 			zap.Int64("duration_ms", int64(order.Duration)), zap.Uint64("version", order.Row))
-		o.state.SetOrder(now, &order)
+		o.state.SetOrder(now, &order, live)
 		o.stage, o.unknown, o.due, o.pause = promoter.None, false, 0, 0
 		r.orderedOnce.Do(func() { close(r.ordered) })
 		r.step(o, now)
@@ -342,7 +344,7 @@
 	}
 	h.gate.Update(func(s *balancer.State, _ sd.Instant) { view.Versions = s.Versions(o.pool) })
 	out := o.state.Decide(view)
-	h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.SetSplit(o.pool, out.Split) })
+	h.gate.Update(func(s *balancer.State, now sd.Instant) { s.SetSplit(now, o.pool, out.Split) })
 	o.split = out.Split
 	r.tell(o, view, out)
 	r.submit(o, now, view.Hosts, out)
