promoter: a single bad target does not condemn its version

The share goes to two targets at least, and the evidence asks that the others of them see the fault too.

--- a/balancer/version.go
+++ b/balancer/version.go
@@ -12,6 +12,11 @@
 const (
 	// maxRolloutRoutes bounds the routes that are counted apart, and so the size of a heartbeat.
 	maxRolloutRoutes = 8
+	// maxRolloutTargets bounds the targets that are counted apart, likewise.
+	maxRolloutTargets = 16
+	// minCanaries is the least number of targets that get the share, so that a bad target is told
+	// from a bad version.
+	minCanaries = 2
 	// slowFactor is how many times the median of the old version an answer must take to count as
 	// slow. A bad version is several times slower; load alone rarely doubles the median.
 	slowFactor = 2.5
@@ -28,6 +33,8 @@
 	// canaries are the targets of the new version that get its share.
 	canaries map[sd.TargetID]bool
 	routes   map[promoter.RouteID]*rolloutRoute
+	// targets counts the answers of targets of the new version.
+	targets map[gossiper.IDHash]promoter.Count
 }
 
 // rolloutRoute counts one route.
@@ -47,7 +54,7 @@
 		return
 	}
 	if p.rollout == nil || p.rollout.split.Order != split.Order {
-		p.rollout = &rollout{routes: map[promoter.RouteID]*rolloutRoute{}}
+		p.rollout = &rollout{routes: map[promoter.RouteID]*rolloutRoute{}, targets: map[gossiper.IDHash]promoter.Count{}}
 	}
 	p.rollout.split = split
 	p.rollout.canaries = nil
@@ -75,7 +82,7 @@
 	slices.SortFunc(fresh, func(a, b *target) int { return cmp.Compare(affinityRank(order, b.code), affinityRank(order, a.code)) })
 	chosen, slots := map[sd.TargetID]bool{}, 0
 	for _, t := range fresh {
-		if len(chosen) > 0 && float64(slots) >= p.rollout.split.Share*float64(old) {
+		if len(chosen) >= minCanaries && float64(slots) >= p.rollout.split.Share*float64(old) {
 			break
 		}
 		chosen[t.ID] = true
@@ -91,7 +98,10 @@
 	if r == nil {
 		return promoter.Report{}
 	}
-	report := promoter.Report{Order: r.split.Order, Routes: map[promoter.RouteID]promoter.RouteCount{}}
+	report := promoter.Report{Order: r.split.Order, Routes: map[promoter.RouteID]promoter.RouteCount{}, Targets: map[promoter.TargetCode]promoter.Count{}}
+	for code, c := range r.targets {
+		report.Targets[promoter.TargetCode(code)] = c
+	}
 	for _, version := range p.flights {
 		if r.split.Old(version) {
 			report.OldInflight++
@@ -219,16 +229,23 @@
 		route.sent--
 		return
 	}
-	route.count(r.split.New(version), req.untimed, result, took)
+	one := route.judge(req.untimed, result, took)
+	if !r.split.New(version) {
+		route.Old = route.Old.Plus(one)
+		route.learn(req.untimed, result, took)
+		return
+	}
+	route.New = route.New.Plus(one)
+	code := gossiper.HashID(req.Target)
+	if _, known := r.targets[code]; !known && len(r.targets) >= maxRolloutTargets {
+		code = 0
+	}
+	r.targets[code] = r.targets[code].Plus(one)
 }
 
-// count counts an answer. Abandoned requests count only if they were slow, as callers may leave at
-// any time; untimed requests are not judged by their time.
-func (r *rolloutRoute) count(isNew, untimed bool, result Result, took sd.Millis) {
-	c := &r.Old
-	if isNew {
-		c = &r.New
-	}
+// judge returns the count of one answer. Abandoned requests count only if they were slow, as callers
+// may leave at any time; untimed requests are not judged by their time.
+func (r *rolloutRoute) judge(untimed bool, result Result, took sd.Millis) (c promoter.Count) {
 	median, known := r.median()
 	slow := known && float64(took) > slowFactor*float64(max(median, 1))
 	if result != Abandoned {
@@ -243,13 +260,18 @@
 			c.Slow++
 		}
 	}
-	if result == Served && !isNew && !untimed {
-		if len(r.durations) < medianSize {
-			r.durations = append(r.durations, took)
-		} else {
-			r.durations[r.next] = took
-			r.next = (r.next + 1) % medianSize
-		}
+	return c
+}
+
+// learn takes the duration of an answer of the old version.
+func (r *rolloutRoute) learn(untimed bool, result Result, took sd.Millis) {
+	switch {
+	case untimed || result != Served:
+	case len(r.durations) < medianSize:
+		r.durations = append(r.durations, took)
+	default:
+		r.durations[r.next] = took
+		r.next = (r.next + 1) % medianSize
 	}
 }
 
--- a/gossiper/sections_test.go
+++ b/gossiper/sections_test.go
@@ -21,6 +21,7 @@
 		for pool := range rapid.IntRange(1, 3).Draw(t, "pools") {
 			report := promoter.Report{
 				Order: number.Draw(t, "order"), Stage: promoter.Move, Age: 1200, OldInflight: number.Draw(t, "inflight"), Routes: map[promoter.RouteID]promoter.RouteCount{},
+				Targets: map[promoter.TargetCode]promoter.Count{9: count()},
 			}
 			for route := range rapid.IntRange(0, 4).Draw(t, "routes") {
 				report.Routes[promoter.RouteID(route)] = promoter.RouteCount{New: count(), Old: count()}
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -27,10 +27,22 @@
 // RouteCount counts the answers of both sides on one route.
 type RouteCount struct{ New, Old Count }
 
-func (c *Count) add(o Count) {
-	c.Answers, c.Failures, c.Timed, c.Slow = c.Answers+o.Answers, c.Failures+o.Failures, c.Timed+o.Timed, c.Slow+o.Slow
+// TargetCode is the hash of a target's name.
+type TargetCode uint32
+
+// Growth is what a host has counted in a span: by route, and by target of the new version.
+type Growth struct {
+	Routes  map[RouteID]RouteCount
+	Targets map[TargetCode]Count
+}
+
+// Plus returns the sum of two counts.
+func (c Count) Plus(o Count) Count {
+	return Count{c.Answers + o.Answers, c.Failures + o.Failures, c.Timed + o.Timed, c.Slow + o.Slow}
 }
 
+func (c *Count) add(o Count) { *c = c.Plus(o) }
+
 // since returns the growth from an earlier count. Counts that fell were started anew.
 func (c Count) since(o Count) Count {
 	if c.Answers < o.Answers || c.Timed < o.Timed {
@@ -55,7 +67,7 @@
 	maxStep = threshold / 2.5
 	// doubt is the ratio from which a version is not promoted. At 4, 1 in 80 good versions of a service with
 	// 15 requests a second was in doubt for 4 s at the end.
-	doubt = 5.5
+	doubt = 6.5
 	// recentHalfLife is how fast counts lose their weight in the rates of the old version and of
 	// single hosts: a few seconds, so that the versions are compared over the same seconds.
 	recentHalfLife = 4 * sd.Second
@@ -69,6 +81,17 @@
 	// confirmation is the log-likelihood ratio, over the recent answers at all hosts but the one with
 	// most bad ones, that confirms a bad version. A single host with a bad path is not confirmed.
 	confirmation = 3
+	// othersRate is the least rate of bad answers at the other targets of the new version, as a part
+	// of that of the worst one, that confirms a bad version, and othersBad their least number. Of a
+	// single bad target the others have the usual rate, a few answers in a hundred.
+	othersRate = 0.5
+	othersBad  = 3
+	// manyAnswers is the number of recent answers of one target from which the others, with fewer
+	// than fewAnswers, cannot be waited for: a bad version would get too many requests meanwhile.
+	manyAnswers = 30
+	// targetHalfLife is how fast the counts of single targets lose their weight: slower than the
+	// others, as a target has few of the answers.
+	targetHalfLife = 15 * sd.Second
 )
 
 // kind is a kind of bad answers.
@@ -119,7 +142,8 @@
 
 // Evidence compares the answers of two versions. The zero Evidence has none.
 type Evidence struct {
-	tests map[testID]*test
+	tests   map[testID]*test
+	targets map[TargetCode]*[kinds]rate
 }
 
 // Verdict is the strongest evidence against the new version.
@@ -141,11 +165,11 @@
 func (v Verdict) Bad() bool { return v.Score >= 1 }
 
 // Add takes the growth of each host's counts over a span.
-func (e *Evidence) Add(span sd.Millis, hosts map[sd.HostID]map[RouteID]RouteCount) {
+func (e *Evidence) Add(span sd.Millis, hosts map[sd.HostID]Growth) {
 	if e.tests == nil {
-		e.tests = map[testID]*test{}
+		e.tests, e.targets = map[testID]*test{}, map[TargetCode]*[kinds]rate{}
 	}
-	by := math.Exp2(-float64(span) / float64(recentHalfLife))
+	by, byTarget := math.Exp2(-float64(span)/float64(recentHalfLife)), math.Exp2(-float64(span)/float64(targetHalfLife))
 	for _, t := range e.tests {
 		t.old.decay(by)
 		for host, r := range t.hosts {
@@ -154,15 +178,21 @@
 			}
 		}
 	}
+	for _, rates := range e.targets {
+		for k := range rates {
+			rates[k].decay(byTarget)
+		}
+	}
 	growth := map[testID]*[2]rate{}
-	for host, routes := range hosts {
+	for host, grown := range hosts {
+		e.countTargets(grown.Targets)
 		sum := RouteCount{}
-		for _, c := range routes {
+		for _, c := range grown.Routes {
 			sum.New.add(c.New)
 			sum.Old.add(c.Old)
 		}
 		e.count(growth, host, AllRoutes, sum)
-		for route, c := range routes {
+		for route, c := range grown.Routes {
 			if route != AllRoutes {
 				e.count(growth, host, route, c)
 			}
@@ -176,6 +206,34 @@
 	}
 }
 
+func (e *Evidence) countTargets(targets map[TargetCode]Count) {
+	for code, c := range targets {
+		if e.targets[code] == nil {
+			e.targets[code] = &[kinds]rate{}
+		}
+		for k := range kinds {
+			e.targets[code][k].add(c.of(k))
+		}
+	}
+}
+
+// oneTarget reports whether bad answers come from a single target while others do well, and whether
+// only one target has answers enough to tell.
+func (e *Evidence) oneTarget(k kind) (one, alone bool) {
+	var all, top rate
+	for _, rates := range e.targets {
+		all.add(rates[k].bad, rates[k].total)
+		if rates[k].bad > top.bad {
+			top = rates[k]
+		}
+	}
+	others := rate{all.bad - top.bad, all.total - top.total}
+	if others.total < fewAnswers {
+		return top.total < manyAnswers, true
+	}
+	return others.bad < othersBad || others.bad/others.total < othersRate*top.bad/top.total, false
+}
+
 func (e *Evidence) count(growth map[testID]*[2]rate, host sd.HostID, route RouteID, c RouteCount) {
 	for k := range kinds {
 		id := testID{route, k}
@@ -239,21 +297,23 @@
 	return r.bad*math.Log(bad/old) + (r.total-r.bad)*math.Log((1-bad)/(1-old))
 }
 
-// Judge returns the strongest evidence. Several tells that more than one host is known.
-func (e *Evidence) Judge(several bool) Verdict {
+// Judge returns the strongest evidence. Hosts and targets are the known ones, those of the new
+// version.
+func (e *Evidence) Judge(hosts, targets int) Verdict {
 	var worst Verdict
 	ids := slices.SortedFunc(maps.Keys(e.tests), func(a, b testID) int {
 		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.kind, b.kind))
 	})
 	for _, id := range ids {
-		if v := e.tests[id].judge(id, several); v.Score > worst.Score {
+		if v := e.judge(id, hosts > 1, targets > 1); v.Score > worst.Score {
 			worst = v
 		}
 	}
 	return worst
 }
 
-func (t *test) judge(id testID, several bool) Verdict {
+func (e *Evidence) judge(id testID, hosts, targets bool) Verdict {
+	t := e.tests[id]
 	v := Verdict{Route: id.route, Slow: id.kind == slowness, Old: t.oldRate(id.kind)}
 	sum := slices.Max(t.sums[:])
 	var all, top rate
@@ -274,7 +334,7 @@
 	if t.old.total < 1 {
 		needed *= uncomparedFactor
 	}
-	if others := (rate{all.bad - top.bad, all.total - top.total}); several {
+	if others := (rate{all.bad - top.bad, all.total - top.total}); hosts {
 		confirmed := 0.0
 		for _, effect := range effects {
 			confirmed = max(confirmed, gain(others, v.Old, effect))
@@ -289,6 +349,12 @@
 			sum = min(sum, doubt)
 		}
 	}
+	if one, alone := e.oneTarget(id.kind); targets && one {
+		v.Doubt = false
+		sum = min(sum, doubt)
+	} else if targets && alone {
+		needed = max(needed, threshold*aloneFactor)
+	}
 	v.Score = sum / needed
 	return v
 }
--- a/promoter/state.go
+++ b/promoter/state.go
@@ -62,6 +62,8 @@
 	OldInflight uint64
 	// Routes are the host's counts since it learned of the order.
 	Routes map[RouteID]RouteCount
+	// Targets are those of single targets of the new version.
+	Targets map[TargetCode]Count
 }
 
 // Mode tells which targets get new requests.
@@ -191,7 +193,7 @@
 	report  Report
 	heardAt sd.Instant
 	// seen are the counts that the evidence has taken.
-	seen map[RouteID]RouteCount
+	seen Growth
 	// own is set for this host itself.
 	own bool
 }
@@ -254,7 +256,7 @@
 	s.stage, s.stageAt, s.reason = None, now, ""
 	s.evidence, s.verdict, s.judgedAt = Evidence{}, Verdict{}, now
 	for _, p := range s.peers {
-		p.seen = nil
+		p.seen = Growth{}
 	}
 	s.follow(now)
 }
@@ -377,17 +379,20 @@
 		return
 	}
 	s.judgedAt = v.Now
-	grown := map[sd.HostID]map[RouteID]RouteCount{}
+	grown := map[sd.HostID]Growth{}
 	take := func(host sd.HostID, p *peer, r Report) {
 		if r.Order != s.order.Row {
 			return
 		}
-		routes := map[RouteID]RouteCount{}
+		g := Growth{map[RouteID]RouteCount{}, map[TargetCode]Count{}}
 		for route, c := range r.Routes {
-			before := p.seen[route]
-			routes[route] = RouteCount{New: c.New.since(before.New), Old: c.Old.since(before.Old)}
+			before := p.seen.Routes[route]
+			g.Routes[route] = RouteCount{New: c.New.since(before.New), Old: c.Old.since(before.Old)}
 		}
-		p.seen, grown[host] = r.Routes, routes
+		for target, c := range r.Targets {
+			g.Targets[target] = c.since(p.seen.Targets[target])
+		}
+		p.seen, grown[host] = Growth{r.Routes, r.Targets}, g
 	}
 	for host, p := range s.peers {
 		take(host, p, p.report)
@@ -400,7 +405,7 @@
 	own.report, own.heardAt = v.Own, v.Now
 	take(s.settings.Host, own, v.Own)
 	s.evidence.Add(span, grown)
-	s.verdict = s.evidence.Judge(v.Hosts > 1)
+	s.verdict = s.evidence.Judge(v.Hosts, v.Versions[s.order.To])
 	if s.verdict.Bad() && (s.stage == Watch || s.stage == Move) {
 		reason := "failed answers"
 		if s.verdict.Slow {
--- a/starter/rollout_test.go
+++ b/starter/rollout_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/faker"
 	"sapphiredrum.example/sapphiredrum/platform"
 	"sapphiredrum.example/sapphiredrum/platform/emulator"
 )
@@ -42,7 +43,7 @@
 	*site
 	fresh []*emulator.Target
 	sent  atomic.Int64
-	// cut counts answers that failed although the target is good.
+	// failed counts requests without a whole answer.
 	failed atomic.Int64
 	ran    sync.WaitGroup
 	stop   chan struct{}
@@ -216,3 +217,30 @@
 		})
 	}
 }
+
+// Guards against a rollback that needs the store: while it is down, hosts learn of the evidence from
+// one another, and the state is written once it is back. Guards as well against an order that cannot
+// be meant and disturbs the service.
+func TestBadVersionIsRolledBackDuringAnOutage(t *testing.T) {
+	t.Parallel()
+	s := newRolloutSite(t, 3, emulator.Bad{Spoil: emulator.Fail, Share: 0.4, From: time.Now().Add(5 * time.Second)})
+	s.rows.Write(platform.RolloutOrderKey("nowhere"), []byte(`{"service":"nowhere","to":"v2","durationS":5}`))
+	s.rows.Write(platform.RolloutOrderKey("engines"), []byte(`{"service":"engines","to":"v2","durationS":0}`))
+	s.order("v2", 60)
+	s.await(sd.RolloutRunning, 3*time.Second)
+	time.Sleep(3 * time.Second)
+	s.rows.Trouble(faker.RowsTrouble{Down: true})
+	time.Sleep(6 * time.Second)
+	before := runs(s.fresh)
+	time.Sleep(time.Second)
+	if after := runs(s.fresh); after > before || before == 0 {
+		t.Errorf("%d requests went to a bad version, then %d more, while the store was down", before, after-before)
+	}
+	s.rows.Trouble(faker.RowsTrouble{})
+	s.await(sd.RolloutRolledBack, 4*time.Second)
+	for _, pool := range []sd.GroupName{"nowhere", "engines"} {
+		if row := s.rows.Row(platform.RolloutStateKey(pool)); row.Version != 0 {
+			t.Errorf("an order for %s that is to be ignored has the state %s", pool, row.Value)
+		}
+	}
+}
