balancer: engines are chosen by the time that a request is expected to take

Targets differ in speed, turn slow by several times and fail a part of their requests, which the number of requests in flight does not show. The expected time is the pool's mean duration times the target's present factor (reported work time, learned durations and failures, requests that are overdue), by load. A program stays at the target that holds its prompt unless that exceeds the typical time by half and by the time to read the prompt elsewhere. Old figures fade towards the target's mean. Only pools with an engine of known capacity whose targets report work times or whose turns are not kept are concerned; others are chosen as before.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -88,7 +88,8 @@
 // hasRoom reports whether a target can accept a request now. heard is the number of hosts whose
 // load report is in use.
 func (s *State) hasRoom(now sd.Instant, p *pool, t *target, heard int) bool {
-	return s.load(now, t) < int(t.Slots) && s.withinColdLimit(now, p, t, heard)
+	t.lastLoad = s.load(now, t)
+	return t.lastLoad < int(t.Slots) && s.withinColdLimit(now, p, t, heard)
 }
 
 // SetHostCount sets the number of hosts that share the rate limit of cold targets.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -120,6 +120,10 @@
 	// tiers are the tiers of the programs that start in the pool, the most urgent first.
 	tiers   []sd.Tier
 	members []*target
+	// keepsTurns is set unless the pool has streaming rules of which none retains turns.
+	keepsTurns bool
+	// reportsWorkTime is set once a target of the pool has reported its work time.
+	reportsWorkTime bool
 }
 
 type target struct {
@@ -148,6 +152,13 @@
 	// target's rendezvous order. It is extended when it is read.
 	precededBy []bool
 	code       gossiper.IDHash
+	speed      speed
+	// running holds this host's requests in flight.
+	running []*Request
+	// lastLoad is the load at the last call of hasRoom, and expected the time that the last
+	// forecast expects of a request, in milliseconds.
+	lastLoad int
+	expected float64
 }
 
 // Request is a request for a target, assigned at once or queued.
@@ -186,6 +197,7 @@
 
 	number uint64
 	queued bool
+	sentAt sd.Instant
 }
 
 // Refusal is the reason why a request got no target.
@@ -226,7 +238,7 @@
 func (s *State) pool(name sd.GroupName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{serviceTime: float64(initialServiceTime)}
+		p = &pool{serviceTime: float64(initialServiceTime), keepsTurns: true}
 		s.pools[name] = p
 	}
 	return p
@@ -402,7 +414,8 @@
 func (s *State) assign(now sd.Instant, req *Request) bool {
 	p := s.pool(req.Pool)
 	var subset, sameZone, otherZones, unreachable []*target
-	usable, reachableCount, heard := 0, 0, s.heardHosts(now)
+	var preferred *target
+	usable, reachableCount, heard, forecasts := 0, 0, s.heardHosts(now), p.forecasts()
 	for _, t := range p.members {
 		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) {
 			continue
@@ -420,8 +433,11 @@
 			continue
 		}
 		if t.ID == req.PreferredTarget && (req.Prompt >= longPromptTokens || s.settings.Connected == nil || s.settings.Connected(t.Address)) {
-			s.dispatch(now, req, t)
-			return true
+			if !forecasts {
+				s.dispatch(now, req, t)
+				return true
+			}
+			preferred = t
 		}
 		switch {
 		case t.Zone != s.settings.Zone:
@@ -436,6 +452,12 @@
 		req.RefusalReason = NoTarget
 		return false
 	}
+	if forecasts {
+		if t := s.chooseByTime(now, p, req, preferred, subset, sameZone, otherZones); t != nil {
+			s.dispatch(now, req, t)
+			return true
+		}
+	}
 	if req.Affinity != 0 {
 		if t := highestRanked(req.Affinity, subset, sameZone); t != nil {
 			s.dispatch(now, req, t)
@@ -499,24 +521,31 @@
 
 // pickLessLoaded returns the less loaded of two randomly chosen targets.
 func (s *State) pickLessLoaded(now sd.Instant, list []*target) *target {
+	a, b := s.pickTwo(list)
+	if s.utilization(now, b) < s.utilization(now, a) {
+		return b
+	}
+	return a
+}
+
+// pickTwo returns two randomly chosen targets, which are the same if there is only one.
+func (s *State) pickTwo(list []*target) (a, b *target) {
 	first := s.settings.Random(len(list))
 	if len(list) == 1 {
-		return list[0]
+		return list[0], list[0]
 	}
 	second := s.settings.Random(len(list) - 1)
 	if second >= first {
 		second++
 	}
-	a, b := list[first], list[second]
-	if s.utilization(now, b) < s.utilization(now, a) {
-		return b
-	}
-	return a
+	return list[first], list[second]
 }
 
 func (s *State) dispatch(now sd.Instant, req *Request, t *target) {
 	req.Target, req.Address, req.Incarnation = t.ID, t.Address, t.Incarnation
 	t.inflight++
+	req.sentAt = now
+	t.running = append(t.running, req)
 	if n := len(t.sent) - t.sentInWindow(now); n > 32 {
 		t.sent = slices.Delete(t.sent, 0, n)
 	}
@@ -547,9 +576,11 @@
 		return
 	}
 	t.inflight = max(t.inflight-1, 0)
+	t.running = slices.DeleteFunc(t.running, func(r *Request) bool { return r == req })
+	p := s.pool(t.Pool)
+	s.learn(now, p, t, result, took)
 	switch result {
 	case Served:
-		p := s.pool(t.Pool)
 		p.serviceTime += serviceTimeWeight * (float64(took) - p.serviceTime)
 		t.failures = 0
 	case ConnectFailed:
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -152,6 +152,7 @@
 	if reply.Loaded {
 		q.TargetQueue.Update(func(b *balancer.State, now sd.Instant) {
 			b.ReportTargetLoad(now, ticket.Target, reply.Running, reply.Waiting)
+			b.ReportWorkTime(now, ticket.Target, reply.WorkTime)
 		})
 	}
 	if reply.NotRun {
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -46,7 +46,10 @@
 		if !newest {
 			continue
 		}
-		h.gate.Update(func(s *balancer.State, _ sd.Instant) { s.Configure(plan.Pools) })
+		h.gate.Update(func(s *balancer.State, _ sd.Instant) {
+			s.Configure(plan.Pools)
+			s.ConfigureRules(plan.Rules)
+		})
 		h.meter.update(func(s *meterer.State, now sd.Instant) { s.Configure(now, plan.Workspaces) })
 		h.idle.limit.Store(int64(plan.Limits.IdleTimeout))
 		h.enforce()
