gossiper: heartbeats carry optional sections that do not depend on one another

Builds up to now reject a heartbeat with bytes behind its counts, so new data cannot simply be added at its end. It follows the heartbeat as a record of its own in the same datagram, which those builds skip: a tag byte, a length and the content for each section. Relays pass the record on with its heartbeat. Sections of unknown tags are skipped, and a heartbeat with unknown bytes at its end is read from now on. A heartbeat without sections is sent as before.

--- a/gossiper/beat.go
+++ b/gossiper/beat.go
@@ -33,6 +33,11 @@
 	Inflight, Sent map[IDHash]int
 	// Admitted counts requests admitted since the host started, by workspace.
 	Admitted map[IDHash]uint64
+	// Unread counts the prompt tokens in flight that are not read yet, Tokens the tokens that the
+	// requests in flight may come to hold, by target. WorkTimes holds the fresh reports of
+	// targets. These are sent in sections, see encodeSections.
+	Unread, Tokens map[IDHash]int
+	WorkTimes      map[IDHash]WorkTime
 
 	// relay asks the receiver to forward the heartbeat within its zone.
 	relay bool
@@ -90,7 +95,7 @@
 	return out
 }
 
-// Encode returns the wire format of the heartbeat.
+// Encode returns the wire format of the heartbeat without its sections.
 func (b *Heartbeat) Encode() []byte {
 	out := make([]byte, 0, 64+6*(len(b.Inflight)+len(b.Sent)+len(b.Admitted)))
 	out = append(out, formatSingle, byte(len(b.Host)))
@@ -123,7 +128,8 @@
 	return out
 }
 
-// DecodeHeartbeat parses the output of Encode. It returns false for anything else.
+// DecodeHeartbeat parses the output of Encode. Bytes that follow it are ignored, as later builds
+// may add to it; builds up to 2026-12-06 reject them. It returns false for anything else.
 func DecodeHeartbeat(body []byte) (Heartbeat, bool) {
 	if len(body) < 2 || (body[0] != formatSingle && body[0] != formatRelay) || len(body) < 2+int(body[1]) {
 		return Heartbeat{}, false
@@ -137,7 +143,7 @@
 	}
 	r.skip(1)
 	b.Inflight, b.Sent, b.Admitted = readCounts[int](&r), readCounts[int](&r), readCounts[uint64](&r)
-	return b, !r.failed && len(r.rest) == 0
+	return b, !r.failed
 }
 
 type reader struct {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -91,7 +91,8 @@
 	sendSoon  chan struct{}
 	// interval is the time between two rounds; zero before there are peers.
 	interval sd.Millis
-	// relayQueue holds heartbeats of other zones to be relayed within this host's zone.
+	// relayQueue holds heartbeats of other zones to be relayed within this host's zone, each
+	// followed by its sections if it has any.
 	relayQueue [][]byte
 }
 
@@ -318,10 +319,19 @@
 func (g *Gossiper) send(conn net.PacketConn, number uint64) {
 	beat := Heartbeat{Host: g.Self.Host, Incarnation: g.Self.Incarnation, Number: number}
 	g.Fill(&beat)
-	body := beat.Encode()
+	body, sections := beat.Encode(), beat.encodeSections()
 	direct, relays := g.recipients()
-	g.sendTo(conn, body, direct)
-	g.sendTo(conn, withRelay(body, true), relays)
+	g.sendTo(conn, datagram(body, sections), direct)
+	g.sendTo(conn, datagram(withRelay(body, true), sections), relays)
+}
+
+// datagram returns the datagram of one heartbeat. Without sections it is what builds without
+// them send.
+func datagram(body, sections []byte) []byte {
+	if sections == nil {
+		return body
+	}
+	return encodeBatch([][]byte{body, sections})
 }
 
 // sendTo sends a datagram to each address.
@@ -378,12 +388,17 @@
 	return direct, relays
 }
 
-// queueRelay queues a heartbeat of another zone for relaying. It reports whether the queue was empty.
-func (g *Gossiper) queueRelay(body []byte) bool {
+// queueRelay queues a heartbeat of another zone and its sections, if any, for relaying. It
+// reports whether the queue was empty.
+func (g *Gossiper) queueRelay(body, sections []byte) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	empty := len(g.relayQueue) == 0
 	g.relayQueue = append(g.relayQueue, withRelay(body, false))
-	return len(g.relayQueue) == 1
+	if sections != nil {
+		g.relayQueue = append(g.relayQueue, slices.Clone(sections))
+	}
+	return empty
 }
 
 // flushRelays sends the queued heartbeats to the peers of this zone.
@@ -405,6 +420,9 @@
 		for ; n < len(beats) && (n == 0 || size+len(beats[n]) <= maxBatchBytes); n++ {
 			size += len(beats[n])
 		}
+		if n < len(beats) && isSections(beats[n]) {
+			n++
+		}
 		g.sendTo(conn, encodeBatch(beats[:n]), to)
 		beats = beats[n:]
 	}
@@ -439,12 +457,18 @@
 			time.Sleep(readRetryDelay.Duration())
 			continue
 		}
-		for _, body := range splitBatch(buffer[:n]) {
+		records := splitBatch(buffer[:n])
+		for i, body := range records {
 			beat, ok := DecodeHeartbeat(body)
 			if !ok || !g.accept(beat) {
 				continue
 			}
-			if beat.relay && g.queueRelay(body) {
+			var sections []byte
+			if i+1 < len(records) && isSections(records[i+1]) {
+				sections = records[i+1]
+				beat.decodeSections(sections)
+			}
+			if beat.relay && g.queueRelay(body, sections) {
 				select {
 				case queued <- struct{}{}:
 				default:
