balancer: unread prompts, tokens in flight and shared work times count in the choice of a target

A turn counted as one slot whatever its prompt, and reports of other hosts counted in full until they were 1.5 s old, so that a program's home looked full when it was not and its prompt was read again elsewhere. Now, for the pools chosen by expected time: the expected time contains the prompts to be read, at the target and by it for this request, with the time that its neighbours lose; the home may take some more than its slots if that is shorter than reading the prompt elsewhere; the part of the other hosts' reported requests that has probably ended is spread over all targets. Unread tokens per target stay below what is read within the objective of the most urgent kind seen lately, and tokens in flight below the memory of the engine. Hosts tell each other both and the fresh work times in sections of the heartbeat.

--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -22,6 +22,9 @@
 	// speedMemory is the age at which learned slowness and failures count for 1/e. There are no
 	// probe requests, so a target that is avoided must look usable again by time alone.
 	speedMemory = 5 * sd.Second
+	// misfitWeight is the weight of a new duration in the correction of the expected times. It is
+	// far below speedWeight, so that one slow target does not make the others look fast.
+	misfitWeight = 0.03
 	// maxDurationRatio bounds the influence of one long answer on the learned speed.
 	maxDurationRatio = 8
 	// maxFailing bounds the learned share of failed requests.
@@ -32,13 +35,13 @@
 	// crowdingFactor is how much longer a request takes in a full batch than alone. It orders
 	// targets of the same speed by load.
 	crowdingFactor = 1
+	// homeQueueShare is how many requests may queue at the home of a program, as a share of the
+	// target's slots.
+	homeQueueShare = 0.5
 	// toleratedTime is the multiple of the pool's typical time up to which a request goes to the
 	// target that rendezvous order or the connection suggests. It exceeds the noise of learned
 	// speeds, so that programs do not move back and forth.
 	toleratedTime = 1.5
-	// tokensPerMilli is the expected reading rate until one has been learned: engines read 77 to
-	// 140 tokens in a millisecond.
-	tokensPerMilli = 100
 )
 
 // speed is what is known of how fast a target is.
@@ -129,6 +132,7 @@
 		return
 	}
 	t.speed.report(now, hundredths/100)
+	t.ownWorkTime, t.ownWorkTimeAt = hundredths, now
 	s.pool(t.Pool).reportsWorkTime = true
 }
 
@@ -140,22 +144,46 @@
 }
 
 // expectedTime estimates how long a request that goes to a target now takes there, given the
-// target's load: its time in the batch, and the wait for a slot if all are taken.
-func (s *State) expectedTime(now sd.Instant, p *pool, t *target, load int) float64 {
+// target's load: its time in the batch, the wait for a slot if all are taken, and the time to read
+// its prompt and those before it. The time that its neighbours lose while its prompt is read counts
+// as well: prompts are read between the tokens of the others.
+func (s *State) expectedTime(now sd.Instant, p *pool, t *target) float64 {
 	factor := t.speed.factor(now)
 	for _, req := range t.running {
-		factor = max(factor, float64(now.Since(req.sentAt))/(overdueFactor*p.serviceTime))
+		factor = max(factor, float64(now.Since(req.sentAt))/(overdueFactor*p.usualTime(req)))
 	}
+	t.lastFactor = factor
 	slots := float64(max(t.Slots, 1))
-	ahead := float64(load)
+	ahead := t.lastLoad
 	batch := 1 + crowdingFactor*min(ahead/slots, 1)
 	wait := max(ahead-slots+1, 0) / slots * (1 + crowdingFactor)
 	// The mean duration was measured on targets that were half full on average.
-	return p.serviceTime * factor * (batch + wait) / (1 + crowdingFactor/2.0)
+	running := p.serviceTime * factor * (batch + wait) / (1 + crowdingFactor/2.0)
+	neighbours := min(ahead, slots)
+	return running + factor*(t.lastBacklog+float64(t.lastUnread)*(1+neighbours))/p.reading.rate()
 }
 
-// readingTime estimates how long a target of average speed takes to read tokens of a prompt.
-func (p *pool) readingTime(tokens sd.Tokens) float64 { return float64(tokens) / tokensPerMilli }
+// prepare records that a target is looked for.
+func (s *State) prepare(now sd.Instant, p *pool, req *Request) {
+	if req.firstTried == 0 {
+		req.firstTried = now
+	}
+	req.heldBy = notHeld
+	p.reading.seeObjective(now, req.Objective)
+	s.estimateOthers(now, p)
+}
+
+// mayTake reports whether a target can take a request now. The program's home may take some more
+// than it has slots: to wait there can be shorter than to read the prompt elsewhere, which
+// chooseByTime weighs.
+func (s *State) mayTake(now sd.Instant, p *pool, t *target, req *Request, home *target, heard int) bool {
+	t.lastLoad = float64(t.inflight) + t.others.requests
+	slots := float64(t.Slots)
+	if t == home {
+		slots += homeQueueShare * slots
+	}
+	return t.lastLoad+0.5 < slots && s.withinColdLimit(now, p, t, heard) && s.admitsPrompt(now, p, t, req, home)
+}
 
 // forecast sets the expected time of each candidate and returns the typical one: the mean over
 // all candidates. It is zero if there are none.
@@ -163,7 +191,7 @@
 	sum, n := 0.0, 0
 	for _, list := range lists {
 		for _, t := range list {
-			t.expected = s.expectedTime(now, p, t, t.lastLoad)
+			t.expected = s.expectedTime(now, p, t)
 			sum += t.expected
 			n++
 		}
@@ -183,7 +211,7 @@
 // the best one, they would overload it together.
 func (s *State) chooseByTime(now sd.Instant, p *pool, req *Request, preferred *target, subset, sameZone, otherZones []*target) *target {
 	typical := s.forecast(now, p, subset, sameZone, otherZones)
-	limit := toleratedTime*typical + p.readingTime(req.Prompt)
+	limit := toleratedTime * typical
 	if preferred != nil && preferred.expected <= limit {
 		return preferred
 	}
@@ -215,18 +243,32 @@
 	return a
 }
 
+// usualTime returns how long a request that was sent takes at a target of factor 1: what was
+// expected, corrected by how long requests of the pool took in comparison.
+func (p *pool) usualTime(req *Request) float64 {
+	if req.modelled == 0 {
+		return p.serviceTime
+	}
+	return req.modelled * math.Exp(p.misfit)
+}
+
 // learn records the outcome and duration of a request for the speed of its target.
-func (s *State) learn(now sd.Instant, p *pool, t *target, result Result, took sd.Millis) {
+func (s *State) learn(now sd.Instant, p *pool, t *target, req *Request, result Result, took sd.Millis) {
+	ratio := float64(max(took, 1)) / p.usualTime(req)
 	switch result {
 	case Served:
-		t.speed.learn(now, float64(took)/p.serviceTime)
+		t.speed.learn(now, ratio)
 		t.speed.learnFailure(now, false)
+		if req.modelled > 0 {
+			bounded := min(max(ratio, 1.0/maxDurationRatio), maxDurationRatio)
+			p.misfit += misfitWeight * math.Log(bounded/t.speed.reported(now))
+		}
 	case Failed:
 		t.speed.learnFailure(now, true)
 	case Abandoned:
 		// The request would have taken longer.
-		if float64(took) > overdueFactor*p.serviceTime {
-			t.speed.learn(now, float64(took)/p.serviceTime)
+		if ratio > overdueFactor {
+			t.speed.learn(now, ratio)
 		}
 	case Rejected, ConnectFailed:
 	}
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -16,12 +16,15 @@
 	heardAt sd.Instant
 	// codes are the targets that the report names.
 	codes []gossiper.IDHash
+	// reportsTokens is set once the host has reported tokens.
+	reportsTokens bool
 }
 
 // peerShare is the part of a host's load report that concerns one target.
 type peerShare struct {
 	peer           *peerLoad
 	inflight, sent int
+	unread, tokens int
 }
 
 // utilization returns a target's estimated load per slot.
@@ -88,8 +91,7 @@
 // hasRoom reports whether a target can accept a request now. heard is the number of hosts whose
 // load report is in use.
 func (s *State) hasRoom(now sd.Instant, p *pool, t *target, heard int) bool {
-	t.lastLoad = s.load(now, t)
-	return t.lastLoad < int(t.Slots) && s.withinColdLimit(now, p, t, heard)
+	return s.load(now, t) < int(t.Slots) && s.withinColdLimit(now, p, t, heard)
 }
 
 // SetHostCount sets the number of hosts that share the rate limit of cold targets.
@@ -189,6 +191,7 @@
 // ReportTargetLoad records the load that a target reports with its response.
 func (s *State) ReportTargetLoad(now sd.Instant, id sd.TargetID, running, waiting sd.Slots) {
 	if t := s.targets[id]; t != nil {
+		s.reports++
 		t.reportedLoad, t.reportedAt, t.ownAtReport = int(running+waiting), now, t.inflight
 	}
 }
@@ -246,10 +249,11 @@
 			delete(s.shares, code)
 		}
 	}
+	s.reports++
 	r.heardAt, r.codes = now, r.codes[:0]
 	add := func(code gossiper.IDHash) {
 		r.codes = append(r.codes, code)
-		s.shares[code] = append(s.shares[code], peerShare{r, inflight[code], sent[code]})
+		s.shares[code] = append(s.shares[code], peerShare{peer: r, inflight: inflight[code], sent: sent[code]})
 	}
 	for code := range inflight {
 		add(code)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -108,7 +108,11 @@
 	// peerList holds the peers in the order in which they were first heard.
 	peerList []*peerLoad
 	// shares holds the parts of the hosts' load reports by target.
-	shares     map[gossiper.IDHash][]peerShare
+	shares map[gossiper.IDHash][]peerShare
+	// byCode holds the targets by the hash of their ID.
+	byCode map[gossiper.IDHash]*target
+	// reports counts the load reports of hosts and targets.
+	reports    uint64
 	queue      []*Request
 	nextNumber uint64
 }
@@ -124,6 +128,13 @@
 	keepsTurns bool
 	// reportsWorkTime is set once a target of the pool has reported its work time.
 	reportsWorkTime bool
+	reading         reading
+	// estimatedAt is when the other hosts' requests were last estimated, and estimatedFrom the
+	// number of reports then.
+	estimatedAt   sd.Instant
+	estimatedFrom uint64
+	// misfit is the logarithm of how much longer requests take than expected.
+	misfit float64
 }
 
 type target struct {
@@ -155,10 +166,22 @@
 	speed      speed
 	// running holds this host's requests in flight.
 	running []*Request
-	// lastLoad is the load at the last call of hasRoom, and expected the time that the last
-	// forecast expects of a request, in milliseconds.
-	lastLoad int
-	expected float64
+	// ownWorkTime is the last work time that the target reported to this host, in hundredths.
+	ownWorkTime   float64
+	ownWorkTimeAt sd.Instant
+	// unread counts this host's prompt tokens in flight that are not read yet, and tokens those
+	// that its requests in flight may come to hold.
+	unread, tokens sd.Tokens
+	kept           keptPrompts
+	others         others
+
+	// The results of the last look at the target for a request: its load, the unread tokens there
+	// and those that requests may come to hold, what it would have to read of the prompt, how many
+	// milliseconds the request would take, and the target's factor in that.
+	lastLoad, lastBacklog, lastHeld float64
+	lastUnread                      sd.Tokens
+	lastOrigin                      origin
+	expected, lastFactor            float64
 }
 
 // Request is a request for a target, assigned at once or queued.
@@ -172,6 +195,14 @@
 	// Prompt is the length of the request's prompt, which any other target has to read
 	// again.
 	Prompt sd.Tokens
+	// Longest is the most that the request may generate.
+	Longest sd.Tokens
+	// PromptKey identifies the line of turns whose prompts extend one another; zero if there is
+	// none. PromptParts are the parts at the prompt's start that other programs share.
+	PromptKey   uint64
+	PromptParts []PromptPart
+	// Objective is the time in which the first event should come; zero if there is none.
+	Objective sd.Millis
 	// ExcludedTargets have already rejected the request.
 	ExcludedTargets []sd.TargetID
 	Tier            sd.Tier
@@ -197,7 +228,23 @@
 
 	number uint64
 	queued bool
-	sentAt sd.Instant
+	// firstTried is when a target was first looked for, and heldBy why none was taken although
+	// one had a free slot.
+	firstTried sd.Instant
+	heldBy     held
+	sentAt     sd.Instant
+	// unread is the number of prompt tokens that the target had to read when the request was
+	// sent, estimated from origin; backlog is what it had to read before, and full is set if all
+	// its slots were taken. counted is set while the tokens are in the counts of the target,
+	// promptRead once the unread ones are not any more.
+	unread sd.Tokens
+	// modelled is the expected time at a target of factor 1, or zero.
+	modelled   float64
+	origin     origin
+	backlog    float64
+	full       bool
+	counted    bool
+	promptRead bool
 }
 
 // Refusal is the reason why a request got no target.
@@ -224,7 +271,7 @@
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
 		evacuated: map[sd.ZoneName]bool{}, removedSent: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]*peerLoad{},
-		shares: map[gossiper.IDHash][]peerShare{}, announced: map[instance]sd.Instant{},
+		shares: map[gossiper.IDHash][]peerShare{}, byCode: map[gossiper.IDHash]*target{}, announced: map[instance]sd.Instant{},
 	}
 }
 
@@ -273,7 +320,7 @@
 		t.ID, t.sent = r.ID, s.removedSent[r.ID]
 		delete(s.removedSent, r.ID)
 		t.hostsBefore = s.hostsRankedBefore(0, t)
-		s.targets[r.ID] = t
+		s.targets[r.ID], s.byCode[t.code] = t, t
 		p := s.pool(r.Pool)
 		p.members = append(p.members, t)
 		slices.SortFunc(p.members, func(a, b *target) int { return cmp.Compare(a.rank, b.rank) })
@@ -290,6 +337,7 @@
 		return
 	}
 	delete(s.targets, id)
+	delete(s.byCode, t.code)
 	s.removedSent[id] = t.sent
 	p := s.pool(t.Pool)
 	p.members = slices.DeleteFunc(p.members, func(m *target) bool { return m == t })
@@ -351,7 +399,8 @@
 		if now > req.StartDeadline {
 			req.RefusalReason = WaitTooLong
 		} else if poolFull[req.Pool] || !s.assign(now, req) {
-			poolFull[req.Pool] = req.RefusalReason == ""
+			// A long prompt that is held back must not hold up the short ones behind it.
+			poolFull[req.Pool] = req.RefusalReason == "" && req.heldBy == notHeld
 		}
 		if req.Target == "" && req.RefusalReason == "" {
 			return false
@@ -414,8 +463,12 @@
 func (s *State) assign(now sd.Instant, req *Request) bool {
 	p := s.pool(req.Pool)
 	var subset, sameZone, otherZones, unreachable []*target
-	var preferred *target
+	var preferred, home *target
 	usable, reachableCount, heard, forecasts := 0, 0, s.heardHosts(now), p.forecasts()
+	if forecasts {
+		s.prepare(now, p, req)
+		home = s.home(p, req)
+	}
 	for _, t := range p.members {
 		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) {
 			continue
@@ -425,7 +478,7 @@
 		if !isUnreachable {
 			reachableCount++
 		}
-		if now < t.backoffUntil || !s.hasRoom(now, p, t, heard) {
+		if now < t.backoffUntil || (!forecasts && !s.hasRoom(now, p, t, heard)) || (forecasts && !s.mayTake(now, p, t, req, home, heard)) {
 			continue
 		}
 		if isUnreachable {
@@ -454,6 +507,7 @@
 	}
 	if forecasts {
 		if t := s.chooseByTime(now, p, req, preferred, subset, sameZone, otherZones); t != nil {
+			s.startPrompt(p, t, req)
 			s.dispatch(now, req, t)
 			return true
 		}
@@ -578,7 +632,8 @@
 	t.inflight = max(t.inflight-1, 0)
 	t.running = slices.DeleteFunc(t.running, func(r *Request) bool { return r == req })
 	p := s.pool(t.Pool)
-	s.learn(now, p, t, result, took)
+	s.learn(now, p, t, req, result, took)
+	s.endPrompt(now, t, req, result)
 	switch result {
 	case Served:
 		p.serviceTime += serviceTimeWeight * (float64(took) - p.serviceTime)
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -39,6 +39,7 @@
 			Pool: q.pool, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
 			StartsProgram: q.startsProgram(), Affinity: q.affinity(),
 		}
+		q.describePrompt(ticket)
 		if q.params.ProgramLeft > 0 {
 			ticket.ProgramDeadline = q.arrived.Add(q.params.ProgramLeft)
 		}
--- a/receiver/queue.go
+++ b/receiver/queue.go
@@ -56,6 +56,13 @@
 	return g.state.Replaced(ticket)
 }
 
+// UnreadTokens returns the prompt tokens in flight from this host that are not read yet.
+func (g *TargetQueue) UnreadTokens() sd.Tokens {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.UnreadTokens()
+}
+
 // Targets returns the registered targets in no particular order.
 func (g *TargetQueue) Targets() []sd.TargetRegistration {
 	g.mu.Lock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -66,6 +66,7 @@
 func New(config Config) *Receiver {
 	r := &Receiver{Config: config, bufferQuota: newMemoryQuota(config.Memory)}
 	config.Metrics.Set.GetOrCreateGauge("answer_buffer_bytes", func() float64 { return float64(r.bufferQuota.reserved.Load()) })
+	config.Metrics.Set.GetOrCreateGauge("unread_tokens_inflight", func() float64 { return float64(r.TargetQueue.UnreadTokens()) })
 	return r
 }
 
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -152,6 +152,9 @@
 			if failure := q.stream.accept(raw, data, first); failure != nil {
 				return attemptRetry, failure
 			}
+			if first {
+				q.recordFirstEvent()
+			}
 			keepAliveBytes, first = 0, false
 		}
 		if failure := q.waitBacked(ctx, q.usedTokens()); failure != nil {
--- a/starter/host.go
+++ b/starter/host.go
@@ -279,6 +279,8 @@
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
 		s.SetUnreachableZones(silent, silentHosts)
 		beat.Inflight, beat.Sent = s.LocalLoad(now)
+		tokens := s.LocalTokens(now)
+		beat.Unread, beat.Tokens, beat.WorkTimes = tokens.Unread, tokens.InFlight, tokens.WorkTimes
 	})
 	suspended := h.suspended()
 	h.meter.update(func(s *meterer.State, now sd.Instant) {
@@ -295,6 +297,7 @@
 	ran := sd.Millis(beat.Number) * h.gossiper.Interval()
 	h.gate.Update(func(s *balancer.State, now sd.Instant) {
 		s.ReportPeerLoad(now, beat.Host, beat.Inflight, beat.Sent)
+		s.ReportPeerTokens(now, beat.Host, balancer.Tokens{Unread: beat.Unread, InFlight: beat.Tokens, WorkTimes: beat.WorkTimes})
 		if ran >= longRun {
 			s.MarkFleetRunning()
 		}
