balancer, receiver: choices of targets are logged and counted, long prompts wait for their home

A long unread prompt that the home cannot read in time waits there for up to a quarter of the objective instead of being read elsewhere, short ones are not held back, and one that is held back does not hold up those behind it in the host's queue. A model of engines compares the ways to choose (ENGINES=1 go test ./balancer -run TestWaysCompared -v).

--- a/balancer/engines_test.go
+++ b/balancer/engines_test.go
@@ -336,7 +336,7 @@
 		}
 	}
 	e.at((took+float64(read)/modelRate)*t.factor, func() {
-		t.running = slices.DeleteFunc(t.running, func(r *turn) bool {
+		t.running = slices.DeleteFunc(slices.Clone(t.running), func(r *turn) bool {
 			if r.unread > 0 {
 				return false
 			}
@@ -367,7 +367,8 @@
 		held += r.session.prompt
 	}
 	if held > modelCapacity {
-		e.crashes++
+		e.crash(t)
+		return
 	}
 	for _, tokens := range t.kept {
 		total += tokens
@@ -388,6 +389,18 @@
 	}
 }
 
+// crash ends all requests that run at an engine. Their programs are lost, and so is what it kept.
+func (e *engines) crash(t *engine) {
+	e.crashes++
+	for _, r := range t.running {
+		e.hosts[r.host].Done(e.clock(), r.req, balancer.Failed, sd.Millis(e.now-r.sent))
+		if r.session.measured {
+			e.kind(r.session).lost++
+		}
+	}
+	t.running, t.kept, t.used = nil, map[uint64]int{}, map[uint64]float64{}
+}
+
 func (e *engines) firstEvent(t *engine, r *turn) {
 	now, s := e.clock(), e.hosts[r.host]
 	s.ReportTargetLoad(now, t.id, sd.Slots(len(t.running)), sd.Slots(len(t.waiting)))
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -168,7 +168,7 @@
 	if req.firstTried == 0 {
 		req.firstTried = now
 	}
-	req.heldBy = notHeld
+	req.Choice.HeldBy, req.Choice.HeldFor, req.waitsAtHome = "", now.Since(req.firstTried), false
 	p.reading.seeObjective(now, req.Objective)
 	s.estimateOthers(now, p)
 }
@@ -187,11 +187,11 @@
 
 // forecast sets the expected time of each candidate and returns the typical one: the mean over
 // all candidates. It is zero if there are none.
-func (s *State) forecast(now sd.Instant, p *pool, lists ...[]*target) float64 {
+func (s *State) forecast(now sd.Instant, p *pool, req *Request, lists ...[]*target) float64 {
 	sum, n := 0.0, 0
 	for _, list := range lists {
 		for _, t := range list {
-			t.expected = s.expectedTime(now, p, t)
+			t.expected, t.seenFor = s.expectedTime(now, p, t), req
 			sum += t.expected
 			n++
 		}
@@ -209,8 +209,16 @@
 // prompt. Targets that are too slow are passed over, own zone first. The first of the others in
 // the program's rendezvous order is taken, or the better of two random ones: if all hosts took
 // the best one, they would overload it together.
-func (s *State) chooseByTime(now sd.Instant, p *pool, req *Request, preferred *target, subset, sameZone, otherZones []*target) *target {
-	typical := s.forecast(now, p, subset, sameZone, otherZones)
+func (s *State) chooseByTime(now sd.Instant, p *pool, req *Request, preferred, home *target, subset, sameZone, otherZones []*target) *target {
+	typical := s.forecast(now, p, req, subset, sameZone, otherZones)
+	t := s.chooseTolerable(now, req, typical, preferred, subset, sameZone, otherZones)
+	if t != nil {
+		s.describe(now, t, home, req, typical)
+	}
+	return t
+}
+
+func (s *State) chooseTolerable(now sd.Instant, req *Request, typical float64, preferred *target, subset, sameZone, otherZones []*target) *target {
 	limit := toleratedTime * typical
 	if preferred != nil && preferred.expected <= limit {
 		return preferred
--- a/balancer/prompt.go
+++ b/balancer/prompt.go
@@ -31,10 +31,16 @@
 	// heldBackShare is the share of the latency objective after which a request is no longer held
 	// back for the unread tokens at the targets, so that none starves.
 	heldBackShare = 0.25
+	// emptyShare is the share of its memory up to which a target counts as empty: what other
+	// hosts may have there is never known to be nothing.
+	emptyShare = 0.1
+	// maxHeldTries is how many requests of a pool are tried at a time while targets with free
+	// slots hold some back.
+	maxHeldTries = 8
 	// urgencyMemory is how long the objective of a kind of request counts after the last one. Each
 	// host sees a few requests of an active kind in that time.
 	urgencyMemory = 2 * sd.Second
-	// minKeptTokens is what is read of a prompt at least: what the turn itself adds.
+	// minUnreadTokens is what is read of a prompt at least: what the turn itself adds.
 	minUnreadTokens = 16
 	// maxKeptPrompts limits each generation of prompts known to be kept by a target. An engine
 	// keeps some ten prompts beside those that it runs.
@@ -266,14 +272,15 @@
 
 // admitsPrompt reports whether a target with a free slot can take a request's prompt: what its
 // requests may come to hold must fit in its memory, and what it has yet to read must be read
-// within the objective of the most urgent kind of request. A request that fits nowhere goes to a
-// target without others, and is not held back for longer than a part of that objective.
+// within the objective of the most urgent kind of request. A long prompt waits for its home to read
+// others, but not for longer than a part of that objective. One that hardly fits in any memory waits
+// for a target that holds nearly nothing.
 func (s *State) admitsPrompt(now sd.Instant, p *pool, t *target, req *Request, home *target) bool {
 	t.lastBacklog, t.lastHeld = t.others.unread+float64(t.unread), t.others.held+float64(t.tokens)
 	tokens, from := s.unreadTokens(now, p, t, req, home)
 	t.lastUnread, t.lastOrigin = tokens, from
-	if t.lastHeld > 0 && t.lastHeld+float64(tokensOf(req)) > float64(p.settings.CacheCapacity) {
-		req.heldBy = heldByMemory
+	if capacity := float64(p.settings.CacheCapacity); t.lastHeld > emptyShare*capacity && t.lastHeld+float64(tokensOf(req)) > capacity {
+		req.Choice.HeldBy = HeldByMemory
 		return false
 	}
 	objective := p.reading.mostUrgent()
@@ -281,25 +288,66 @@
 		return true
 	}
 	limit := readingShare * p.reading.rate() * float64(objective) / t.speed.factor(now)
-	if float64(tokens) > longPromptShare*limit {
-		limit *= 1 - longPromptShare
-	}
-	if t.lastBacklog+float64(tokens) > limit {
-		req.heldBy = max(req.heldBy, heldByReading)
+	if float64(tokens) > longPromptShare*limit && t.lastBacklog+float64(tokens) > limit {
+		if req.Choice.HeldBy == "" {
+			req.Choice.HeldBy = HeldByReading
+		}
+		req.waitsAtHome = req.waitsAtHome || t == home
 		return false
 	}
 	return true
 }
 
-// held tells why a request got no target although one had a free slot.
-type held int
+// Held is the reason why a request was not sent to a target although it had a free slot.
+type Held string
 
+// The reasons to hold a request back.
 const (
-	notHeld held = iota
-	heldByReading
-	heldByMemory
+	// HeldByReading: the target has to read as many prompt tokens as it can in time.
+	HeldByReading Held = "reading"
+	// HeldByMemory: the tokens in flight would exceed the target's memory.
+	HeldByMemory Held = "memory"
 )
 
+// Choice is how a target was chosen by expected time, for logs. Times are in milliseconds.
+type Choice struct {
+	// Home is the target that probably holds the program's prompt. HomeTime is the time that was
+	// expected there; zero if it had no room.
+	Home     sd.TargetID
+	HomeTime float64
+	// Time was expected at the target that was chosen, and Typical is the mean of all that had room.
+	Time, Typical float64
+	// Load is the estimated number of requests at the target, Backlog and Unread are the prompt
+	// tokens that it had to read before and for the request, Held those that its requests may
+	// come to hold.
+	Load, Backlog, Held float64
+	Unread              sd.Tokens
+	// Factor is how much slower than usual the target was thought to be, from a work time of
+	// WorkTimeAge; that is negative if there was none.
+	Factor      float64
+	WorkTimeAge sd.Millis
+	// HeldBy is why targets with a free slot were passed over at the last try, and HeldFor how
+	// long the request has waited since the first one.
+	HeldBy  Held
+	HeldFor sd.Millis
+}
+
+// describe records how a target was chosen.
+func (s *State) describe(now sd.Instant, t, home *target, req *Request, typical float64) {
+	c := &req.Choice
+	c.Time, c.Typical, c.Load, c.Backlog, c.Held, c.Unread, c.Factor = t.expected, typical, t.lastLoad, t.lastBacklog, t.lastHeld, t.lastUnread, t.lastFactor
+	c.WorkTimeAge = -1
+	if t.speed.workTime != 0 {
+		c.WorkTimeAge = now.Since(t.speed.workTimeAt)
+	}
+	if home != nil {
+		c.Home = home.ID
+		if home.seenFor == req {
+			c.HomeTime = home.expected
+		}
+	}
+}
+
 // startPrompt counts the tokens of a request that is sent to a target.
 func (s *State) startPrompt(p *pool, t *target, req *Request) {
 	req.unread, req.origin, req.backlog, req.full = t.lastUnread, t.lastOrigin, t.lastBacklog, t.lastLoad >= float64(t.Slots)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -182,6 +182,8 @@
 	lastUnread                      sd.Tokens
 	lastOrigin                      origin
 	expected, lastFactor            float64
+	// seenFor is the request for which expected was last set.
+	seenFor *Request
 }
 
 // Request is a request for a target, assigned at once or queued.
@@ -225,14 +227,16 @@
 	// RunningLimit no program may start.
 	PoolRunning  int
 	RunningLimit float64
+	// Choice tells how the target was chosen by expected time.
+	Choice Choice
 
 	number uint64
 	queued bool
-	// firstTried is when a target was first looked for, and heldBy why none was taken although
-	// one had a free slot.
+	// firstTried is when a target was first looked for.
 	firstTried sd.Instant
-	heldBy     held
-	sentAt     sd.Instant
+	// waitsAtHome is set if the home is to read the request's prompt, but not yet.
+	waitsAtHome bool
+	sentAt      sd.Instant
 	// unread is the number of prompt tokens that the target had to read when the request was
 	// sent, estimated from origin; backlog is what it had to read before, and full is set if all
 	// its slots were taken. counted is set while the tokens are in the counts of the target,
@@ -394,13 +398,16 @@
 	}
 	slices.SortFunc(s.queue, func(a, b *Request) int { return compareRequests(now, a, b) })
 	var settled []*Request
-	poolFull := map[sd.GroupName]bool{}
+	poolFull, heldTries := map[sd.GroupName]bool{}, map[sd.GroupName]int{}
 	s.queue = slices.DeleteFunc(s.queue, func(req *Request) bool {
 		if now > req.StartDeadline {
 			req.RefusalReason = WaitTooLong
-		} else if poolFull[req.Pool] || !s.assign(now, req) {
+		} else if !poolFull[req.Pool] && !s.assign(now, req) {
 			// A long prompt that is held back must not hold up the short ones behind it.
-			poolFull[req.Pool] = req.RefusalReason == "" && req.heldBy == notHeld
+			if req.Choice.HeldBy != "" {
+				heldTries[req.Pool]++
+			}
+			poolFull[req.Pool] = req.RefusalReason == "" && (req.Choice.HeldBy == "" || heldTries[req.Pool] >= maxHeldTries)
 		}
 		if req.Target == "" && req.RefusalReason == "" {
 			return false
@@ -505,8 +512,11 @@
 		req.RefusalReason = NoTarget
 		return false
 	}
+	if forecasts && req.waitsAtHome {
+		return false
+	}
 	if forecasts {
-		if t := s.chooseByTime(now, p, req, preferred, subset, sameZone, otherZones); t != nil {
+		if t := s.chooseByTime(now, p, req, preferred, home, subset, sameZone, otherZones); t != nil {
 			s.startPrompt(p, t, req)
 			s.dispatch(now, req, t)
 			return true
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -50,6 +50,7 @@
 			err = q.TargetQueue.Acquire(ctx, ticket)
 		}
 		q.recordStage(stageWait, queuedAt)
+		q.reportChoice(ticket)
 		if err != nil || ticket.RefusalReason != "" {
 			reason := string(ticket.RefusalReason)
 			if err != nil {
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -22,6 +22,8 @@
 	eventResetFailed    = 647
 	eventCrash          = 648
 	eventTargetLeaves   = 649
+	eventHomePassed     = 730
+	eventPromptHeld     = 731
 )
 
 // Metrics holds the counters and histograms of a host.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -55,6 +55,7 @@
 	Config
 	bufferQuota *memoryQuota
 	recent      recentTargets
+	choices     choiceLog
 	// settling counts the goroutines that record token usage after the response was
 	// sent.
 	settling sync.WaitGroup
