--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -15,6 +15,16 @@
 // keep its number of connections low, and from all targets of the zone when the
 // subset has no room.
 //
+// # Engines
+//
+// Targets of pools whose engines have a known memory, and tell how long work takes or do
+// not keep turns, are chosen by the time that the request is expected to take there. That
+// follows from the present speed of the target, its load, and the prompt tokens that it has
+// to read. A program stays at the target that probably holds its prompt unless that takes
+// much longer than elsewhere. Long prompts wait while their target has as much to read as
+// it can in time, and the tokens in flight at a target stay below its memory. See
+// docs/design/targets.md and docs/design/prompts.md.
+//
 // # Queueing
 //
 // Targets run requests in order of arrival, so requests are queued on the hosts.
