balancer: requests wait briefly for their home before their prompt is read elsewhere

A program that left its home since that had no slot or no memory was read elsewhere and filled another target, whose programs then left as well. Now it waits up to a quarter of the most urgent objective for a slot and up to a half for memory, unless the home is slow. A preferred target of another pool or in a zone out of reach does not count as home.

--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -182,7 +182,13 @@
 	if t == home {
 		slots += homeQueueShare * slots
 	}
-	return t.lastLoad+0.5 < slots && s.withinColdLimit(now, p, t, heard) && s.admitsPrompt(now, p, t, req, home)
+	if t.lastLoad+0.5 >= slots {
+		if t == home && s.worthWaiting(now, p, t, req, heldBackShare) {
+			req.Choice.HeldBy, req.waitsAtHome = HeldBySlots, true
+		}
+		return false
+	}
+	return s.withinColdLimit(now, p, t, heard) && s.admitsPrompt(now, p, t, req, home)
 }
 
 // forecast sets the expected time of each candidate and returns the typical one: the mean over
--- a/balancer/prompt.go
+++ b/balancer/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
@@ -29,7 +30,7 @@
 	// Long prompts leave the same share free for short ones.
 	longPromptShare = 0.25
 	// heldBackShare is the share of the latency objective after which a request is no longer held
-	// back for the unread tokens at the targets, so that none starves.
+	// back for the unread tokens at the targets or the slots of its home, so that none starves.
 	heldBackShare = 0.25
 	// emptyShare is the share of its memory up to which a target counts as empty: what other
 	// hosts may have there is never known to be nothing.
@@ -37,6 +38,10 @@
 	// maxHeldTries is how many requests of a pool are tried at a time while targets with free
 	// slots hold some back.
 	maxHeldTries = 8
+	// homeWaitShare is the share of the latency objective for which a request waits for memory at
+	// its home before it is read elsewhere. Requests that leave full homes fill other targets, whose
+	// own programs then leave as well.
+	homeWaitShare = 0.5
 	// urgencyMemory is how long the objective of a kind of request counts after the last one. Each
 	// host sees a few requests of an active kind in that time.
 	urgencyMemory = 2 * sd.Second
@@ -251,7 +256,7 @@
 // home returns the target that all hosts of the zone prefer for a request whether or not it has
 // room, or nil if there is none.
 func (s *State) home(p *pool, req *Request) *target {
-	if t := s.targets[req.PreferredTarget]; t != nil {
+	if t := s.targets[req.PreferredTarget]; t != nil && t.Pool == req.Pool && s.accepts(t) && !slices.Contains(s.unreachableZones, t.Zone) {
 		return t
 	}
 	if req.Affinity == 0 {
@@ -281,24 +286,36 @@
 	t.lastUnread, t.lastOrigin = tokens, from
 	if capacity := float64(p.settings.CacheCapacity); t.lastHeld > emptyShare*capacity && t.lastHeld+float64(tokensOf(req)) > capacity {
 		req.Choice.HeldBy = HeldByMemory
+		req.waitsAtHome = req.waitsAtHome || (t == home && s.worthWaiting(now, p, t, req, homeWaitShare))
 		return false
 	}
-	objective := p.reading.mostUrgent()
-	if objective == 0 || t.lastBacklog == 0 || float64(now.Since(req.firstTried)) >= heldBackShare*float64(objective) {
+	if t.lastBacklog == 0 || !p.waitsFor(now, req, heldBackShare) {
 		return true
 	}
-	limit := readingShare * p.reading.rate() * float64(objective) / t.speed.factor(now)
+	limit := readingShare * p.reading.rate() * float64(p.reading.mostUrgent()) / t.speed.factor(now)
 	if float64(tokens) > longPromptShare*limit && t.lastBacklog+float64(tokens) > limit {
 		if req.Choice.HeldBy == "" {
 			req.Choice.HeldBy = HeldByReading
 		}
-		req.waitsAtHome = req.waitsAtHome || t == home
+		req.waitsAtHome = req.waitsAtHome || (t == home && s.worthWaiting(now, p, t, req, heldBackShare))
 		return false
 	}
 	return true
 }
 
-// Held is the reason why a request was not sent to a target although it had a free slot.
+// waitsFor reports whether a request has waited for less than a share of the shortest latency
+// objective. It is false if there is none.
+func (p *pool) waitsFor(now sd.Instant, req *Request, share float64) bool {
+	return float64(now.Since(req.firstTried)) < share*float64(p.reading.mostUrgent())
+}
+
+// worthWaiting reports whether a request should wait for its home: it has waited for less than a
+// share of the latency objective, and the home is not slow.
+func (s *State) worthWaiting(now sd.Instant, p *pool, t *target, req *Request, share float64) bool {
+	return p.waitsFor(now, req, share) && t.speed.factor(now) <= toleratedTime
+}
+
+// Held is the reason why a request was not sent to a target although one had a free slot.
 type Held string
 
 // The reasons to hold a request back.
@@ -307,6 +324,8 @@
 	HeldByReading Held = "reading"
 	// HeldByMemory: the tokens in flight would exceed the target's memory.
 	HeldByMemory Held = "memory"
+	// HeldBySlots: the home has no free slot, others may have.
+	HeldBySlots Held = "slots"
 )
 
 // Choice is how a target was chosen by expected time, for logs. Times are in milliseconds.
--- a/balancer/prompt_test.go
+++ b/balancer/prompt_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// Load: the home of a program is full while other targets are idle. Guards against prompts that are
+// read elsewhere at once, and against requests that wait for a home that stays full or is slow.
+func TestRequestsWaitBrieflyForTheirHome(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		s := enginePool(1, 6, 4, 400000)
+		first := submit(t, s, 1000, balancer.Request{Affinity: 7, Objective: 300, Prompt: 2000})
+		s.ReportPeerLoad(1001, "h2", map[gossiper.IDHash]int{gossiper.HashID(first.Target): 8}, nil)
+		if slow {
+			s.ReportWorkTime(1000, first.Target, 300)
+		}
+		req := &balancer.Request{Pool: "p", Affinity: 7, Objective: 300, Prompt: 2300, StartDeadline: 3000}
+		if sent := s.Submit(1001, req); sent != slow || (sent && req.Target == first.Target) {
+			t.Errorf("slow %v: sent at once %v, to %q; the home %s is full", slow, sent, req.Target, first.Target)
+		}
+		if !slow && req.Choice.HeldBy != balancer.HeldBySlots {
+			t.Errorf("held by %q", req.Choice.HeldBy)
+		}
+		s.ReportPeerLoad(1100, "h2", map[gossiper.IDHash]int{gossiper.HashID(first.Target): 8}, nil)
+		if s.DispatchQueued(1100); req.Target == "" || req.Target == first.Target {
+			t.Errorf("slow %v: after a third of the objective at %q", slow, req.Target)
+		}
+	}
+}
+
 // Load: a work time was reported to another host only. Guards against hosts that each learn of a
 // slow target on their own, and against reports that return later than fresher ones.
 func TestWorkTimesAreShared(t *testing.T) {
