balancer: a program with a prompt of some length has one home for all zones

Turns of a program come through hosts of several zones. With a home in each zone its prompt was read in each. For engines chosen by expected time, the rendezvous order now runs over all zones in reach if the prompt has 500 tokens or more; a shorter one is read in less than a request to another zone loses. Callers who stay in a zone gain nothing from it and pay traffic between zones.

--- a/balancer/affinity_test.go
+++ b/balancer/affinity_test.go
@@ -70,3 +70,39 @@
 		}
 	}
 }
+
+// Load: turns of one program that come through hosts of several zones, with prompts that take long to
+// read. Guards against a home in each zone, and against one in a zone that is out of reach.
+func TestHostsOfAllZonesChooseTheSameEngine(t *testing.T) {
+	zones := []sd.ZoneName{"z1", "z2", "z3"}
+	var chosen sd.TargetID
+	for h, zone := range zones {
+		s := balancer.New(balancer.Settings{Host: sd.HostID(fmt.Sprint("h", h)), Zone: zone})
+		s.Configure([]sd.Pool{{Name: "p", CacheCapacity: 60000}})
+		s.ConfigureRules([]sd.RoutingRule{{Streaming: true, PoolShares: []sd.PoolShare{{Pool: "p", Weight: 1}}}})
+		for i := range 12 {
+			id := sd.TargetID(fmt.Sprint("t", i))
+			s.Register(sd.TargetRegistration{ID: id, Pool: "p", Address: sd.Address(id), Zone: zones[i%3], Slots: 6})
+		}
+		long := submit(t, s, 1000, balancer.Request{Affinity: 5, Prompt: 3000})
+		if chosen == "" {
+			chosen = long.Target
+		}
+		if long.Target != chosen {
+			t.Errorf("a host of %s chose %s, the others %s", zone, long.Target, chosen)
+		}
+		s.Done(1001, long, balancer.Abandoned, 0)
+		away := zones[indexOf(chosen)%3]
+		if away != zone {
+			s.SetUnreachableZones([]sd.ZoneName{away}, 1)
+			if req := submit(t, s, 1002, balancer.Request{Affinity: 5, Prompt: 3000}); req.Target == chosen {
+				t.Errorf("a target in a zone out of reach was chosen")
+			}
+		}
+	}
+}
+
+func indexOf(id sd.TargetID) (i int) {
+	_, _ = fmt.Sscanf(string(id), "t%d", &i)
+	return i
+}
--- a/balancer/engines_test.go
+++ b/balancer/engines_test.go
@@ -91,6 +91,7 @@
 
 type engine struct {
 	id      sd.TargetID
+	zone    sd.ZoneName
 	factor  float64
 	random  *rand.Rand
 	running []*turn
@@ -155,28 +156,33 @@
 	modelTargets  = 15
 	modelInterval = 300
 	modelSpan     = 9000
+	modelZones    = 3
+	// modelZoneTrip is the time that a request to another zone loses.
+	modelZoneTrip = 4
 )
 
+func modelZone(i int) sd.ZoneName { return sd.ZoneName(fmt.Sprint("z", i%modelZones)) }
+
 func stepTime(batch int) float64 { return 1.2 + 0.3*float64(batch) }
 
 func newEngines(seed uint64, w way, l load) *engines {
 	e := &engines{random: rand.New(rand.NewPCG(seed, 2)), network: rand.New(rand.NewPCG(seed, 3)), way: w, load: l, byID: map[sd.TargetID]*engine{}, waiting: map[*balancer.Request]*turn{}}
 	for i := range modelTargets {
-		t := &engine{id: sd.TargetID(fmt.Sprint("t", i)), factor: 1, random: rand.New(rand.NewPCG(seed, uint64(i)+1000)), kept: map[uint64]int{}, used: map[uint64]float64{}}
+		t := &engine{id: sd.TargetID(fmt.Sprint("t", i)), zone: modelZone(i), factor: 1, random: rand.New(rand.NewPCG(seed, uint64(i)+1000)), kept: map[uint64]int{}, used: map[uint64]float64{}}
 		e.targets = append(e.targets, t)
 		e.byID[t.id] = t
 	}
 	for h := range modelHosts {
 		random := rand.New(rand.NewPCG(seed, uint64(h)+10))
-		s := balancer.New(balancer.Settings{Host: sd.HostID(fmt.Sprint("h", h)), Zone: "z", Random: random.IntN})
+		s := balancer.New(balancer.Settings{Host: sd.HostID(fmt.Sprint("h", h)), Zone: modelZone(h), Random: random.IntN})
 		p := sd.Pool{Name: "p"}
 		if w != byCount {
 			p.CacheCapacity = modelCapacity
 		}
 		s.Configure([]sd.Pool{p})
 		s.ConfigureRules([]sd.RoutingRule{{Streaming: true, PoolShares: []sd.PoolShare{{Pool: "p", Weight: 1}}}})
-		for _, t := range e.targets {
-			s.Register(sd.TargetRegistration{ID: t.id, Pool: "p", Address: sd.Address(t.id), Zone: "z", Slots: modelSlots})
+		for i, t := range e.targets {
+			s.Register(sd.TargetRegistration{ID: t.id, Pool: "p", Address: sd.Address(t.id), Zone: modelZone(i), Slots: modelSlots})
 		}
 		s.SetHostCount(modelHosts)
 		e.hosts = append(e.hosts, s)
@@ -300,10 +306,17 @@
 	s.tries, s.started = 0, true
 	target := e.byID[t.req.Target]
 	t.sent, t.left = e.now, modelOutput*3/4+s.random.IntN(modelOutput/2)
-	target.waiting = append(target.waiting, t)
-	if !target.busy {
-		e.step(target)
+	arrive := func() {
+		target.waiting = append(target.waiting, t)
+		if !target.busy {
+			e.step(target)
+		}
+	}
+	if modelZone(t.host) == target.zone {
+		arrive()
+		return
 	}
+	e.at(modelZoneTrip, arrive)
 }
 
 // step runs one step of an engine's batch: a token of each request that is read, and a chunk of the first prompt that is not.
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -212,9 +212,9 @@
 
 // chooseByTime chooses among the targets that have room. The one that probably holds the prompt
 // is taken unless another would probably end the request sooner even though it has to read the
-// prompt. Targets that are too slow are passed over, own zone first. The first of the others in
-// the program's rendezvous order is taken, or the better of two random ones: if all hosts took
-// the best one, they would overload it together.
+// prompt. Targets that are too slow are passed over. The first of the others in the program's
+// rendezvous order is taken, or without a program the better of two random ones, own zone first:
+// if all hosts took the best one, they would overload it together.
 func (s *State) chooseByTime(now sd.Instant, p *pool, req *Request, preferred, home *target, subset, sameZone, otherZones []*target) *target {
 	typical := s.forecast(now, p, req, subset, sameZone, otherZones)
 	t := s.chooseTolerable(now, req, typical, preferred, subset, sameZone, otherZones)
@@ -230,13 +230,13 @@
 		return preferred
 	}
 	if req.Affinity != 0 {
-		if t := highestRanked(req.Affinity, subset, sameZone); t != nil && t.expected <= limit {
+		if t := highestRanked(req.Affinity, homeLists(req, subset, sameZone, otherZones)...); t != nil && t.expected <= limit {
 			return t
 		}
 	}
 	subset, sameZone, otherZones = tolerable(subset, typical), tolerable(sameZone, typical), tolerable(otherZones, typical)
 	if req.Affinity != 0 {
-		if t := highestRanked(req.Affinity, subset, sameZone); t != nil {
+		if t := highestRanked(req.Affinity, homeLists(req, subset, sameZone, otherZones)...); t != nil {
 			return t
 		}
 	}
@@ -248,6 +248,14 @@
 	return nil
 }
 
+// homeLists returns the lists in which a program's home may be.
+func homeLists(req *Request, subset, sameZone, otherZones []*target) [][]*target {
+	if leavesZone(req) {
+		return [][]*target{subset, sameZone, otherZones}
+	}
+	return [][]*target{subset, sameZone}
+}
+
 // pickSooner returns the one of two randomly chosen targets that is expected to end a request sooner.
 func (s *State) pickSooner(list []*target) *target {
 	a, b := s.pickTwo(list)
--- a/balancer/prompt.go
+++ b/balancer/prompt.go
@@ -38,6 +38,9 @@
 	// maxHeldTries is how many requests of a pool are tried at a time while targets with free
 	// slots hold some back.
 	maxHeldTries = 8
+	// minSharedPrompt is the prompt from which a program has one home for all zones. Shorter ones are
+	// read in less than the time that a request to another zone loses, some milliseconds.
+	minSharedPrompt = 500
 	// homeWaitShare is the share of the latency objective for which a request waits for memory at
 	// its home before it is read elsewhere. Requests that leave full homes fill other targets, whose
 	// own programs then leave as well.
@@ -253,8 +256,8 @@
 	return req.Prompt, readElsewhere
 }
 
-// home returns the target that all hosts of the zone prefer for a request whether or not it has
-// room, or nil if there is none.
+// home returns the target that all hosts prefer for a request whether or not it has room, or nil if
+// there is none.
 func (s *State) home(p *pool, req *Request) *target {
 	if t := s.targets[req.PreferredTarget]; t != nil && t.Pool == req.Pool && s.accepts(t) && !slices.Contains(s.unreachableZones, t.Zone) {
 		return t
@@ -265,7 +268,7 @@
 	var best *target
 	most := uint64(0)
 	for _, t := range p.members {
-		if t.Zone != s.settings.Zone || !s.accepts(t) {
+		if (t.Zone != s.settings.Zone && !leavesZone(req)) || !s.accepts(t) || slices.Contains(s.unreachableZones, t.Zone) {
 			continue
 		}
 		if rank := affinityRank(req.Affinity, t.code); best == nil || rank > most {
@@ -275,6 +278,10 @@
 	return best
 }
 
+// leavesZone reports whether a program's home may be in another zone than the host. Turns of one
+// program come through hosts of several zones, and with a home in each the prompt is read in each.
+func leavesZone(req *Request) bool { return req.Prompt >= minSharedPrompt }
+
 // admitsPrompt reports whether a target with a free slot can take a request's prompt: what its
 // requests may come to hold must fit in its memory, and what it has yet to read must be read
 // within the objective of the most urgent kind of request. A long prompt waits for its home to read
