--- a/balancer/state.go
+++ b/balancer/state.go
@@ -108,7 +108,11 @@
 	// peerList holds the peers in the order in which they were first heard.
 	peerList []*peerLoad
 	// shares holds the parts of the hosts' load reports by target.
-	shares     map[gossiper.IDHash][]peerShare
+	shares map[gossiper.IDHash][]peerShare
+	// byCode holds the targets by the hash of their ID.
+	byCode map[gossiper.IDHash]*target
+	// reports counts the load reports of hosts and targets.
+	reports    uint64
 	queue      []*Request
 	nextNumber uint64
 }
@@ -123,6 +127,17 @@
 	// rollout is nil without an order. flights holds the version that runs each request.
 	rollout *rollout
 	flights map[*Request]sd.Version
+	// keepsTurns is set unless the pool has streaming rules of which none retains turns.
+	keepsTurns bool
+	// reportsWorkTime is set once a target of the pool has reported its work time.
+	reportsWorkTime bool
+	reading         reading
+	// estimatedAt is when the other hosts' requests were last estimated, and estimatedFrom the
+	// number of reports then.
+	estimatedAt   sd.Instant
+	estimatedFrom uint64
+	// misfit is the logarithm of how much longer requests take than expected.
+	misfit float64
 }
 
 type target struct {
@@ -151,6 +166,27 @@
 	// target's rendezvous order. It is extended when it is read.
 	precededBy []bool
 	code       gossiper.IDHash
+	speed      speed
+	// running holds this host's requests in flight.
+	running []*Request
+	// ownWorkTime is the last work time that the target reported to this host, in hundredths.
+	ownWorkTime   float64
+	ownWorkTimeAt sd.Instant
+	// unread counts this host's prompt tokens in flight that are not read yet, and tokens those
+	// that its requests in flight may come to hold.
+	unread, tokens sd.Tokens
+	kept           keptPrompts
+	others         others
+
+	// The results of the last look at the target for a request: its load, the unread tokens there
+	// and those that requests may come to hold, what it would have to read of the prompt, how many
+	// milliseconds the request would take, and the target's factor in that.
+	lastLoad, lastBacklog, lastHeld float64
+	lastUnread                      sd.Tokens
+	lastOrigin                      origin
+	expected, lastFactor            float64
+	// seenFor is the request for which expected was last set.
+	seenFor *Request
 }
 
 // Request is a request for a target, assigned at once or queued.
@@ -166,6 +202,14 @@
 	// Prompt is the length of the request's prompt, which any other target has to read
 	// again.
 	Prompt sd.Tokens
+	// Longest is the most that the request may generate.
+	Longest sd.Tokens
+	// PromptKey identifies the line of turns whose prompts extend one another; zero if there is
+	// none. PromptParts are the parts at the prompt's start that other programs share.
+	PromptKey   uint64
+	PromptParts []PromptPart
+	// Objective is the time in which the first event should come; zero if there is none.
+	Objective sd.Millis
 	// ExcludedTargets have already rejected the request.
 	ExcludedTargets []sd.TargetID
 	Tier            sd.Tier
@@ -188,12 +232,31 @@
 	// RunningLimit no program may start.
 	PoolRunning  int
 	RunningLimit float64
+	// Choice tells how the target was chosen by expected time.
+	Choice Choice
 
 	number uint64
 	queued bool
 	// rollout counts the request, also by its time unless untimed is set.
 	rollout *rollout
 	untimed bool
+	// firstTried is when a target was first looked for.
+	firstTried sd.Instant
+	// waitsAtHome is set if the home is to read the request's prompt, but not yet.
+	waitsAtHome bool
+	sentAt      sd.Instant
+	// unread is the number of prompt tokens that the target had to read when the request was
+	// sent, estimated from origin; backlog is what it had to read before, and full is set if all
+	// its slots were taken. counted is set while the tokens are in the counts of the target,
+	// promptRead once the unread ones are not any more.
+	unread sd.Tokens
+	// modelled is the expected time at a target of factor 1, or zero.
+	modelled   float64
+	origin     origin
+	backlog    float64
+	full       bool
+	counted    bool
+	promptRead bool
 }
 
 // Refusal is the reason why a request got no target.
@@ -220,7 +283,7 @@
 	return &State{
 		settings: settings, targets: map[sd.TargetID]*target{}, pools: map[sd.GroupName]*pool{},
 		evacuated: map[sd.ZoneName]bool{}, removedSent: map[sd.TargetID][]sd.Instant{}, peers: map[sd.HostID]*peerLoad{},
-		shares: map[gossiper.IDHash][]peerShare{}, announced: map[instance]sd.Instant{},
+		shares: map[gossiper.IDHash][]peerShare{}, byCode: map[gossiper.IDHash]*target{}, announced: map[instance]sd.Instant{},
 	}
 }
 
@@ -234,7 +297,7 @@
 func (s *State) pool(name sd.GroupName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{serviceTime: float64(initialServiceTime)}
+		p = &pool{serviceTime: float64(initialServiceTime), keepsTurns: true}
 		s.pools[name] = p
 	}
 	return p
@@ -269,7 +332,7 @@
 		t.ID, t.sent = r.ID, s.removedSent[r.ID]
 		delete(s.removedSent, r.ID)
 		t.hostsBefore = s.hostsRankedBefore(0, t)
-		s.targets[r.ID] = t
+		s.targets[r.ID], s.byCode[t.code] = t, t
 		p := s.pool(r.Pool)
 		p.members = append(p.members, t)
 		slices.SortFunc(p.members, func(a, b *target) int { return cmp.Compare(a.rank, b.rank) })
@@ -286,6 +349,7 @@
 		return
 	}
 	delete(s.targets, id)
+	delete(s.byCode, t.code)
 	s.removedSent[id] = t.sent
 	p := s.pool(t.Pool)
 	p.members = slices.DeleteFunc(p.members, func(m *target) bool { return m == t })
@@ -342,12 +406,16 @@
 	}
 	slices.SortFunc(s.queue, func(a, b *Request) int { return compareRequests(now, a, b) })
 	var settled []*Request
-	poolFull := map[sd.GroupName]bool{}
+	poolFull, heldTries := map[sd.GroupName]bool{}, map[sd.GroupName]int{}
 	s.queue = slices.DeleteFunc(s.queue, func(req *Request) bool {
 		if now > req.StartDeadline {
 			req.RefusalReason = WaitTooLong
-		} else if poolFull[req.Pool] || !s.assign(now, req) {
-			poolFull[req.Pool] = req.RefusalReason == ""
+		} else if !poolFull[req.Pool] && !s.assign(now, req) {
+			// A long prompt that is held back must not hold up the short ones behind it.
+			if req.Choice.HeldBy != "" {
+				heldTries[req.Pool]++
+			}
+			poolFull[req.Pool] = req.RefusalReason == "" && (req.Choice.HeldBy == "" || heldTries[req.Pool] >= maxHeldTries)
 		}
 		if req.Target == "" && req.RefusalReason == "" {
 			return false
@@ -410,7 +478,12 @@
 func (s *State) assign(now sd.Instant, req *Request) bool {
 	p := s.pool(req.Pool)
 	var subset, sameZone, otherZones, unreachable []*target
-	usable, reachableCount, heard := 0, 0, s.heardHosts(now)
+	var preferred, home *target
+	usable, reachableCount, heard, forecasts := 0, 0, s.heardHosts(now), p.forecasts()
+	if forecasts {
+		s.prepare(now, p, req)
+		home = s.home(p, req)
+	}
 	for _, t := range p.members {
 		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) || !s.takesVersion(now, p, req, t) {
 			continue
@@ -420,7 +493,7 @@
 		if !isUnreachable {
 			reachableCount++
 		}
-		if now < t.backoffUntil || !s.hasRoom(now, p, t, heard) {
+		if now < t.backoffUntil || (!forecasts && !s.hasRoom(now, p, t, heard)) || (forecasts && !s.mayTake(now, p, t, req, home, heard)) {
 			continue
 		}
 		if isUnreachable {
@@ -428,8 +501,11 @@
 			continue
 		}
 		if t.ID == req.PreferredTarget && (req.Prompt >= longPromptTokens || s.settings.Connected == nil || s.settings.Connected(t.Address)) {
-			s.dispatch(now, req, t)
-			return true
+			if !forecasts {
+				s.dispatch(now, req, t)
+				return true
+			}
+			preferred = t
 		}
 		switch {
 		case t.Zone != s.settings.Zone:
@@ -444,6 +520,16 @@
 		req.RefusalReason = NoTarget
 		return false
 	}
+	if forecasts && req.waitsAtHome {
+		return false
+	}
+	if forecasts {
+		if t := s.chooseByTime(now, p, req, preferred, home, subset, sameZone, otherZones); t != nil {
+			s.startPrompt(p, t, req)
+			s.dispatch(now, req, t)
+			return true
+		}
+	}
 	if req.Affinity != 0 {
 		if t := highestRanked(req.Affinity, subset, sameZone); t != nil {
 			s.dispatch(now, req, t)
@@ -507,25 +593,32 @@
 
 // pickLessLoaded returns the less loaded of two randomly chosen targets.
 func (s *State) pickLessLoaded(now sd.Instant, list []*target) *target {
+	a, b := s.pickTwo(list)
+	if s.utilization(now, b) < s.utilization(now, a) {
+		return b
+	}
+	return a
+}
+
+// pickTwo returns two randomly chosen targets, which are the same if there is only one.
+func (s *State) pickTwo(list []*target) (a, b *target) {
 	first := s.settings.Random(len(list))
 	if len(list) == 1 {
-		return list[0]
+		return list[0], list[0]
 	}
 	second := s.settings.Random(len(list) - 1)
 	if second >= first {
 		second++
 	}
-	a, b := list[first], list[second]
-	if s.utilization(now, b) < s.utilization(now, a) {
-		return b
-	}
-	return a
+	return list[first], list[second]
 }
 
 func (s *State) dispatch(now sd.Instant, req *Request, t *target) {
 	req.Target, req.Address, req.Incarnation = t.ID, t.Address, t.Incarnation
 	t.inflight++
 	s.countDispatch(req, t)
+	req.sentAt = now
+	t.running = append(t.running, req)
 	if n := len(t.sent) - t.sentInWindow(now); n > 32 {
 		t.sent = slices.Delete(t.sent, 0, n)
 	}
@@ -557,9 +650,12 @@
 		return
 	}
 	t.inflight = max(t.inflight-1, 0)
+	t.running = slices.DeleteFunc(t.running, func(r *Request) bool { return r == req })
+	p := s.pool(t.Pool)
+	s.learn(now, p, t, req, result, took)
+	s.endPrompt(now, t, req, result)
 	switch result {
 	case Served:
-		p := s.pool(t.Pool)
 		p.serviceTime += serviceTimeWeight * (float64(took) - p.serviceTime)
 		t.failures = 0
 	case ConnectFailed:
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -91,7 +91,8 @@
 	sendSoon  chan struct{}
 	// interval is the time between two rounds; zero before there are peers.
 	interval sd.Millis
-	// relayQueue holds heartbeats of other zones to be relayed within this host's zone.
+	// relayQueue holds heartbeats of other zones to be relayed within this host's zone, each
+	// followed by its sections if it has any.
 	relayQueue [][]byte
 }
 
--- a/gossiper/sections.go
+++ b/gossiper/sections.go
@@ -16,21 +16,51 @@
 // formatSections is the first byte of an entry with sections.
 const formatSections = 'x'
 
-// Tags of sections. Tag 1 is reserved for the unread tokens by target.
-const sectionRollouts = 2
+// Tags of sections. Tags are never used again for other content.
+const (
+	sectionRollouts  = 2
+	sectionUnread    = 'u'
+	sectionTokens    = 't'
+	sectionWorkTimes = 'w'
+)
+
+// WorkTime is how long work takes at a target, as it last reported.
+type WorkTime struct {
+	// Hundredths of the usual time.
+	Hundredths uint64
+	// Age is how long before the heartbeat the target reported it.
+	Age sd.Millis
+}
 
 // maxRollouts bounds the rollouts of a heartbeat: those of the pools of a large deployment.
 const maxRollouts = 32
 
 // encodeSections returns the entry with the heartbeat's sections, or nil if it has none.
 func (b *Heartbeat) encodeSections() []byte {
-	if len(b.Rollouts) == 0 {
+	if len(b.Rollouts) == 0 && len(b.Unread) == 0 && len(b.Tokens) == 0 && len(b.WorkTimes) == 0 {
 		return nil
 	}
-	out := append([]byte{formatSections, byte(len(b.Host))}, b.Host...)
+	out := appendSectionsHead(nil, b)
+	if len(b.Rollouts) > 0 {
+		out = appendSection(out, sectionRollouts, encodeRollouts(b.Rollouts))
+	}
+	if len(b.Unread) > 0 {
+		out = appendSection(out, sectionUnread, appendCounts(nil, b.Unread))
+	}
+	if len(b.Tokens) > 0 {
+		out = appendSection(out, sectionTokens, appendCounts(nil, b.Tokens))
+	}
+	if len(b.WorkTimes) > 0 {
+		out = appendSection(out, sectionWorkTimes, encodeWorkTimes(b.WorkTimes))
+	}
+	return out
+}
+
+// appendSectionsHead appends the format and the heartbeat to which the sections belong.
+func appendSectionsHead(out []byte, b *Heartbeat) []byte {
+	out = append(append(out, formatSections, byte(len(b.Host))), b.Host...)
 	out = binary.AppendUvarint(out, uint64(b.Incarnation))
-	out = binary.AppendUvarint(out, b.Number)
-	return appendSection(out, sectionRollouts, encodeRollouts(b.Rollouts))
+	return binary.AppendUvarint(out, b.Number)
 }
 
 func appendSection(out []byte, tag byte, content []byte) []byte {
@@ -71,13 +101,57 @@
 		}
 		content := reader{rest: r.rest[:n]}
 		r.skip(int(n))
-		if tag == sectionRollouts {
-			b.Rollouts = decodeRollouts(&content)
-		}
+		b.decodeSection(tag, &content)
 	}
 	return true
 }
 
+// decodeSection sets the field of a section, unless the section does not parse.
+func (b *Heartbeat) decodeSection(tag byte, content *reader) {
+	switch tag {
+	case sectionRollouts:
+		b.Rollouts = decodeRollouts(content)
+	case sectionUnread:
+		if counts := readCounts[int](content); !content.failed {
+			b.Unread = counts
+		}
+	case sectionTokens:
+		if counts := readCounts[int](content); !content.failed {
+			b.Tokens = counts
+		}
+	case sectionWorkTimes:
+		if times := readWorkTimes(content); !content.failed {
+			b.WorkTimes = times
+		}
+	}
+}
+
+func encodeWorkTimes(times map[IDHash]WorkTime) []byte {
+	out := binary.AppendUvarint(nil, uint64(len(times)))
+	for code, w := range times {
+		out = binary.BigEndian.AppendUint32(out, uint32(code))
+		out = binary.AppendUvarint(out, w.Hundredths)
+		out = binary.AppendUvarint(out, uint64(max(w.Age, 0)))
+	}
+	return out
+}
+
+func readWorkTimes(r *reader) map[IDHash]WorkTime {
+	n := r.uvarint()
+	// An entry is a count and its age.
+	if n > uint64(len(r.rest)/(minCountBytes+1)) {
+		r.failed = true
+		return nil
+	}
+	times := make(map[IDHash]WorkTime, n)
+	for range n {
+		code := IDHash(r.uint32())
+		hundredths, age := r.uvarint(), r.uvarint()
+		times[code] = WorkTime{Hundredths: hundredths, Age: sd.Millis(min(age, uint64(sd.Minute)))}
+	}
+	return times
+}
+
 func encodeRollouts(rollouts map[IDHash]promoter.Report) []byte {
 	out := binary.AppendUvarint(nil, uint64(len(rollouts)))
 	for pool, report := range rollouts {
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -39,6 +39,7 @@
 			Pool: q.pool, Rule: q.rule.Name, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
 			StartsProgram: q.startsProgram(), Affinity: q.affinity(),
 		}
+		q.describePrompt(ticket)
 		if q.params.ProgramLeft > 0 {
 			ticket.ProgramDeadline = q.arrived.Add(q.params.ProgramLeft)
 		}
@@ -50,6 +51,7 @@
 		}
 		// servedElsewhere waits for the reservation, which is a stage of its own.
 		q.recordStage(stageWait, queuedAt.Add(q.stageTimes[stageHeld]-held))
+		q.reportChoice(ticket)
 		if err != nil || ticket.RefusalReason != "" {
 			reason := string(ticket.RefusalReason)
 			if err != nil {
@@ -157,6 +159,7 @@
 	if reply.Loaded {
 		q.TargetQueue.Update(func(b *balancer.State, now sd.Instant) {
 			b.ReportTargetLoad(now, ticket.Target, reply.Running, reply.Waiting)
+			b.ReportWorkTime(now, ticket.Target, reply.WorkTime)
 		})
 	}
 	if reply.NotRun {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -59,6 +59,7 @@
 	Config
 	bufferQuota *memoryQuota
 	recent      recentTargets
+	choices     choiceLog
 	// settling counts the goroutines that record token usage after the response was
 	// sent.
 	settling sync.WaitGroup
@@ -73,6 +74,7 @@
 	}
 	r := &Receiver{Config: config, bufferQuota: newMemoryQuota(config.Memory)}
 	config.Metrics.Set.GetOrCreateGauge("answer_buffer_bytes", func() float64 { return float64(r.bufferQuota.reserved.Load()) })
+	config.Metrics.Set.GetOrCreateGauge("unread_tokens_inflight", func() float64 { return float64(r.TargetQueue.UnreadTokens()) })
 	return r
 }
 
