--- a/balancer/prompt.go
+++ b/balancer/prompt.go
@@ -258,8 +258,8 @@
 
 // home returns the target that all hosts prefer for a request whether or not it has room, or nil if
 // there is none.
-func (s *State) home(p *pool, req *Request) *target {
-	if t := s.targets[req.PreferredTarget]; t != nil && t.Pool == req.Pool && s.accepts(t) && !slices.Contains(s.unreachableZones, t.Zone) {
+func (s *State) home(now sd.Instant, p *pool, req *Request) *target {
+	if t := s.targets[req.PreferredTarget]; t != nil && t.Pool == req.Pool && s.accepts(t) && s.takesVersion(now, p, req, t) && !slices.Contains(s.unreachableZones, t.Zone) {
 		return t
 	}
 	if req.Affinity == 0 {
@@ -268,7 +268,7 @@
 	var best *target
 	most := uint64(0)
 	for _, t := range p.members {
-		if (t.Zone != s.settings.Zone && !leavesZone(req)) || !s.accepts(t) || slices.Contains(s.unreachableZones, t.Zone) {
+		if (t.Zone != s.settings.Zone && !leavesZone(req)) || !s.accepts(t) || !s.takesVersion(now, p, req, t) || slices.Contains(s.unreachableZones, t.Zone) {
 			continue
 		}
 		if rank := affinityRank(req.Affinity, t.code); best == nil || rank > most {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -482,7 +482,7 @@
 	usable, reachableCount, heard, forecasts := 0, 0, s.heardHosts(now), p.forecasts()
 	if forecasts {
 		s.prepare(now, p, req)
-		home = s.home(p, req)
+		home = s.home(now, p, req)
 	}
 	for _, t := range p.members {
 		if !s.accepts(t) || slices.Contains(req.ExcludedTargets, t.ID) || !s.takesVersion(now, p, req, t) {
