--- a/promoter/state.go
+++ b/promoter/state.go
@@ -327,6 +327,11 @@
 // Stage returns the stage that this host follows.
 func (s *State) Stage() Stage { return s.stage }
 
+// Settled reports whether the rollout has ended for long enough that all hosts have read its row.
+func (s *State) Settled(now sd.Instant) bool {
+	return (s.stage == Done || s.stage == Back) && now.Since(s.stageAt) >= afterTime
+}
+
 // Reason tells why the stage was reached.
 func (s *State) Reason() string { return s.reason }
 
--- a/promoter/state_test.go
+++ b/promoter/state_test.go
@@ -74,6 +74,9 @@
 		if c.run(afterTime+sd.Second, good).Split.Mode != Ordinary {
 			t.Errorf("%d ms: targets of later versions are held back for good", duration)
 		}
+		if !c.s.Settled(c.view.Now) {
+			t.Errorf("%d ms: hosts report a rollout that has ended for good", duration)
+		}
 	}
 }
 
--- a/starter/rollout.go
+++ b/starter/rollout.go
@@ -252,15 +252,16 @@
 func (r *rollouts) reports() map[gossiper.IDHash]promoter.Report {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	now := r.host.clock.Now()
 	var out map[gossiper.IDHash]promoter.Report
 	for hash, o := range r.hashes {
-		if o.state.Order() == nil || o.unknown {
+		if o.state.Order() == nil || o.unknown || o.state.Settled(now) {
 			continue
 		}
 		if out == nil {
 			out = map[gossiper.IDHash]promoter.Report{}
 		}
-		out[hash] = r.own(o, r.host.clock.Now())
+		out[hash] = r.own(o, now)
 	}
 	return out
 }
