balancer, promoter: the share is spread evenly over its targets

Hosts preferred the target of the new version to which they had a connection. A version stays in doubt while other targets have too few answers.

An order to the present version is no longer rolled back in doubt either.

--- a/balancer/version.go
+++ b/balancer/version.go
@@ -30,8 +30,9 @@
 	split promoter.Split
 	// sent and sentNew are the requests since the order, of both sides and of the new one.
 	sent, sentNew float64
-	// canaries are the targets of the new version that get its share.
-	canaries map[sd.TargetID]bool
+	// canaries are the targets of the new version that get its share, each with the requests that it
+	// had from this host.
+	canaries map[sd.TargetID]int
 	routes   map[promoter.RouteID]*rolloutRoute
 	// targets counts the answers of targets of the new version.
 	targets map[gossiper.IDHash]promoter.Count
@@ -57,7 +58,6 @@
 		p.rollout = &rollout{routes: map[promoter.RouteID]*rolloutRoute{}, targets: map[gossiper.IDHash]promoter.Count{}}
 	}
 	p.rollout.split = split
-	p.rollout.canaries = nil
 	if split.Mode == promoter.Shared {
 		p.rollout.canaries = s.canaries(now, p)
 	}
@@ -66,7 +66,7 @@
 // canaries returns the targets of the new version that get its share: so few that each has about
 // the load of an old target, as some faults show only under load. All hosts choose the same ones
 // by a hash of the order.
-func (s *State) canaries(now sd.Instant, p *pool) map[sd.TargetID]bool {
+func (s *State) canaries(now sd.Instant, p *pool) map[sd.TargetID]int {
 	var fresh []*target
 	old := 0
 	for _, t := range p.members {
@@ -80,12 +80,12 @@
 	}
 	order := p.rollout.split.Order
 	slices.SortFunc(fresh, func(a, b *target) int { return cmp.Compare(affinityRank(order, b.code), affinityRank(order, a.code)) })
-	chosen, slots := map[sd.TargetID]bool{}, 0
+	chosen, slots := map[sd.TargetID]int{}, 0
 	for _, t := range fresh {
 		if len(chosen) >= minCanaries && float64(slots) >= p.rollout.split.Share*float64(old) {
 			break
 		}
-		chosen[t.ID] = true
+		chosen[t.ID] = p.rollout.canaries[t.ID]
 		slots += int(t.Slots)
 	}
 	return chosen
@@ -142,8 +142,10 @@
 	case promoter.NewFirst:
 		return !isOld || !s.serves(p, func(v sd.Version) bool { return !r.split.Old(v) })
 	case promoter.Shared:
-		if r.allowsNew(req) && s.newHasRoom(now, p) {
-			return r.canaries[t.ID]
+		if r.allowsNew(req) {
+			if canary := s.canary(now, p); canary != nil {
+				return t == canary
+			}
 		}
 		return !isNew
 	case promoter.Ordinary:
@@ -167,14 +169,20 @@
 	return route == nil || route.sentNew <= r.split.Share*route.sent+r.split.Extra
 }
 
-// newHasRoom reports whether a target of the new version can take a request now. If none can, the
-// request goes to the old version at once.
-func (s *State) newHasRoom(now sd.Instant, p *pool) bool {
-	heard := s.heardHosts(now)
-	return slices.ContainsFunc(p.members, func(t *target) bool {
-		return p.rollout.canaries[t.ID] && s.accepts(t) && now >= t.backoffUntil && !slices.Contains(s.unreachableZones, t.Zone) &&
-			s.hasRoom(now, p, t, heard)
-	})
+// canary returns the target of the new version that gets the next request of the share: of those
+// with room the one that had the fewest, so that the evidence is about all of them. It is nil if none
+// has room; the request then goes to the old version at once.
+func (s *State) canary(now sd.Instant, p *pool) (least *target) {
+	heard, sent := s.heardHosts(now), p.rollout.canaries
+	for _, t := range p.members {
+		if _, chosen := sent[t.ID]; !chosen || least != nil && sent[t.ID] >= sent[least.ID] {
+			continue
+		}
+		if s.accepts(t) && now >= t.backoffUntil && !slices.Contains(s.unreachableZones, t.Zone) && s.hasRoom(now, p, t, heard) {
+			least = t
+		}
+	}
+	return least
 }
 
 func routeOf(req *Request) promoter.RouteID { return promoter.RouteID(gossiper.HashID(req.Rule)) }
@@ -212,6 +220,9 @@
 	if r.split.New(t.Version) {
 		r.sentNew++
 		route.sentNew++
+		if _, chosen := r.canaries[t.ID]; chosen {
+			r.canaries[t.ID]++
+		}
 	}
 }
 
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -351,7 +351,8 @@
 		}
 	}
 	if one, alone := e.oneTarget(id.kind); targets && one {
-		v.Doubt = false
+		// While the others have too few answers, the version stays in doubt.
+		v.Doubt = v.Doubt && alone
 		sum = min(sum, doubt)
 	} else if targets && alone {
 		needed = max(needed, threshold*aloneFactor)
--- a/promoter/state.go
+++ b/promoter/state.go
@@ -426,9 +426,10 @@
 	}
 }
 
-// present reports whether the version was the only one as it was ordered.
+// present reports whether the version was the only one as it was ordered, or as all requests moved:
+// there is nothing to go back to.
 func (s *State) present() bool {
-	return s.row.Order == s.order.Row && s.row.Stage == Watch && len(s.row.From) == 0
+	return s.row.Order == s.order.Row && (s.row.Stage == Watch || s.row.Stage == Move) && len(s.row.From) == 0
 }
 
 // barred returns the versions of earlier orders that were not completed.
@@ -473,7 +474,7 @@
 		write(Back, s.reason)
 		return
 	case s.row.Stage == Watch && s.moveDue(v):
-		if s.verdict.Doubt {
+		if s.verdict.Doubt && !s.present() {
 			write(Back, "in doubt at the time limit")
 			return
 		}
@@ -532,7 +533,7 @@
 	if s.Age(v.Now) < s.moveAt(v) || v.Versions[s.order.To] == 0 {
 		return false
 	}
-	if s.Age(v.Now) >= s.order.Duration {
+	if s.Age(v.Now) >= s.order.Duration || s.present() {
 		return true
 	}
 	// Without evidence the bound on exposure takes precedence, unless there are hardly any requests.
@@ -579,7 +580,7 @@
 // watched for long enough. Hosts that do not report are waited for until their requests must have
 // ended.
 func (s *State) doneDue(v View, undrained int) bool {
-	if s.stage != Move || s.Age(v.Now) < s.doneAt(v) || s.verdict.Doubt && s.Age(v.Now) < s.order.Duration {
+	if s.stage != Move || s.Age(v.Now) < s.doneAt(v) || s.verdict.Doubt && !s.present() && s.Age(v.Now) < s.order.Duration {
 		return false
 	}
 	return undrained == 0 || v.Now.Since(s.stageAt) >= s.tail(v)+2*v.Interval
