starter: heads at the ports for other hosts and the platform draw on the budget

A connection whose handler has returned gives way only 50 ms later, as its response may not have been written yet.

--- a/overloader/crowd_test.go
+++ b/overloader/crowd_test.go
@@ -298,6 +298,15 @@
 	}
 }
 
+// manyFields returns the first n blocks of shortFields.
+func manyFields(n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(shortFields(i))
+	}
+	return text.String()
+}
+
 // Guards against messages of other hosts, or of whoever reaches their port, filling the memory, and
 // against connections there taking all descriptors.
 func TestPeers(t *testing.T) {
@@ -308,6 +317,7 @@
 	}{
 		"messages short of the end": {senders, "POST /peer/recall HTTP/1.1\r\nHost: peer\r\nContent-Type: application/json\r\nContent-Length: 5000000\r\n\r\n" + text},
 		"half heads":                {holders, "POST /peer"},
+		"heads of short fields":     {holders, "POST /peer/recall HTTP/1.1\r\nHost: peer\r\n" + manyFields(100)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := start(t, nil)
--- a/starter/connections.go
+++ b/starter/connections.go
@@ -33,6 +33,12 @@
 	// youngTime is how long a connection that has sent no whole head is left alone: longer than
 	// a round trip and than the pauses of a sender on a busy link.
 	youngTime = 300 * sd.Millisecond
+	// flushTime is how long the response of a handler that has returned may take to be written:
+	// far more than a write that does not wait for its reader.
+	flushTime = 50 * sd.Millisecond
+	// peerHeadBytes bounds heads of requests of other hosts and of the platform, which have a few
+	// hundred bytes.
+	peerHeadBytes = 8 << 10
 	// readAhead is what the server reads at once, which may go beyond the end of a head.
 	readAhead = 4 << 10
 )
@@ -60,6 +66,9 @@
 	clock  sd.Clock
 	limit  int
 	budget *reserver.Budget
+	// forRequests tells that the connections carry the requests that hold bytes of the budget,
+	// so that one of them may give way to a new connection.
+	forRequests bool
 	// idleLimit is the plan's idle timeout in milliseconds, headLimit its limit of a head in
 	// bytes; zero before there is a plan.
 	idleLimit, headLimit atomic.Int64
@@ -97,7 +106,7 @@
 // Read implements net.Conn. The error is headTooLong while a head goes beyond its limits.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n == 0 || c.owner.budget == nil || !c.heading.Load() {
+	if n == 0 || !c.heading.Load() {
 		return n, err
 	}
 	cost := c.head.Add(p[:n])
@@ -161,7 +170,7 @@
 			delete(c.open, victim)
 			_ = victim.Close()
 			c.counts.gaveWay++
-		case c.budget == nil || len(c.open) >= 2*c.limit || !c.budget.EvictStalled():
+		case !c.forRequests || len(c.open) >= 2*c.limit || !c.budget.EvictStalled():
 			c.counts.refused++
 			return nil
 		}
@@ -184,7 +193,7 @@
 			rank = 3
 		case conn.state == http.StateIdle:
 			rank = 2
-		case conn.state == http.StateActive:
+		case conn.state == http.StateActive && now.Since(conn.since) >= flushTime:
 			rank = 1
 		default:
 			continue
@@ -202,16 +211,14 @@
 	if !ok {
 		return
 	}
-	if c.budget != nil {
-		switch state {
-		case http.StateNew, http.StateIdle:
-			conn.awaitHead()
-		case http.StateActive:
-			conn.heading.Store(false)
-			conn.holder.SetEvict(nil)
-		default:
-			conn.holder.Close()
-		}
+	switch state {
+	case http.StateNew, http.StateIdle:
+		conn.awaitHead()
+	case http.StateActive:
+		conn.heading.Store(false)
+		conn.holder.SetEvict(nil)
+	default:
+		conn.holder.Close()
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/starter/connections_test.go
+++ b/starter/connections_test.go
@@ -17,6 +17,7 @@
 	clock := sd.Clock{Source: func() sd.Instant { return now }}
 	budget := reserver.New(reserver.Settings{Capacity: 1 << 20}, clock)
 	c := newConnections(4, budget, clock)
+	c.forRequests = true
 	open := func() *connection {
 		now = now.Add(1)
 		// Closing a connection that was never opened does nothing.
--- a/starter/host.go
+++ b/starter/host.go
@@ -167,7 +167,10 @@
 	budget.Requests = limits.callers
 	h.budget = reserver.New(budget, h.clock)
 	h.callers = newConnections(limits.callers, h.budget, h.clock)
-	h.peerConns, h.readyConns = newConnections(limits.peers, nil, h.clock), newConnections(readyConnections, nil, h.clock)
+	h.callers.forRequests = true
+	h.peerConns, h.readyConns = newConnections(limits.peers, h.budget, h.clock), newConnections(readyConnections, h.budget, h.clock)
+	h.peerConns.setHeadLimit(peerHeadBytes)
+	h.readyConns.setHeadLimit(peerHeadBytes)
 	h.client = platform.NewClient(settings.Store)
 	h.peers = messenger.NewClient(nil)
 	h.peers.Budget = h.budget
