--- a/gossiper/beat.go
+++ b/gossiper/beat.go
@@ -137,8 +137,8 @@
 	if len(body) < 2 || (body[0] != formatSingle && body[0] != formatRelay) || len(body) < 2+int(body[1]) {
 		return Heartbeat{}, false
 	}
-	b := Heartbeat{Host: sd.HostID(body[2 : 2+body[1]]), relay: body[0] == formatRelay}
-	r := reader{rest: body[2+body[1]:]}
+	b := Heartbeat{Host: sd.HostID(body[2 : 2+int(body[1])]), relay: body[0] == formatRelay}
+	r := reader{rest: body[2+int(body[1]):]}
 	b.Incarnation = sd.Incarnation(r.uvarint())
 	b.Number, b.Revision = r.uvarint(), sd.Revision(r.uvarint())
 	if len(r.rest) > 0 {
--- a/gossiper/beat_test.go
+++ b/gossiper/beat_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -341,3 +342,14 @@
 		t.Fatalf("got heartbeat %+v", beat)
 	}
 }
+
+// Guards against a datagram that ends the host: the length of a name of 254 or 255 bytes plus that of
+// the fields before it does not fit a byte.
+func TestLongNamesOfHostsAreRead(t *testing.T) {
+	for _, length := range []int{253, 254, 255} {
+		b := Heartbeat{Host: sd.HostID(strings.Repeat("h", length)), Incarnation: 1, Number: 2}
+		if got, ok := DecodeHeartbeat(b.Encode()); !ok || got.Host != b.Host || got.Number != 2 {
+			t.Errorf("name of %d bytes: %v, %v", length, got.Host, ok)
+		}
+	}
+}
