--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -6,8 +6,9 @@
 // and whether a connection is clean enough for the next request. An error is
 // Unavailable only if no byte was sent; every other failure is Uncertain. Answers
 // to earlier requests that arrive late are recognised by the request's id and
-// skipped. A connection is kept only after a framed answer was read to its end
-// with nothing behind it.
+// skipped. So are answers without an id, unless nothing came before them on the
+// connection: bytes behind an earlier answer may look like one. A connection is kept
+// only after a framed answer was read to its end with nothing behind it.
 //
 // An answer without a frame ends with its connection. It is broken if the connection was
 // reset. If the connection was closed in order, it is whole only if the target accepts
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -54,7 +54,7 @@
 	dropShows = 20 * sd.Millisecond
 	// idleLeast is the shortest idle time that is blamed for a dropped connection.
 	idleLeast = 500 * sd.Millisecond
-	// strays bounds the answers to earlier requests that are skipped.
+	// strays bounds the answers that are skipped because they do not belong to the request.
 	strays = 3
 	// strayBytes bounds the body of a skipped answer; a new connection costs less than
 	// to read more.
@@ -75,8 +75,13 @@
 	Header            http.Header
 	// Body is sent as the concatenation of its parts.
 	Body [][]byte
-	// Belongs reports whether an answer's headers may belong to this request.
+	// Belongs reports whether an answer's headers name this request.
 	Belongs func(status int, header http.Header) bool
+	// Anonymous, if set, reports whether an answer for which Belongs is false may still be the
+	// answer to this request if nothing came before it on the connection. Bytes that a target sends
+	// behind an answer may arrive after the next request was sent, so on a connection that was
+	// used before they cannot be told apart from such an answer.
+	Anonymous func(status int, header http.Header) bool
 	// Received, if set, is called for each head that the target sends, also for those of
 	// interim answers and of answers to other requests.
 	Received func(status int, header http.Header)
@@ -119,6 +124,8 @@
 	// since is when the connection was last used, until when it may no longer be.
 	since, until sd.Instant
 	used         bool
+	// answered tells that a target answered an earlier request on the connection.
+	answered bool
 }
 
 // Read reads what the target sent. It fails at the end of a head that is too long.
@@ -287,7 +294,11 @@
 		if response.StatusCode < 200 {
 			continue
 		}
-		if !call.Belongs(response.StatusCode, response.Header) {
+		belongs := call.Belongs(response.StatusCode, response.Header)
+		if !belongs && !conn.answered && !skipped && call.Anonymous != nil {
+			belongs = call.Anonymous(response.StatusCode, response.Header)
+		}
+		if !belongs {
 			skipped = true
 			framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes+1))
@@ -325,6 +336,7 @@
 		}
 		return
 	}
+	a.conn.answered = true
 	a.exchanger.keep(a.conn, a.Header.Get("Keep-Alive"))
 }
 
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -118,9 +118,13 @@
 		Header: platform.TargetHeader(q.http.Header, q.workspace, ticket.Target, max(q.remaining(), 1)),
 		Body:   q.bodyParts(),
 		Belongs: func(status int, header http.Header) bool {
-			id := platform.DecodeReply(status, header).Request
-			return id == q.params.Request || (id == "" && status >= 300)
+			return platform.DecodeReply(status, header).Request == q.params.Request
 		},
+		Anonymous: func(status int, header http.Header) bool {
+			return platform.DecodeReply(status, header).Request == "" && status >= 300
+		},
+		// Without an id, the answer cannot be told apart from bytes behind an earlier one.
+		Fresh: q.params.Request == "",
 		Received: func(status int, header http.Header) {
 			if platform.DecodeReply(status, header).Leaving {
 				q.markLeaving(ticket)
