--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -35,6 +35,10 @@
 			q.fail(ctx, "refused by all targets tried", retryDelay)
 			return
 		}
+		if !q.awaitCopies(ctx) {
+			q.fail(ctx, reasonCopies, retryDelay)
+			return
+		}
 		ticket := &balancer.Request{
 			Pool: q.pool, PreferredTarget: q.preferred, Prompt: q.params.Prompt, ExcludedTargets: avoid, Tier: q.tier, StartDeadline: q.deadline.Add(-minAttemptTime),
 			StartsProgram: q.startsProgram(), Affinity: q.affinity(),
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -140,6 +140,8 @@
 	// sign is the request's signature if signed is set.
 	sign   screener.Signature
 	signed bool
+	// trial names the request's trial at the Screener; empty if it has none.
+	trial string
 	// history holds the earlier turns, which are sent to the target before the body.
 	history   []*archiver.Turn
 	preferred sd.TargetID
--- a/receiver/screen.go
+++ b/receiver/screen.go
@@ -13,6 +13,10 @@
 // reasonCrashes is the reason given for refusing a request that crashes its targets.
 const reasonCrashes = "request crashes its targets"
 
+// reasonCopies is the reason given for refusing a request while it is not known whether a copy
+// of it crashes another target.
+const reasonCopies = "effect of a copy is not known"
+
 // signature returns the request's signature.
 func (q *request) signature() screener.Signature {
 	if !q.signed {
@@ -32,6 +36,24 @@
 	return q.Screener.RefusedFor(q.signature())
 }
 
+// awaitCopies waits while a copy of a request that was there when targets crashed is at
+// another one. It returns false if the request must not be sent now.
+func (q *request) awaitCopies(ctx context.Context) bool {
+	if !q.screened() {
+		return true
+	}
+	start := q.Clock.Now()
+	trial, ok := q.Screener.Await(ctx, q.signature(), q.trial)
+	if q.Clock.Now() > start {
+		q.recordStage(stageWait, start)
+	}
+	if trial != "" && trial != q.trial {
+		q.Metrics.Set.GetOrCreateCounter("request_trials_total").Inc()
+	}
+	q.trial = trial
+	return ok
+}
+
 // knownCrashes returns the request's count of crashes.
 func (q *request) knownCrashes() screener.Crashes {
 	if !q.screened() {
@@ -48,7 +70,7 @@
 	}
 	sign, known, target := q.signature(), q.crashesKnown, q.target
 	report := func() {
-		crashes := q.Screener.ReportCrash(sign, known)
+		crashes := q.Screener.ReportCrash(sign, known, target)
 		q.Metrics.Set.GetOrCreateCounter("target_crashes_total").Inc()
 		q.Log.Warn("target crashed while it ran the request", zap.Int("event", eventCrash), q.idField(), zap.String("target", string(target)),
 			zap.Stringer("fingerprint", sign.Whole), zap.Stringer("start", sign.Start),
--- a/receiver/screen_test.go
+++ b/receiver/screen_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/faker"
 	"sapphiredrum.example/sapphiredrum/platform/emulator"
 	"sapphiredrum.example/sapphiredrum/receiver"
 	"sapphiredrum.example/sapphiredrum/screener"
@@ -18,7 +19,7 @@
 // screened returns an option that sets a Screener without a running writer, and the
 // Screener.
 func screened() (func(*receiver.Config), *screener.Screener) {
-	s := screener.New(screener.Config{Clock: sd.NewClock(), Log: zap.NewNop()})
+	s := screener.New(screener.Config{Store: faker.NewRows(1), Clock: sd.NewClock(), Log: zap.NewNop()})
 	return func(c *receiver.Config) { c.Screener = s }, s
 }
 
@@ -153,3 +154,40 @@
 		t.Error("crash not counted")
 	}
 }
+
+// Guards against copies of a request that crashes its targets outrunning the count by coming
+// together: after their first crashes, no more than three run.
+func TestCopiesThatComeTogetherCrashFewTargets(t *testing.T) {
+	option, _ := screened()
+	b := newBench(t, option)
+	runs := 0
+	for round := range 4 {
+		var targets []*rawTarget
+		ready := make(chan struct{})
+		targets = b.replaceTargets("desk", 3, func(_ *bufio.Writer, id string) bool {
+			<-ready
+			time.Sleep(50 * time.Millisecond)
+			for _, target := range targets {
+				if target.body(id) != "" {
+					_ = target.listener.Close()
+				}
+			}
+			return false
+		})
+		close(ready)
+		var all sync.WaitGroup
+		for n := range 3 {
+			all.Go(func() { b.ask("POST", "/pay/x", fmt.Sprint("r", round, ".", n), "body") })
+		}
+		all.Wait()
+		for n := range 3 {
+			times, _ := countRuns(targets, fmt.Sprint("r", round, ".", n))
+			if round > 0 {
+				runs += times
+			}
+		}
+	}
+	if runs > 3 {
+		t.Errorf("%d copies ran after the first crashes, three may", runs)
+	}
+}
--- a/screener/doc.go
+++ b/screener/doc.go
@@ -13,6 +13,12 @@
 // survives clears it. Targets that crash at the same moment count once, whatever ran on
 // them.
 //
+// Copies of a request that are sent together would outrun the count. So the row also has the
+// targets that crashed, and from the second one on, copies run one at a time on all hosts: a host
+// writes a trial into the row before it sends one, and the others wait until the count changes
+// or trialTime has passed. A host that the store is away from does so for itself. Requests that
+// only share the start of their body do not wait for one another.
+//
 // Requests that share the start of their body, such as a long prompt, are counted together
 // too. A single faulty body must not have the others refused, so it adds at most
 // maxSameBody to their count.
--- a/screener/model_test.go
+++ b/screener/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -64,7 +65,7 @@
 			left = append(left, r)
 			continue
 		}
-		m.hosts[r.host].ReportCrash(0, m.requests[r.request], r.known)
+		m.hosts[r.host].ReportCrash(0, m.requests[r.request], r.known, sd.TargetID(fmt.Sprint(target)))
 		m.survived[r.request] = false
 		if r.count >= m.counts[r.request] {
 			m.counts[r.request]++
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -15,6 +18,7 @@
 	eventRow     = 680
 	eventRefused = 681
 	eventWrite   = 682
+	eventTrial   = 683
 )
 
 const (
@@ -26,6 +30,14 @@
 	lastRetry  = sd.Second
 	// expireInterval is how often old counts are looked for.
 	expireInterval = 10 * sd.Second
+	// claimTimeout limits the write of a trial, which the request waits for; a slow store
+	// takes some 300 ms.
+	claimTimeout = 400 * sd.Millisecond
+	// conflictPause is how long a claim waits for the row that was in its way: what the store
+	// takes to push it.
+	conflictPause = 50 * sd.Millisecond
+	// maxWaiting limits the copies that wait on a host, which keep their bodies in memory.
+	maxWaiting = 64
 )
 
 // Config holds the dependencies of a Screener.
@@ -47,11 +59,14 @@
 	lock  sync.Mutex
 	state *State
 	wake  chan struct{}
+	// changed is closed and replaced when a count or a trial changes.
+	changed chan struct{}
+	waiting int
 }
 
 // New returns a Screener that writes nothing before Run runs.
 func New(config Config) *Screener {
-	return &Screener{config: config, state: NewState(config.Table), wake: make(chan struct{}, 1)}
+	return &Screener{config: config, state: NewState(config.Table), wake: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // Idle reports whether no request is suspected, so that signatures are not needed.
@@ -82,11 +97,80 @@
 	return s.state.Refused(s.config.Clock.Now())
 }
 
+// Await waits until a copy of a request may be sent: from the second crash on, copies run one
+// at a time. Held is what it returned for this copy before. It returns the name of the copy's
+// trial, which is empty if it needs none, and false if the copy must not be sent: ctx has ended,
+// or too many wait.
+func (s *Screener) Await(ctx context.Context, q Signature, held string) (name string, ok bool) {
+	for {
+		s.lock.Lock()
+		now, changed := s.config.Clock.Now(), s.changed
+		wait, claim := s.state.Await(now, q, held)
+		if !claim {
+			s.lock.Unlock()
+			return held, true
+		}
+		if wait == 0 {
+			name = strconv.FormatUint(rand.Uint64(), 36)
+			update, err := s.state.Claim(now, q, name)
+			s.lock.Unlock()
+			if err != nil || s.claim(ctx, q, name, update) {
+				s.config.Log.Info("one copy of a request runs, others wait", zap.Int("event", eventTrial), zap.Stringer("fingerprint", q.Whole), zap.String("trial", name))
+				return name, ctx.Err() == nil
+			}
+			wait = conflictPause
+			s.lock.Lock()
+		}
+		if s.waiting >= maxWaiting {
+			s.lock.Unlock()
+			return "", false
+		}
+		s.waiting++
+		s.lock.Unlock()
+		timer := time.NewTimer(wait.Duration())
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		s.lock.Lock()
+		s.waiting--
+		s.lock.Unlock()
+		if ctx.Err() != nil {
+			return "", false
+		}
+	}
+}
+
+// claim writes a trial. It returns false if another host has written the row meanwhile. If the
+// store does not answer, copies run one at a time on this host alone.
+func (s *Screener) claim(ctx context.Context, q Signature, name string, update sd.Update) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Duration())
+	defer cancel()
+	page, err := s.config.Store.Commit(ctx, update)
+	if errorx.IsOfType(err, sd.Conflict) {
+		s.lock.Lock()
+		s.state.Withdraw(q, name)
+		s.lock.Unlock()
+		s.Change(page.Records)
+		return false
+	}
+	if err != nil {
+		s.config.Log.Info("trial of a request not written", zap.Int("event", eventWrite), zap.Int("rows", 1), zap.Error(err))
+		return true
+	}
+	update.Put[0].Version = page.Version
+	s.Change(update.Put)
+	return true
+}
+
 // ReportCrash takes a crash of a target that ran a request. Known is the request's count
 // when it was sent. It returns the new count.
-func (s *Screener) ReportCrash(q Signature, known Crashes) Crashes {
+func (s *Screener) ReportCrash(q Signature, known Crashes, target sd.TargetID) Crashes {
 	s.lock.Lock()
-	crashes := s.state.ReportCrash(s.config.Clock.Now(), q, known)
+	crashes := s.state.ReportCrash(s.config.Clock.Now(), q, known, target)
+	s.notify()
 	s.lock.Unlock()
 	s.wakeRun()
 	return crashes
@@ -96,12 +180,21 @@
 func (s *Screener) ReportSurvived(q Signature) {
 	s.lock.Lock()
 	cleared := s.state.ReportSurvived(s.config.Clock.Now(), q)
+	if cleared {
+		s.notify()
+	}
 	s.lock.Unlock()
 	if cleared {
 		s.wakeRun()
 	}
 }
 
+// notify wakes the copies that wait.
+func (s *Screener) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Screener) wakeRun() {
 	select {
 	case s.wake <- struct{}{}:
@@ -113,6 +206,7 @@
 func (s *Screener) Change(records []sd.Record) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	defer s.notify()
 	now := s.config.Clock.Now()
 	for _, record := range records {
 		err := s.state.Change(now, record)
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,7 +60,7 @@
 	q := signature("a")
 	for n, h := range hosts {
 		eventually(t, "host knows the crashes before", func() bool { return h.Crashes(q).Whole == n })
-		h.ReportCrash(q, h.Crashes(q))
+		h.ReportCrash(q, h.Crashes(q), "t")
 	}
 	hosts = append(hosts, start(t, rows))
 	for _, h := range hosts {
@@ -67,7 +70,7 @@
 		}
 	}
 	other := signature("b")
-	hosts[0].ReportCrash(other, hosts[0].Crashes(other))
+	hosts[0].ReportCrash(other, hosts[0].Crashes(other), "t")
 	eventually(t, "requests with the same start are refused", func() bool { return hosts[3].RefusedFor(signature("c")) > 0 })
 	for _, seen := range []screener.Signature{q, other} {
 		hosts[1].ReportSurvived(seen)
@@ -85,7 +88,7 @@
 	q := signature("a")
 	rows.Trouble(faker.RowsTrouble{Down: true})
 	for _, h := range []*screener.Screener{first, first, second, second, second} {
-		h.ReportCrash(q, h.Crashes(q))
+		h.ReportCrash(q, h.Crashes(q), "t")
 	}
 	if first.RefusedFor(q) > 0 || second.RefusedFor(q) == 0 {
 		t.Fatal("without the store, a host must count for itself")
@@ -111,3 +114,98 @@
 		t.Errorf("%d requests are refused, want 1", s.Refused())
 	}
 }
+
+// Guards against copies that come together at several hosts crashing a target each, time after
+// time: three hosts' copies may crash two more targets after the first crash of all three.
+func TestCopiesAtSeveralHostsCrashFewTargets(t *testing.T) {
+	rows := faker.NewRows(1)
+	hosts := []*screener.Screener{start(t, rows), start(t, rows), start(t, rows)}
+	q := signature("a")
+	for n, h := range hosts {
+		h.ReportCrash(q, screener.Crashes{}, sd.TargetID(fmt.Sprint("first-", n)))
+	}
+	eventually(t, "all hosts know of the first crashes", func() bool {
+		for _, h := range hosts {
+			if h.Crashes(q).Whole != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(300 * time.Millisecond)
+	var crashed, refused atomic.Int32
+	var all sync.WaitGroup
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for n := range 9 {
+		h := hosts[n%len(hosts)]
+		all.Go(func() {
+			if _, ok := h.Await(ctx, q, ""); !ok || h.RefusedFor(q) > 0 {
+				refused.Add(1)
+				return
+			}
+			known := h.Crashes(q)
+			time.Sleep(20 * time.Millisecond)
+			crashed.Add(1)
+			h.ReportCrash(q, known, sd.TargetID(fmt.Sprint("second-", n)))
+		})
+	}
+	all.Wait()
+	if crashed.Load() != 2 || refused.Load() != 7 {
+		t.Errorf("%d targets crashed, %d copies refused; want 2 and 7", crashed.Load(), refused.Load())
+	}
+}
+
+// Guards against more copies waiting on a host than its memory allows: those beyond the bound are
+// refused at once.
+func TestWaitingCopiesAreBounded(t *testing.T) {
+	const waiting, beyond = 64, 6
+	h, q := start(t, faker.NewRows(1)), signature("a")
+	h.ReportCrash(q, screener.Crashes{}, "one")
+	h.ReportCrash(q, screener.Crashes{}, "two")
+	if _, ok := h.Await(t.Context(), q, ""); !ok {
+		t.Fatal("no copy is sent")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	results := make(chan bool, waiting+beyond)
+	for range waiting + beyond {
+		go func() {
+			_, ok := h.Await(ctx, q, "")
+			results <- ok
+		}()
+	}
+	for n := range waiting + beyond {
+		if n == beyond {
+			cancel()
+		}
+		if <-results {
+			t.Errorf("result %d: a copy is sent beside another", n)
+		}
+	}
+}
+
+// Guards against copies being sent together, or waiting for good, while the store is away.
+func TestCopiesWithoutTheStore(t *testing.T) {
+	rows := faker.NewRows(1)
+	h, q := start(t, rows), signature("a")
+	rows.Trouble(faker.RowsTrouble{Down: true})
+	h.ReportCrash(q, screener.Crashes{}, "one")
+	h.ReportCrash(q, screener.Crashes{}, "two")
+	name, ok := h.Await(t.Context(), q, "")
+	if name == "" || !ok {
+		t.Fatal("no copy is sent")
+	}
+	if again, ok := h.Await(t.Context(), q, name); again != name || !ok {
+		t.Error("the next attempt of the copy waits for itself")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, ok := h.Await(ctx, q, ""); ok {
+		t.Error("another copy is sent beside it")
+	}
+	h.ReportSurvived(q)
+	if _, ok := h.Await(t.Context(), q, ""); !ok {
+		t.Error("a copy waits after a survival")
+	}
+}
--- a/screener/state.go
+++ b/screener/state.go
@@ -25,6 +25,12 @@
 	// to replace a faulty target. Each further crash doubles it, up to maxDoublings times.
 	refusalTime  = 10 * sd.Minute
 	maxDoublings = 6
+	// aloneAfter is the number of crashed targets from which on copies of a request run one
+	// at a time, on all hosts. One crash is most often the target's own.
+	aloneAfter = 2
+	// trialTime is how long other copies wait for the effect of one. A run that crashes its
+	// target does so soon as a rule, and callers wait for some seconds.
+	trialTime = 2 * sd.Second
 	// maxPending limits the fingerprints whose counts are not written yet: more than run on
 	// all targets of a large zone for one host.
 	maxPending = 1024
@@ -88,12 +94,16 @@
 
 // countWire is the value of a row.
 type countWire struct {
-	Crashes int `json:"crashes"`
+	Crashes int           `json:"crashes"`
+	Targets []sd.TargetID `json:"targets,omitempty"`
+	Trial   string        `json:"trial,omitempty"`
 }
 
 // count is a row as last seen.
 type count struct {
 	crashes int
+	// targets are those that crashed, also at the same moment; aloneAfter of them at most.
+	targets []sd.TargetID
 	version uint64
 	// changedAt is when this host saw the count change.
 	changedAt sd.Instant
@@ -111,6 +121,27 @@
 // raises the count for as long as the request was refused.
 func (c count) expiresAt() sd.Instant { return c.changedAt.Add(max(2*c.refusalTime(), suspectTime)) }
 
+// alone reports whether copies of a request with this count run one at a time.
+func (c count) alone() bool { return max(c.crashes, len(c.targets)) >= aloneAfter }
+
+// union returns the targets of both lists, aloneAfter at most.
+func union(a []sd.TargetID, b ...sd.TargetID) []sd.TargetID {
+	all := slices.Clone(a)
+	for _, id := range b {
+		if id != "" && len(all) < aloneAfter && !slices.Contains(all, id) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// trial is a run whose effect other copies of its request wait for.
+type trial struct {
+	name string
+	// since is when this host learned of it.
+	since sd.Instant
+}
+
 // State holds the counts of all fingerprints. It is pure: it neither reads a clock nor
 // calls the store.
 type State struct {
@@ -118,6 +149,7 @@
 	stored map[Fingerprint]count
 	// pending holds what is to be written.
 	pending map[Fingerprint]change
+	trials  map[Fingerprint]trial
 }
 
 // change is a pending write of a count; its zero count removes the row.
@@ -129,7 +161,7 @@
 
 // NewState returns a State without counts, for rows of the given table.
 func NewState(table string) *State {
-	return &State{table: table, stored: map[Fingerprint]count{}, pending: map[Fingerprint]change{}}
+	return &State{table: table, stored: map[Fingerprint]count{}, pending: map[Fingerprint]change{}, trials: map[Fingerprint]trial{}}
 }
 
 // Empty reports whether there is no count at all.
@@ -174,25 +206,70 @@
 	return refused
 }
 
+// Await returns how long a copy of a request waits for the effect of another one, and whether
+// copies run one at a time, so that this one must be claimed. Held names the trial of this copy
+// itself, if it has one.
+func (s *State) Await(now sd.Instant, q Signature, held string) (wait sd.Millis, claim bool) {
+	if !s.current(now, q.Whole).alone() || s.RefusedFor(now, q) > 0 {
+		return 0, false
+	}
+	t, ok := s.trials[q.Whole]
+	if ok && held != "" && t.name == held {
+		return 0, false
+	}
+	if wait = t.since.Add(trialTime).Since(now); ok && wait > 0 {
+		return wait, true
+	}
+	return 0, true
+}
+
+// Claim begins a trial and returns the transaction that tells other hosts of it. It holds
+// on this host even if the store does not take it.
+func (s *State) Claim(now sd.Instant, q Signature, name string) (sd.Update, error) {
+	s.trials[q.Whole] = trial{name: name, since: now}
+	c := s.current(now, q.Whole)
+	value, err := json.Marshal(countWire{Crashes: c.crashes, Targets: c.targets, Trial: name})
+	if err != nil {
+		return sd.Update{}, sd.Unavailable.Wrap(err, "trial cannot be encoded")
+	}
+	key := sd.RecordKey{Table: s.table, Key: q.Whole.String()}
+	return sd.Update{Expect: []sd.Record{{RecordKey: key, Version: s.stored[q.Whole].version}}, Put: []sd.Record{{RecordKey: key, Value: value}}}, nil
+}
+
+// Withdraw ends a trial that another host has forestalled.
+func (s *State) Withdraw(q Signature, name string) {
+	if s.trials[q.Whole].name == name {
+		delete(s.trials, q.Whole)
+	}
+}
+
 // ReportCrash takes a crash of a target that ran a request. Known is the request's count
 // when it was sent. It returns the new count.
-func (s *State) ReportCrash(now sd.Instant, q Signature, known Crashes) Crashes {
-	s.raise(now, q.Whole, known.Whole)
+func (s *State) ReportCrash(now sd.Instant, q Signature, known Crashes, target sd.TargetID) Crashes {
+	s.raise(now, q.Whole, known.Whole, target)
 	if q.Start != q.Whole && s.current(now, q.Whole).crashes <= maxSameBody {
-		s.raise(now, q.Start, known.Start)
+		s.raise(now, q.Start, known.Start, "")
 	}
 	return s.Crashes(now, q)
 }
 
 // raise counts a crash under a run that was sent when known crashes were known. If the
-// count has risen since, the run adds nothing: the same crash may have ended it.
-func (s *State) raise(now sd.Instant, f Fingerprint, known int) {
-	old := s.current(now, f).crashes
-	crashes := min(known, old) + 1
-	if _, replaces := s.pending[f]; crashes <= old || (!replaces && len(s.pending) >= maxPending) {
+// count has risen since, the run adds its target only: the same crash may have ended it.
+func (s *State) raise(now sd.Instant, f Fingerprint, known int, target sd.TargetID) {
+	c := s.current(now, f)
+	old := c
+	c.targets = union(old.targets, target)
+	if crashes := min(known, old.crashes) + 1; crashes > old.crashes {
+		c.crashes, c.changedAt = crashes, now
+	}
+	_, replaces := s.pending[f]
+	if (c.crashes == old.crashes && len(c.targets) == len(old.targets)) || (!replaces && len(s.pending) >= maxPending) {
 		return
 	}
-	s.pending[f] = change{count: count{crashes: crashes, changedAt: now}}
+	if c.crashes > old.crashes {
+		delete(s.trials, f)
+	}
+	s.pending[f] = change{count: c}
 }
 
 // ReportSurvived takes a run of a request that its target survived. It reports whether
@@ -201,6 +278,7 @@
 	if s.Crashes(now, q) == (Crashes{}) {
 		return false
 	}
+	delete(s.trials, q.Whole)
 	for _, f := range q.parts() {
 		_, pending := s.pending[f]
 		_, stored := s.stored[f]
@@ -238,17 +316,22 @@
 		return nil
 	}
 	c := count{version: record.Version, changedAt: now}
+	var w countWire
 	if !record.Removed {
-		var w countWire
 		if err := json.Unmarshal(record.Value, &w); err != nil || w.Crashes <= 0 {
 			return sd.BrokenResponse.New("count of crashes cannot be used: %q", record.Value)
 		}
-		c.crashes = w.Crashes
+		c.crashes, c.targets = w.Crashes, union(nil, w.Targets...)
 	}
 	if c.crashes == old.crashes {
 		c.changedAt = old.changedAt
 	}
-	s.rebase(f, c.crashes)
+	if w.Trial == "" {
+		delete(s.trials, f)
+	} else if s.trials[f].name != w.Trial {
+		s.trials[f] = trial{name: w.Trial, since: now}
+	}
+	s.rebase(f, c)
 	if record.Removed {
 		delete(s.stored, f)
 	} else {
@@ -259,15 +342,18 @@
 
 // rebase fits a pending change to what the store has. Another host may have cleared the
 // count from which it was raised, or raised the one that was to be removed.
-func (s *State) rebase(f Fingerprint, stored int) {
+func (s *State) rebase(f Fingerprint, stored count) {
 	wanted, pending := s.pending[f]
+	targets := union(stored.targets, wanted.targets...)
 	switch {
 	case !pending:
-	case wanted.crashes == 0 && stored > 0 && stored <= wanted.removes:
-	case wanted.crashes <= stored:
+	case wanted.crashes == 0 && stored.crashes > 0 && stored.crashes <= wanted.removes:
+	case wanted.crashes == 0, wanted.crashes <= stored.crashes && len(targets) == len(stored.targets):
 		delete(s.pending, f)
+	case wanted.crashes <= stored.crashes:
+		s.pending[f] = change{count: count{crashes: stored.crashes, targets: targets, changedAt: stored.changedAt}}
 	default:
-		wanted.crashes = min(wanted.crashes, stored+1)
+		wanted.crashes, wanted.targets = min(wanted.crashes, stored.crashes+1), targets
 		s.pending[f] = wanted
 	}
 }
@@ -280,12 +366,16 @@
 	for _, f := range order[:min(len(order), maxWrites)] {
 		key := sd.RecordKey{Table: s.table, Key: f.String()}
 		update.Expect = append(update.Expect, sd.Record{RecordKey: key, Version: s.stored[f].version})
-		crashes := s.pending[f].crashes
-		if crashes == 0 {
+		wanted := s.pending[f]
+		if wanted.crashes == 0 {
 			update.Remove = append(update.Remove, key)
 			continue
 		}
-		value, err := json.Marshal(countWire{Crashes: crashes})
+		w := countWire{Crashes: wanted.crashes, Targets: wanted.targets}
+		if wanted.crashes == s.stored[f].crashes {
+			w.Trial = s.trials[f].name
+		}
+		value, err := json.Marshal(w)
 		if err != nil {
 			return sd.Update{}, sd.Unavailable.Wrap(err, "count cannot be encoded")
 		}
--- a/screener/state_test.go
+++ b/screener/state_test.go
@@ -63,16 +63,16 @@
 	s, q := NewState("t"), signature("a", "end")
 	known := s.Crashes(0, q)
 	for range 5 {
-		s.ReportCrash(10, q, known)
+		s.ReportCrash(10, q, known, "t")
 	}
 	if got := s.Crashes(10, q); got.Whole != 1 || s.RefusedFor(10, q) != 0 {
 		t.Fatalf("five runs that crashed together count %+v", got)
 	}
-	s.ReportCrash(20, q, s.Crashes(20, q))
+	s.ReportCrash(20, q, s.Crashes(20, q), "t")
 	if s.RefusedFor(20, q) != 0 {
 		t.Fatal("refused after two crashes")
 	}
-	s.ReportCrash(30, q, s.Crashes(30, q))
+	s.ReportCrash(30, q, s.Crashes(30, q), "t")
 	if s.RefusedFor(30, q) != refusalTime {
 		t.Fatalf("refused for %d ms after three crashes", s.RefusedFor(30, q))
 	}
@@ -87,8 +87,8 @@
 	s, q := NewState("t"), signature("a", "end")
 	for n := range 20 {
 		now := sd.Instant(n)
-		s.ReportCrash(now, q, s.Crashes(now, q))
-		s.ReportCrash(now, q, s.Crashes(now, q))
+		s.ReportCrash(now, q, s.Crashes(now, q), "t")
+		s.ReportCrash(now, q, s.Crashes(now, q), "t")
 		store(t, s, now, uint64(n+1))
 		if !s.ReportSurvived(now, q) || s.Crashes(now, q) != (Crashes{}) {
 			t.Fatal("count not cleared")
@@ -103,12 +103,12 @@
 func TestClearedCountDoesNotComeBack(t *testing.T) {
 	s, q := NewState("t"), signature("a", "end")
 	for range 2 {
-		s.ReportCrash(0, q, s.Crashes(0, q))
+		s.ReportCrash(0, q, s.Crashes(0, q), "t")
 	}
 	store(t, s, 0, 1)
 	known := s.Crashes(0, q)
 	s.ReportSurvived(0, q)
-	s.ReportCrash(0, q, known)
+	s.ReportCrash(0, q, known, "t")
 	if got := s.Crashes(0, q); got != (Crashes{Whole: 1, Start: 1}) {
 		t.Errorf("count %+v after one crash since a survival", got)
 	}
@@ -118,10 +118,10 @@
 func TestPendingCountFollowsTheStore(t *testing.T) {
 	s, q := NewState("t"), signature("a", "end")
 	for range 2 {
-		s.ReportCrash(0, q, s.Crashes(0, q))
+		s.ReportCrash(0, q, s.Crashes(0, q), "t")
 	}
 	store(t, s, 0, 1)
-	s.ReportCrash(0, q, s.Crashes(0, q))
+	s.ReportCrash(0, q, s.Crashes(0, q), "t")
 	if s.RefusedFor(0, q) == 0 {
 		t.Fatal("not refused after three crashes")
 	}
@@ -133,7 +133,7 @@
 		t.Errorf("count %d, want the one crash since", got)
 	}
 	update, err := s.NextUpdate()
-	if err != nil || len(update.Put) != 1 || string(update.Put[0].Value) != `{"crashes":1}` || update.Expect[0].Version != 0 {
+	if err != nil || len(update.Put) != 1 || string(update.Put[0].Value) != `{"crashes":1,"targets":["t"]}` || update.Expect[0].Version != 0 {
 		t.Errorf("writes %+v, %v", update, err)
 	}
 }
@@ -141,7 +141,7 @@
 // A read that is older than this host's own write changes nothing.
 func TestOldReadChangesNothing(t *testing.T) {
 	s, q := NewState("t"), signature("a", "end")
-	s.ReportCrash(0, q, s.Crashes(0, q))
+	s.ReportCrash(0, q, s.Crashes(0, q), "t")
 	store(t, s, 0, 5)
 	old := sd.Record{RecordKey: sd.RecordKey{Table: "t", Key: q.Whole.String()}, Value: []byte(`{"crashes":3}`), Version: 4}
 	if err := s.Change(0, old); err != nil {
@@ -156,7 +156,7 @@
 // written meanwhile.
 func TestRemovalSparesANewerCount(t *testing.T) {
 	s, q := NewState("t"), signature("a", "end")
-	s.ReportCrash(0, q, s.Crashes(0, q))
+	s.ReportCrash(0, q, s.Crashes(0, q), "t")
 	store(t, s, 0, 1)
 	old := sd.Instant(0).Add(suspectTime)
 	if s.Expire(old) != 2 {
@@ -176,12 +176,12 @@
 func TestStartIsRefusedAfterCrashesOfTwoBodies(t *testing.T) {
 	s, one, two, third := NewState("t"), signature("a", "one"), signature("a", "two"), signature("a", "three")
 	for range 6 {
-		s.ReportCrash(0, one, s.Crashes(0, one))
+		s.ReportCrash(0, one, s.Crashes(0, one), "t")
 	}
 	if s.RefusedFor(0, one) == 0 || s.RefusedFor(0, two) != 0 {
 		t.Fatalf("refused for %d and %d ms, want the first only", s.RefusedFor(0, one), s.RefusedFor(0, two))
 	}
-	s.ReportCrash(0, two, s.Crashes(0, two))
+	s.ReportCrash(0, two, s.Crashes(0, two), "t")
 	if s.RefusedFor(0, two) == 0 || s.RefusedFor(0, third) == 0 {
 		t.Error("not refused after crashes of two bodies with the same start")
 	}
@@ -196,7 +196,7 @@
 	s, q := NewState("t"), signature("a", "end")
 	now := sd.Instant(0)
 	for range maxCrashes {
-		s.ReportCrash(now, q, s.Crashes(now, q))
+		s.ReportCrash(now, q, s.Crashes(now, q), "t")
 	}
 	store(t, s, now, 1)
 	for n, want := range []sd.Millis{refusalTime, 2 * refusalTime, 4 * refusalTime} {
@@ -207,7 +207,7 @@
 		if s.RefusedFor(now, q) != 0 {
 			t.Fatal("refusal does not end")
 		}
-		s.ReportCrash(now, q, s.Crashes(now, q))
+		s.ReportCrash(now, q, s.Crashes(now, q), "t")
 		store(t, s, now, uint64(n+2))
 	}
 	now = now.Add(100 * sd.Hour)
@@ -245,10 +245,73 @@
 	s := NewState("t")
 	for n := range 2 * maxPending {
 		q := signature(fmt.Sprint(n), "end")
-		s.ReportCrash(0, q, s.Crashes(0, q))
+		s.ReportCrash(0, q, s.Crashes(0, q), "t")
 	}
 	update, err := s.NextUpdate()
 	if err != nil || len(s.pending) > maxPending || len(update.Expect) != maxWrites {
 		t.Errorf("%d counts wait, a write has %d rows, %v", len(s.pending), len(update.Expect), err)
 	}
 }
+
+// Guards against copies that were sent together counting as one crash and being sent together
+// again: from the second target on, they go one at a time.
+func TestCopiesGoOneAtATimeFromTheSecondTargetOn(t *testing.T) {
+	s, q := NewState("t"), signature("a", "end")
+	known := s.Crashes(0, q)
+	s.ReportCrash(0, q, known, "one")
+	if wait, claim := s.Await(0, q, ""); wait != 0 || claim {
+		t.Fatalf("after one target: wait %d, claim %v", wait, claim)
+	}
+	s.ReportCrash(0, q, known, "two")
+	if _, claim := s.Await(0, q, ""); !claim {
+		t.Fatal("copies are sent together after two targets")
+	}
+	if _, err := s.Claim(0, q, "trial"); err != nil {
+		t.Fatal(err)
+	}
+	if wait, _ := s.Await(10, q, ""); wait != trialTime-10 {
+		t.Errorf("another copy waits %d ms", wait)
+	}
+	if wait, claim := s.Await(10, q, "trial"); wait != 0 || claim {
+		t.Error("a copy waits for its own trial")
+	}
+	if wait, claim := s.Await(10, signature("a", "other"), ""); wait != 0 || claim {
+		t.Error("a request with another body waits")
+	}
+	if wait, claim := s.Await(sd.Instant(0).Add(trialTime), q, ""); wait != 0 || !claim {
+		t.Error("a trial whose host is gone does not end")
+	}
+	s.ReportSurvived(20, q)
+	if wait, claim := s.Await(20, q, ""); wait != 0 || claim {
+		t.Error("copies wait although a target has survived one")
+	}
+}
+
+// Guards against targets being forgotten that crashed at the same moment at several hosts, whose
+// counts are equal.
+func TestTargetsOfAllHostsAreCounted(t *testing.T) {
+	one, two, q := NewState("t"), NewState("t"), signature("a", "end")
+	one.ReportCrash(0, q, Crashes{}, "one")
+	two.ReportCrash(0, q, Crashes{}, "two")
+	row := sd.Record{RecordKey: sd.RecordKey{Table: "t", Key: q.Whole.String()}, Value: []byte(`{"crashes":1,"targets":["one"]}`), Version: 1}
+	for _, s := range []*State{one, two} {
+		if err := s.Change(0, row); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, claim := one.Await(0, q, ""); claim || len(one.pending) != 1 {
+		t.Errorf("the host that wrote the row: claim %v, %d counts pending", claim, len(one.pending))
+	}
+	if _, claim := two.Await(0, q, ""); !claim || two.Crashes(0, q).Whole != 1 {
+		t.Errorf("the other host: claim %v, %+v", claim, two.Crashes(0, q))
+	}
+	update, err := two.NextUpdate()
+	if err != nil || len(update.Put) != 2 {
+		t.Fatalf("%+v, %v", update, err)
+	}
+	for _, put := range update.Put {
+		if put.Key == q.Whole.String() && string(put.Value) != `{"crashes":1,"targets":["one","two"]}` {
+			t.Errorf("writes %s", put.Value)
+		}
+	}
+}
