--- a/screener/state_test.go
+++ b/screener/state_test.go
@@ -281,6 +281,10 @@
 	if wait, claim := s.Await(sd.Instant(0).Add(trialTime), q, ""); wait != 0 || !claim {
 		t.Error("a trial whose host is gone does not end")
 	}
+	s.ReportCrash(15, q, s.Crashes(15, q), "three")
+	if wait, claim := s.Await(15, q, ""); wait != 0 || !claim {
+		t.Error("the next copy waits although the trial has crashed its target")
+	}
 	s.ReportSurvived(20, q)
 	if wait, claim := s.Await(20, q, ""); wait != 0 || claim {
 		t.Error("copies wait although a target has survived one")
