receiver: a request that must not be repeated needs a refusal with its id (TWICE)

Targets echo the id in every answer.

The two cases of TestRefusalsThatMayBelongToNoRequestAreNotBelieved that asked for such a refusal to be believed were wrong by that; three cases that ask for the opposite replace them.

--- a/receiver/anonymous_test.go
+++ b/receiver/anonymous_test.go
@@ -27,8 +27,9 @@
 		{"refusal on a kept connection", true, named + "Not-Executed: 1\r\n", false, 200, 2},
 		{"another instance on a kept connection", true, "HTTP/1.1 421 Not Here\r\nRequest-Id: pay\r\n", false, 200, 2},
 		{"refusal on a new connection", false, named + "Not-Executed: 1\r\n", false, 200, 2},
-		{"refusal without an id on a new connection", false, anonymous + "Not-Executed: 1\r\n", false, 200, 2},
-		{"another instance without an id on a new connection", false, "HTTP/1.1 421 Not Here\r\n", false, 200, 2},
+		{"bytes without an id on a new connection, then the answer", false, anonymous + "Not-Executed: 1\r\n", true, 200, 1},
+		{"bytes without an id on a new connection, then the end", false, anonymous + "Not-Executed: 1\r\n", false, 502, 1},
+		{"bytes of another instance without an id on a new connection", false, "HTTP/1.1 421 Not Here\r\n", true, 200, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t)
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -127,7 +127,8 @@
 			return platform.DecodeReply(status, header).Request == q.params.Request
 		},
 		Anonymous: func(status int, header http.Header) bool {
-			return platform.DecodeReply(status, header).Request == "" && status >= 300
+			r := platform.DecodeReply(status, header)
+			return r.Request == "" && status >= 300 && (!r.NotRun || q.mayRepeat() || q.params.Request == "")
 		},
 		// Without an id, the answer cannot be told apart from bytes behind an earlier one.
 		Fresh: q.params.Request == "",
@@ -199,10 +200,15 @@
 	}
 }
 
+// mayRepeat reports whether the request may run more than once. Others are sent to another target
+// only on a refusal that bears their id: targets echo it, and bytes that belong to no request
+// may come before the first answer on a connection, too.
+func (q *request) mayRepeat() bool { return q.rule.Idempotent || q.rule.Resumable }
+
 // retryResult returns attemptRetry if a request that may have run may be sent again,
 // otherwise attemptGiveUp.
 func (q *request) retryResult() attemptResult {
-	if (q.rule.Idempotent || q.rule.Resumable) && q.possibleRuns < q.rule.MaxAttempts {
+	if q.mayRepeat() && q.possibleRuns < q.rule.MaxAttempts {
 		return attemptRetry
 	}
 	return attemptGiveUp
