--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -59,7 +59,7 @@
 	failingAt sd.Instant
 }
 
-// decayed returns a value that halves with age as exp(-age/memory).
+// decayed returns a value that falls with age as exp(-age/memory).
 func decayed(value float64, age, memory sd.Millis) float64 {
 	return value * math.Exp(-float64(max(age, 0))/float64(memory))
 }
