--- a/overloader/host_test.go
+++ b/overloader/host_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -286,7 +285,7 @@
 	}
 	text, err := io.ReadAll(conn)
 	if err == nil && (!bytes.HasPrefix(text, []byte("HTTP/1.1 200 ")) || !bytes.HasSuffix(text, []byte("answer"))) {
-		err = errors.New(string(text[:min(len(text), 200)]))
+		err = sd.BrokenResponse.New("ordinary request: %q", text[:min(len(text), 200)])
 	}
 	return err
 }
--- a/starter/rollout_test.go
+++ b/starter/rollout_test.go
@@ -204,27 +204,51 @@
 			for _, target := range s.fresh {
 				target.SetBad(bad)
 			}
-			took := s.await(sd.RolloutRolledBack, 16*time.Second)
-			time.Sleep(300 * time.Millisecond)
-			before := runs(s.fresh)
-			time.Sleep(700 * time.Millisecond)
-			if after := runs(s.fresh); after > before {
-				t.Errorf("%d requests went to the new version after it was rolled back", after-before)
-			}
-			s.end()
-			answers := 0
-			for _, target := range s.fresh {
-				answers += target.BadAnswers()
-			}
-			t.Logf("rolled back after %v; %d requests, %d to the new version, %d bad answers", took, s.sent.Load(), before, answers)
-			// The rate is that of the whole time limit; all requests have moved in the one case.
-			if all := float64(s.sent.Load()) * 16 / min(max(took.Seconds(), 1), 16); name != "fails once all move" && float64(before) > 0.1*all+50 {
-				t.Errorf("%d of %.0f requests went to a bad version", before, all)
-			}
+			s.checkRolledBack(name == "fails once all move")
+		})
+	}
+}
+
+// Guards against a version that is completed although it turns bad just before: the times of its fault
+// count from the test's own start, so that it falls between the last report and the completion. Known
+// red: what hosts learn in the last second comes too late (docs/design/rollouts.md).
+func TestVersionsThatTurnBadJustBeforeTheEndAreRolledBack(t *testing.T) {
+	for name, bad := range map[string]emulator.Bad{
+		"fails late":          {Spoil: emulator.Fail, Share: 0.4, From: time.Now().Add(6 * time.Second)},
+		"fails once all move": {Spoil: emulator.Fail, Share: 0.5, From: time.Now().Add(11500 * time.Millisecond)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRolloutSite(t, 3, bad)
+			s.order("v2", 16)
+			s.checkRolledBack(name == "fails once all move")
 		})
 	}
 }
 
+// checkRolledBack waits until a version is rolled back, and checks that it got no more requests than
+// it may. Moved tells that it turned bad after all requests had moved to it.
+func (s *rolloutSite) checkRolledBack(moved bool) {
+	s.t.Helper()
+	took := s.await(sd.RolloutRolledBack, 16*time.Second)
+	time.Sleep(300 * time.Millisecond)
+	before := runs(s.fresh)
+	time.Sleep(700 * time.Millisecond)
+	if after := runs(s.fresh); after > before {
+		s.t.Errorf("%d requests went to the new version after it was rolled back", after-before)
+	}
+	s.end()
+	answers := 0
+	for _, target := range s.fresh {
+		answers += target.BadAnswers()
+	}
+	s.t.Logf("rolled back after %v; %d requests, %d to the new version, %d bad answers", took, s.sent.Load(), before, answers)
+	// The rate is that of the whole time limit; all requests have moved in the one case.
+	if all := float64(s.sent.Load()) * 16 / min(max(took.Seconds(), 1), 16); !moved && float64(before) > 0.1*all+50 {
+		s.t.Errorf("%d of %.0f requests went to a bad version", before, all)
+	}
+}
+
 // Guards against a rollback that needs the store: while it is down, hosts learn of the evidence from
 // one another, and the state is written once it is back. Guards as well against an order that cannot
 // be meant and disturbs the service.
