--- a/review/driver2/killed.go
+++ b/review/driver2/killed.go
@@ -11,8 +11,8 @@
 const (
 	// turnsBefore leave 1,162 of a budget's 2,240 tokens.
 	turnsBefore = 11
-	// lastSeconds is how long after the machines are back the last 4 s of recoveryS, 12 s, begin.
-	lastSeconds = 8 * time.Second
+	// judgedFrom is how long after the machines are back the last 4 s of recoveryS, 12 s, begin.
+	judgedFrom = 8 * time.Second
 )
 
 // killedCase has all processes killed at the same moment, and later killed once more, as the final
@@ -41,7 +41,7 @@
 	group.Wait()
 	note("%d programs have used %d of %s tokens", budgetPrograms, 98*turnsBefore, budget)
 	w.killAll()
-	time.Sleep(lastSeconds)
+	time.Sleep(judgedFrom)
 	note("the last 4 s of recoveryS begin")
 	lost, denied, firsts := 0, 0, 0
 	for p, last := range lasts {
