--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -222,7 +222,11 @@
 }
 
 func main() {
-	cases := map[string]func(){"added": addedCase, "rolled": rolledCase, "killed": killedCase, "herd": herdCase, "outage": outageCase}
+	cases := map[string]func(){"added": addedCase, "rolled": rolledCase, "killed": killedCase, "herd": herdCase, "outage": outageCase, "crashed": crashedCase}
+	if len(os.Args) == 3 && os.Args[1] == "runner" {
+		runUnframed(os.Args[2])
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: driver2 CASE FOLDER")
 		os.Exit(notRun)
