--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 TROUBLE=${TROUBLE:-1}
 export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2 herd review/10
+exec target/review-2 parallel review/10
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -152,16 +152,19 @@
 func key(program int) string { return fmt.Sprintf("key-%04d", program%tenants) }
 
 // plan returns a desired state with a retained route at the service "engines" and all tenants.
-func plan(timeoutMs int) []byte {
+func plan(timeoutMs int) []byte { return planOf(timeoutMs, true) }
+
+// planOf is plan with a route that is retained or not.
+func planOf(timeoutMs int, retained bool) []byte {
 	var keys []string
 	for i := range tenants {
 		keys = append(keys, fmt.Sprintf(`{"name":"t%d","apiKeys":[%q],"priority":1,"ratePerS":0,"burst":0}`, i, key(i)))
 	}
 	return fmt.Appendf(nil, `{"version":1,"routes":[{"name":"talk","host":"h.example","prefix":"/talk/","routeKind":"streaming",`+
-		`"timeoutMs":%d,"targetLatencyMs":200,"priority":1,"service":"engines","maxAttempts":2,"retained":true,"retentionS":60,"sticky":true,"targetGapMs":200}],`+
+		`"timeoutMs":%d,"targetLatencyMs":200,"priority":1,"service":"engines","maxAttempts":2,"retained":%v,"retentionS":60,"sticky":true,"targetGapMs":200}],`+
 		`"services":[{"name":"engines","healthPath":"/healthz","maxConns":490,"coldStartS":0,"coldPerS":0,"engine":{"slots":12,"kvCapacity":5000000,"chunkTokens":14}}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[%s]}`,
-		timeoutMs, strings.Join(keys, ","))
+		timeoutMs, retained, strings.Join(keys, ","))
 }
 
 // turn is a client attempt of a turn.
@@ -222,7 +225,7 @@
 }
 
 func main() {
-	cases := map[string]func(){"added": addedCase, "rolled": rolledCase, "killed": killedCase, "herd": herdCase, "outage": outageCase, "crashed": crashedCase}
+	cases := map[string]func(){"added": addedCase, "rolled": rolledCase, "killed": killedCase, "herd": herdCase, "outage": outageCase, "crashed": crashedCase, "charged": chargedCase, "parallel": parallelCase}
 	if len(os.Args) == 3 && os.Args[1] == "runner" {
 		runUnframed(os.Args[2])
 		return
--- a/review/driver2/store.go
+++ b/review/driver2/store.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -56,6 +58,8 @@
 	parts   map[string]*sync.Mutex
 	// down has every call but the operator's answered with 503.
 	down bool
+	// lost is the share of the transactions that are done and not answered.
+	lost float64
 	// refusals counts the calls that were refused as malformed or too large.
 	refusals int
 }
@@ -71,6 +75,25 @@
 	s.down = down
 }
 
+// lose sets the share of the transactions that are done and not answered.
+func (s *store) lose(share float64) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.lost = share
+}
+
+// values returns the values of a table's rows.
+func (s *store) values(table string) (list [][]byte) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, r := range s.rows {
+		if r.Table == table {
+			list = append(list, r.Value)
+		}
+	}
+	return list
+}
+
 func (s *store) isDown() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -146,6 +169,15 @@
 	}
 }
 
+// silence ends a call without an answer, and its channel. With HOW=silent the channel stays open
+// until the caller ends it.
+func silence(r *http.Request) {
+	if os.Getenv("HOW") == "silent" {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refused returns the number of calls that were refused as malformed or too large.
 func (s *store) refused() int {
 	s.lock.Lock()
@@ -184,7 +216,6 @@
 	}
 	turn := s.part(part)
 	turn.Lock()
-	defer turn.Unlock()
 	time.Sleep(writeTime)
 	s.lock.Lock()
 	current, holds := []row{}, true
@@ -200,7 +231,12 @@
 		current = nil
 	}
 	ver := s.ver
+	isLost := rand.Float64() < s.lost
 	s.lock.Unlock()
+	turn.Unlock()
+	if isLost {
+		silence(r)
+	}
 	if !holds {
 		s.answer(w, http.StatusPreconditionFailed, page{Rows: current, Ver: ver})
 		return
