starter: hosts of tests take ports that no outgoing connection can have

Any connection of the same machine could take one in between. It looked at TCP only; hosts open UDP on one of them as well.

Now ports are looked for below that range, for TCP and UDP, and none is handed out twice by the same process. What the tests ask of hosts is unchanged.

--- a/starter/host_test.go
+++ b/starter/host_test.go
@@ -23,21 +23,70 @@
 	"sapphiredrum.example/sapphiredrum/starter"
 )
 
-// ports returns free ports of the loopback address.
+// firstPort and lastPort bound the ports of hosts. They lie apart from those of other packages
+// and below the range of outgoing connections, none of which can take a port before its host
+// opens it.
+const firstPort, lastPort = 17000, 20000
+
+// nextPort is the number of the port to try next, so that none is handed out twice.
+var nextPort atomic.Int64
+
+// ports returns ports of the loopback address that are free for TCP and UDP.
 func ports(t *testing.T, n int) []int {
 	t.Helper()
 	var list []int
-	for range n {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for tries := 0; len(list) < n; tries++ {
+		if tries == lastPort-firstPort {
+			t.Fatal("no ports are free")
+		}
+		port := firstPort + (os.Getpid()+int(nextPort.Add(1)))%(lastPort-firstPort)
+		if isFree(port) {
+			list = append(list, port)
 		}
-		defer func() { _ = listener.Close() }()
-		list = append(list, listener.Addr().(*net.TCPAddr).Port)
 	}
 	return list
 }
 
+func isFree(port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	packets, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	_ = packets.Close()
+	return true
+}
+
+// Guards against hosts that cannot start as an outgoing connection, or another host, has taken
+// a port of theirs.
+func TestPortsStayFree(t *testing.T) {
+	text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first, last int
+	if _, err := fmt.Sscan(string(text), &first, &last); err != nil {
+		t.Fatal(err)
+	}
+	seen := map[int]bool{}
+	for range 3 {
+		for _, port := range ports(t, 4) {
+			if port >= first && port <= last {
+				t.Errorf("port %d is in the range of outgoing connections, %d to %d", port, first, last)
+			}
+			if seen[port] {
+				t.Errorf("port %d was handed out twice", port)
+			}
+			seen[port] = true
+		}
+	}
+}
+
 // site is a store with a plan and targets, and hosts over it.
 type site struct {
 	t     *testing.T
