archiver: a parallel turn is not refused at what its program has opened since

Cause: a turn takes the reservable part of its budget, waits for the decision, and has the program closed if it was refused. If another turn had closed the program meanwhile, the refusal at three fifths was taken for one at the whole budget.

Such a turn now reserves once more, from what the closed program has. The second try is made only where that is more than what the first was refused at, so a turn beyond the budget is refused as soon as before.

Ruled out: the account as last seen (mayFit), which had room.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -187,22 +187,36 @@
 	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) || !a.mayFit(order, budget) {
 		return hold, err
 	}
-	w := a.worker(order.Program)
+	rest, failure := a.closeProgram(ctx, order.Program, budget)
+	if failure != nil {
+		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
+	}
+	if rest <= order.Budget {
+		return hold, err
+	}
+	// Another turn may have closed the program since this one was refused.
+	order.Budget = rest
+	return a.reserveWithFailover(ctx, order, turn, "closed-")
+}
+
+// closeProgram closes a program, unless that has been done, and returns the part of its budget
+// that its account may reserve.
+func (a *Archive) closeProgram(ctx context.Context, program Key, budget sd.Tokens) (sd.Tokens, error) {
+	w := a.worker(program)
 	w.lock.Lock()
-	_, closed := w.closed[order.Program]
+	rest, closed := w.closed[program]
 	w.lock.Unlock()
 	if closed {
-		return hold, err
+		return min(rest, budget), nil
 	}
-	rest, failure := a.peers.Budgets.Close(ctx, order.Program, budget)
-	if failure != nil {
-		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
+	rest, err := a.peers.Budgets.Close(ctx, program, budget)
+	if err != nil {
+		return 0, err
 	}
 	w.lock.Lock()
-	w.closed[order.Program] = rest
+	w.closed[program] = rest
 	w.lock.Unlock()
-	order.Budget = rest
-	return a.reserveWithFailover(ctx, order, turn, "closed-")
+	return rest, nil
 }
 
 // reservable returns the part of a program's budget that its account may reserve.
