allotter: any host closes a program on what the table tells

Cause: three fifths of a budget are open, and only a program's grantor opened the rest. The grantor is the host of the highest rank among all entries: an added host for the 80 minutes in which it neither grants nor closes, a removed one for the two hours in which its entry stays.

The table tells which host may have allotted to a program: the one of the highest rank that does not join. No other allots before its entry, or that of a joining host above it, changes, and a host reads the table after it has written its entry, before it allots. So whoever needs the rest writes the program's row itself, on the condition that these entries are unchanged, and holds back a share for each start of that host. The host is asked only if that leaves too little. Allotments go back to the host that allotted them, whoever ranks first by then.

Hosts of the build before pick and ask the grantor as they did, and read the same rows; what they may reserve is less.

TestProgramIsClosedBesideAHostThatJoins and TestProgramOfALostGrantorIsClosed failed before ("host h2 is not the grantor of the program", "grantor h2 of the program is not reached").

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -128,7 +128,7 @@
 		if err := json.Unmarshal(record.Value, &e); err != nil || e.Host != host {
 			// The host counts as a grantor that does not grant.
 			a.config.Log.Warn("entry of a grantor cannot be used", zap.Int("event", eventEntry), zap.String("host", string(host)), zap.Error(err))
-			e = Entry{Host: host}
+			e = Entry{Host: host, unreadable: true}
 		}
 		a.state.SetEntry(now, e)
 	}
@@ -298,15 +298,15 @@
 
 func (a *Allotter) handleClose(ctx context.Context, q closeRequest) (closeResponse, error) {
 	a.lock.Lock()
-	key := closedPrefix + q.Program.String()
-	_, written := a.rows[key]
-	allotted, ok := a.state.Close(a.config.Clock.Now(), q.Program, q.Budget)
+	_, written := a.rows[closedPrefix+q.Program.String()]
+	allotted, unchanged, ok := a.state.Close(a.config.Clock.Now(), q.Program, q.Budget)
+	expect := a.entryRows(unchanged)
 	a.lock.Unlock()
 	if !ok {
 		return closeResponse{}, sd.Unavailable.New("host %s is not the grantor of the program", a.config.Host)
 	}
 	if !written {
-		if err := a.writeClosed(ctx, q.Program); err != nil {
+		if err := a.writeClosed(ctx, q.Program, expect...); err != nil {
 			return closeResponse{}, err
 		}
 		a.config.Log.Info("program closed", zap.Int("event", eventClosed), zap.Stringer("program", q.Program), zap.Int64("allotted", int64(allotted)))
@@ -314,6 +314,15 @@
 	return closeResponse{allotted}, nil
 }
 
+// entryRows returns the rows of hosts' entries as this host has read them. The lock must be held.
+func (a *Allotter) entryRows(hosts []sd.HostID) []sd.Record {
+	rows := make([]sd.Record, 0, len(hosts))
+	for _, host := range hosts {
+		rows = append(rows, a.rows[grantorPrefix+string(host)])
+	}
+	return rows
+}
+
 // writeClosed writes the row of a closed program under the condition that the given rows
 // are unchanged. Errors are Unavailable.
 func (a *Allotter) writeClosed(ctx context.Context, program archiver.Key, expect ...sd.Record) error {
@@ -333,32 +342,35 @@
 	return sd.RecordKey{Table: a.config.Table, Key: name}
 }
 
-// closeUnallotted closes a program to which nobody can have allotted. It reports whether
-// that is so. Whoever is settled later has read the program's row before it allots.
-func (a *Allotter) closeUnallotted(ctx context.Context, program archiver.Key) bool {
+// closeByTable closes a program if the table tells that its account may then reserve what is
+// needed. Whoever becomes settled later reads the program's row before it allots.
+func (a *Allotter) closeByTable(ctx context.Context, program archiver.Key, budget, needed sd.Tokens) (sd.Tokens, bool) {
 	a.lock.Lock()
-	grantor, never := a.state.NeverAllotted(a.config.Clock.Now(), program)
-	expect := []sd.Record{{RecordKey: a.key(fleetKey), Version: a.rows[fleetKey].Version}}
-	if grantor != "" {
-		expect = append(expect, a.rows[grantorPrefix+string(grantor)])
-	}
+	rest, unchanged, known := a.state.ClosedByTable(a.config.Clock.Now(), program, budget)
+	expect := append(a.entryRows(unchanged), sd.Record{RecordKey: a.key(fleetKey), Version: a.rows[fleetKey].Version})
 	a.lock.Unlock()
-	if !never {
-		return false
+	if !known || rest < needed {
+		return 0, false
 	}
-	err := a.writeClosed(ctx, program, expect...)
-	if err != nil {
+	if err := a.writeClosed(ctx, program, expect...); err != nil {
 		a.config.Log.Info("program may have been allotted to", zap.Int("event", eventAsk), zap.Stringer("program", program), zap.Error(err))
+		return 0, false
 	}
-	return err == nil
+	a.config.Log.Info("program closed", zap.Int("event", eventClosed), zap.Stringer("program", program), zap.Int64("reservable", int64(rest)))
+	return rest, true
 }
 
-// grantor returns the program's grantor and its address, which is empty for this
-// host. Errors are Unavailable: the grantor is unknown or was not heard from recently.
+// grantor returns the address of the program's grantor, which is empty for this host. Errors are
+// Unavailable: the grantor is unknown or was not heard from recently.
 func (a *Allotter) grantor(program archiver.Key) (sd.Address, error) {
 	a.lock.Lock()
 	host := a.state.Grantor(program)
 	a.lock.Unlock()
+	return a.address(host)
+}
+
+// address returns the address of a host as grantor does.
+func (a *Allotter) address(host sd.HostID) (sd.Address, error) {
 	if host == a.config.Host {
 		return "", nil
 	}
@@ -376,13 +388,9 @@
 	return err == nil
 }
 
-// ask calls handle if this host is the program's grantor, and asks the grantor otherwise.
-func ask[Q, A any](ctx context.Context, a *Allotter, program archiver.Key, name string, request Q, handle func(context.Context, Q) (A, error)) (A, error) {
-	address, err := a.grantor(program)
-	if err != nil {
-		var none A
-		return none, err
-	}
+// ask calls handle if the address is empty, which stands for this host, and asks the host there
+// otherwise.
+func ask[Q, A any](ctx context.Context, a *Allotter, address sd.Address, name string, request Q, handle func(context.Context, Q) (A, error)) (A, error) {
 	if address == "" {
 		return handle(ctx, request)
 	}
@@ -395,7 +403,11 @@
 func (a *Allotter) Allot(ctx context.Context, program archiver.Key, budget, atLeast, wanted sd.Tokens) (Allotment, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
 	defer cancel()
-	return ask(ctx, a, program, messageAllot, allotRequest{program, budget, atLeast, wanted}, a.handleAllot)
+	address, err := a.grantor(program)
+	if err != nil {
+		return Allotment{}, err
+	}
+	return ask(ctx, a, address, messageAllot, allotRequest{program, budget, atLeast, wanted}, a.handleAllot)
 }
 
 // Return gives back tokens of an allotment that were not delivered. It is sent once, as
@@ -406,20 +418,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
 	defer cancel()
-	request := returnRequest{program, from.Incarnation, tokens}
-	if _, err := ask(ctx, a, program, messageReturn, request, a.handleReturn); err != nil {
+	address, err := a.address(from.Grantor)
+	if err == nil {
+		_, err = ask(ctx, a, address, messageReturn, returnRequest{program, from.Incarnation, tokens}, a.handleReturn)
+	}
+	if err != nil {
 		a.config.Log.Info("allotment not returned", zap.Int("event", eventAsk), zap.Stringer("program", program), zap.Error(err))
 	}
 }
 
-// Close implements archiver.Closer.
-func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget sd.Tokens) (sd.Tokens, error) {
+// Close implements archiver.Budgets. The table tells enough unless several starts of the
+// program's grantor may have allotted to it; then the grantor is asked what it has allotted.
+func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget, needed sd.Tokens) (sd.Tokens, error) {
 	ctx, cancel := context.WithTimeout(ctx, (requestTimeout + closeTimeout).Duration())
 	defer cancel()
-	if a.closeUnallotted(ctx, program) {
-		return budget, nil
+	if rest, closed := a.closeByTable(ctx, program, budget, needed); closed {
+		return rest, nil
+	}
+	a.lock.Lock()
+	host, _ := a.state.allotter(program)
+	a.lock.Unlock()
+	address, err := a.address(host)
+	if err != nil {
+		return 0, err
 	}
-	closed, err := ask(ctx, a, program, messageClose, closeRequest{program, budget}, a.handleClose)
+	closed, err := ask(ctx, a, address, messageClose, closeRequest{program, budget}, a.handleClose)
 	if err != nil {
 		a.config.Log.Info("program cannot be closed", zap.Int("event", eventAsk), zap.Stringer("program", program), zap.Error(err))
 		return 0, err
@@ -427,5 +450,5 @@
 	return budget - closed.Allotted, nil
 }
 
-// Reservable implements archiver.Closer.
+// Reservable implements archiver.Budgets.
 func (a *Allotter) Reservable(budget sd.Tokens) sd.Tokens { return ReservableBudget(budget) }
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -219,14 +219,14 @@
 	f := newFleet(t, 3)
 	f.settle()
 	p := program("long")
-	part, err := f.hosts[0].Allot(t.Context(), p, budget, 40, 40)
-	if err != nil || part.Tokens != 40 {
+	part, err := f.hosts[0].Allot(t.Context(), p, budget, 90, 90)
+	if err != nil || part.Tokens != 90 {
 		t.Fatal(part, err)
 	}
 	f.hosts[0].Return(t.Context(), p, part, 10)
 	for i := range f.hosts {
-		if rest, err := f.hosts[i].Close(t.Context(), p, budget); err != nil || rest != budget-30 {
-			t.Fatalf("host %d: %d may be reserved, want %d; %v", i, rest, budget-30, err)
+		if rest, err := f.hosts[i].Close(t.Context(), p, budget, budget); err != nil || rest != budget-80 {
+			t.Fatalf("host %d: %d may be reserved, want %d; %v", i, rest, budget-80, err)
 		}
 	}
 	for i := range f.hosts {
@@ -245,7 +245,7 @@
 	f := newFleet(t, 2)
 	f.eventually("all hosts have entries", func() bool { return f.entries(1, allotter.Starting) == len(f.hosts) })
 	p := program("wide")
-	if rest, err := f.hosts[1].Close(t.Context(), p, budget); err != nil || rest != budget {
+	if rest, err := f.hosts[1].Close(t.Context(), p, budget, budget); err != nil || rest != budget {
 		t.Fatal(rest, err)
 	}
 	f.settle()
@@ -254,6 +254,57 @@
 	}
 }
 
+// Guards against programs that stop at a part of their budgets as a host was added (LOST): the
+// added host is their grantor by rank, and neither grants nor closes before it has joined.
+func TestProgramIsClosedBesideAHostThatJoins(t *testing.T) {
+	f := newFleet(t, 2)
+	f.settle()
+	f.lock.Lock()
+	f.hosts = append(f.hosts, nil)
+	f.lock.Unlock()
+	f.start(2)
+	f.eventually("added host has its entry", func() bool {
+		return len(f.rows.Row(sd.RecordKey{Table: table, Key: "grantor/h2"}).Value) > 0
+	})
+	time.Sleep(100 * time.Millisecond)
+	for i := range 40 {
+		p := program(sd.ProgramID(fmt.Sprint("p", i)))
+		for at := range f.hosts {
+			// The grantor that the added host will replace knows that it has allotted nothing.
+			if rest, err := f.hosts[at].Close(t.Context(), p, budget, budget); err != nil || rest != budget {
+				t.Fatalf("program %d at host %d: %d may be reserved, want %d; %v", i, at, rest, budget, err)
+			}
+		}
+		if got := f.drain(p); got != 0 {
+			t.Fatalf("%d tokens allotted to a closed program", got)
+		}
+	}
+}
+
+// Guards against programs that stop at a part of their budgets as a host was removed for good
+// (LOST), whose entry stays for two hours: only the share that it may have allotted is held back.
+func TestProgramOfALostGrantorIsClosed(t *testing.T) {
+	f := newFleet(t, 3)
+	f.settle()
+	f.hosts[2].stop()
+	f.lock.Lock()
+	f.hosts = f.hosts[:2]
+	f.lock.Unlock()
+	lost, want := 0, budget-allotter.Share(budget)
+	for i := range 40 {
+		p := program(sd.ProgramID(fmt.Sprint("p", i)))
+		if !f.hosts[0].Reachable(p) {
+			lost++
+		}
+		if rest, err := f.hosts[0].Close(t.Context(), p, budget, want); err != nil || rest < want {
+			t.Fatalf("program %d: %d may be reserved, want %d; %v", i, rest, want, err)
+		}
+	}
+	if lost == 0 {
+		t.Fatal("no program had the lost host as its grantor")
+	}
+}
+
 // A program whose grantor is gone is told so at once, and gets nothing from others.
 func TestLostGrantorIsNotReplaced(t *testing.T) {
 	f := newFleet(t, 3)
--- a/allotter/doc.go
+++ b/allotter/doc.go
@@ -25,9 +25,13 @@
 //
 // # Closing
 //
-// A program that needs more than its reservable budget has its grantor close it: the
-// grantor writes a row that every host reads, allots nothing more to the program, and
-// tells how much its starts may have allotted. The rest can then be reserved.
+// A program that needs more than its reservable budget is closed: a row that every host reads
+// ends its allotments, and the rest of its budget, less what may have been allotted, can be
+// reserved. The table of grantors tells who may have allotted, and how many starts of that
+// host: the grantor, or, while the grantor joins, the host whose place it takes. So any host
+// closes the program, on the condition that the entries that it relies on are unchanged; a host
+// that starts or has joined changes its entry, and reads the table again, before it allots. Only
+// if whole shares leave too little is the host asked for what it has allotted.
 //
 // state.go decides, allotter.go does the I/O.
 package allotter
--- a/allotter/model_test.go
+++ b/allotter/model_test.go
@@ -12,9 +12,12 @@
 )
 
 // model is a fleet of hosts whose memory is lost when they die, over a linearizable store
-// that each of them may lose. Turns of looping programs take tokens in every way there is.
-// It checks that the tokens delivered to a program stay within its budget, and that one
-// host alone allots to a program, a share in each of its first starts.
+// that each of them may lose. Turns of looping programs take tokens in every way there is, and
+// hosts of the build before, which reserve and close in another way, run beside the others.
+//
+// It checks that the tokens delivered to a program stay within its budget, that one
+// host alone allots to a program, a share in each of its first starts, and that a turn that the
+// budget holds is refused only for what starts that have ended may have allotted to its program.
 type model struct {
 	t       *rapid.T
 	now     sd.Instant
@@ -29,6 +32,9 @@
 	account   *archiver.Account
 	delivered sd.Tokens
 	begun     sd.Instant
+	// mixed is set if hosts of the build before may run.
+	mixed  bool
+	budget sd.Tokens
 	// grantor is the host that has allotted to the program, and allotted what the starts of
 	// that host have allotted and not had back.
 	grantor  sd.HostID
@@ -52,6 +58,10 @@
 	// late is an entry that was written to the store without an answer, and may take effect later.
 	late        *Entry
 	lateVersion uint64
+	// old hosts run the build before.
+	old bool
+	// rest is what the account of the program may reserve once this host has closed it.
+	rest sd.Tokens
 }
 
 type modelReturn struct {
@@ -61,14 +71,10 @@
 	tokens      sd.Tokens
 }
 
-const (
-	modelBudget = sd.Tokens(500)
-	modelLimit  = sd.Tokens(60)
-)
-
 func (m *model) start(i int) {
 	m.born++
 	h := &modelHost{State: NewState(sd.HostID(fmt.Sprint("h", i)), sd.Incarnation(m.born)), versions: map[sd.HostID]uint64{}}
+	h.old = m.mixed && rapid.Bool().Draw(m.t, "old build")
 	if old := m.hosts[i]; old != nil {
 		h.cut, h.late, h.lateVersion = old.cut, old.late, old.lateVersion
 	}
@@ -121,45 +127,111 @@
 	m.entries[e.Host] = modelEntry{e, m.version}
 }
 
+// limit draws the limit of a turn.
+func (m *model) limit() sd.Tokens {
+	return rapid.SampledFrom([]sd.Tokens{60, 60, 30}).Draw(m.t, "limit")
+}
+
 // reserveAndDeliver is a turn on a reservation; all of its limit may be delivered.
 func (m *model) reserveAndDeliver(h *modelHost) {
 	if h.cut {
 		return
 	}
 	m.turns++
+	limit := m.limit()
 	hold := archiver.TurnKey("w", sd.CallID(fmt.Sprint(m.turns)))
-	if !m.account.Reserve(hold, modelLimit, ReservableBudget(modelBudget)) {
-		allotted, ok := m.close(h)
-		if !ok {
-			return
-		}
-		if !m.account.Reserve(hold, modelLimit, modelBudget-allotted) {
-			return
-		}
+	if !m.reserve(h, hold, limit) {
+		m.judgeRefusal(h, hold, limit)
+		return
 	}
-	used := m.use(modelLimit)
+	used := m.use(limit)
 	m.deliver(used)
 	if rapid.IntRange(0, 5).Draw(m.t, "settled") > 0 {
 		m.account.Settle(hold, used)
 	}
 }
 
-// close closes the program and returns what may have been allotted to it.
-func (m *model) close(h *modelHost) (sd.Tokens, bool) {
-	if by, never := h.NeverAllotted(m.now, m.program); never {
-		if by == "" && m.settled || by != "" && m.entries[by].version != h.versions[by] {
-			return 0, false
+// reserve reserves a turn's limit as an archive does.
+func (m *model) reserve(h *modelHost, hold archiver.Key, limit sd.Tokens) bool {
+	if m.account.Reserve(hold, limit, max(ReservableBudget(m.budget), h.rest)) {
+		return true
+	}
+	needed := m.account.Spent + m.account.Reserved() + limit
+	if needed > m.budget {
+		return false
+	}
+	if needed > h.rest {
+		h.rest = max(h.rest, m.close(h, needed))
+	}
+	return m.account.Reserve(hold, limit, h.rest)
+}
+
+// close closes the program and returns what its account may reserve, or zero.
+func (m *model) close(h *modelHost, needed sd.Tokens) sd.Tokens {
+	host := h.Grantor(m.program)
+	switch {
+	case !h.old:
+		rest, unchanged, known := h.ClosedByTable(m.now, m.program, m.budget)
+		if known && rest >= needed && m.unchanged(h, unchanged) && h.fleetSettled == m.settled {
+			m.closed[m.program] = true
+			return rest
+		}
+		host, _ = h.allotter(m.program)
+	case !h.fleetSettled, h.entries[host].Phase == Starting && h.fresh(m.now):
+		if m.settled != h.fleetSettled || h.fleetSettled && !m.unchanged(h, []sd.HostID{host}) {
+			return 0
 		}
 		m.closed[m.program] = true
-		return 0, true
+		return m.budget
 	}
-	grantor := m.host(h.Grantor(m.program))
-	if grantor == nil || grantor.cut {
-		return 0, false
+	grantor := m.host(host)
+	if grantor == nil || grantor.cut || grantor.old && grantor.Grantor(m.program) != host {
+		return 0
+	}
+	allotted, unchanged, ok := grantor.Close(m.now, m.program, m.budget)
+	if !ok || !grantor.old && !m.unchanged(grantor, unchanged) {
+		return 0
+	}
+	m.closed[m.program] = true
+	return m.budget - allotted
+}
+
+// unchanged reports whether the entries of the hosts are those that a host has read.
+func (m *model) unchanged(h *modelHost, hosts []sd.HostID) bool {
+	return !slices.ContainsFunc(hosts, func(host sd.HostID) bool { return m.entries[host].version != h.versions[host] })
+}
+
+// judgeRefusal has a host and the grantor read the table, and tries once more. A turn that the
+// budget holds, with all that was delivered and is under way, may be refused only for the shares of
+// starts that have ended, or whose host is not reached.
+func (m *model) judgeRefusal(h *modelHost, hold archiver.Key, limit sd.Tokens) {
+	if m.mixed || m.delivered+m.account.Reserved()+limit > m.budget {
+		return
+	}
+	m.read(h)
+	e := m.entries[m.allotterOf()]
+	allotted := e.mayHaveAllotted(m.budget)
+	if grantor := m.host(e.Host); grantor != nil && !grantor.cut {
+		m.read(grantor)
+		if grantor.settled(m.now) {
+			allotted = grantor.State.allotted[m.program].tokens + sd.Tokens(min(e.Starts-1, maxStarts))*Share(m.budget)
+		}
 	}
-	allotted, ok := grantor.Close(m.now, m.program, modelBudget)
-	m.closed[m.program] = m.closed[m.program] || ok
-	return allotted, ok
+	needed := m.account.Spent + m.account.Reserved() + limit
+	if needed+allotted <= m.budget && !m.reserve(h, hold, limit) {
+		m.t.Fatalf("turn of %d refused with %d of %d needed and %d held back; entry %+v", limit, needed, m.budget, allotted, e)
+	}
+}
+
+// allotterOf returns the host whose starts may have allotted to the program, as the store has it.
+func (m *model) allotterOf() sd.HostID {
+	var best sd.HostID
+	for host, e := range m.entries {
+		if e.Phase != Joining && (best == "" || rankOf(host, m.program) > rankOf(best, m.program)) {
+			best = host
+		}
+	}
+	return best
 }
 
 // allotAndDeliver is a turn, or a part of one, on an allotment from a host that this one
@@ -172,7 +244,7 @@
 	if grantor == nil {
 		return
 	}
-	tokens := grantor.Allot(m.now, m.program, modelBudget, 13, Share(modelBudget))
+	tokens := grantor.Allot(m.now, m.program, m.budget, 13, Share(m.budget))
 	if tokens == 0 {
 		return
 	}
@@ -180,7 +252,7 @@
 	if m.grantor == "" {
 		m.grantor = grantor.State.host
 	}
-	if m.allotted[grantor.incarnation] += used; m.grantor != grantor.State.host || len(m.allotted) > maxStarts || m.allotted[grantor.incarnation] > Share(modelBudget) {
+	if m.allotted[grantor.incarnation] += used; m.grantor != grantor.State.host || len(m.allotted) > maxStarts || m.allotted[grantor.incarnation] > Share(m.budget) {
 		m.t.Fatalf("host %s has allotted to a program of %s; the starts of that have allotted %v", grantor.State.host, m.grantor, m.allotted)
 	}
 	m.deliver(used)
@@ -199,8 +271,8 @@
 
 func (m *model) deliver(tokens sd.Tokens) {
 	m.delivered += tokens
-	if m.delivered > modelBudget {
-		m.t.Fatalf("%d tokens delivered of a budget of %d", m.delivered, modelBudget)
+	if m.delivered > m.budget {
+		m.t.Fatalf("%d tokens delivered of a budget of %d", m.delivered, m.budget)
 	}
 }
 
@@ -219,6 +291,10 @@
 	m.program = archiver.ProgramKey("w", sd.ProgramID(fmt.Sprint("p", m.turns)))
 	m.account, m.delivered, m.begun = &archiver.Account{}, 0, m.now
 	m.grantor, m.allotted = "", map[sd.Incarnation]sd.Tokens{}
+	m.budget = rapid.SampledFrom([]sd.Tokens{500, 500, 200}).Draw(m.t, "budget")
+	for _, h := range m.hosts {
+		h.rest = 0
+	}
 }
 
 // settle lets the fleet start and its hosts become grantors.
@@ -237,11 +313,14 @@
 
 // Looping programs take tokens through all hosts at once while the store goes and comes,
 // hosts lose the store, die, start again and join, all of them lose power, and messages and
-// writes come late. The sum that is delivered stays within each budget.
+// writes come late. The sum that is delivered stays within each budget. Guards also
+// against turns that are refused though their budget holds them: after a host was added or
+// removed, after kills, and as turns of a program run in parallel.
 func TestBudgetsHoldWhateverHostsKnow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			t: t, now: sd.Instant(sd.Hour), entries: map[sd.HostID]modelEntry{}, closed: map[archiver.Key]bool{},
+			mixed: rapid.IntRange(0, 2).Draw(t, "mixed builds") == 0,
 		}
 		m.begin()
 		m.hosts = make([]*modelHost, rapid.IntRange(1, 3).Draw(t, "hosts"))
--- a/allotter/state.go
+++ b/allotter/state.go
@@ -57,8 +57,21 @@
 	// one included.
 	Starts int   `json:"starts"`
 	Phase  Phase `json:"phase"`
+	// unreadable is set in place of an entry that cannot be decoded.
+	unreadable bool
 }
 
+// mayHaveAllotted is the most that the host's starts may have allotted of a budget.
+func (e Entry) mayHaveAllotted(budget sd.Tokens) sd.Tokens {
+	if e.Phase != Settled {
+		return 0
+	}
+	return sd.Tokens(min(e.Starts, maxStarts)) * Share(budget)
+}
+
+// joins reports whether the host waits for the programs of others to end.
+func (e Entry) joins() bool { return e.Phase == Joining && !e.unreadable }
+
 // State is one host's copy of the table and what it has allotted. It is not safe for
 // concurrent use.
 type State struct {
@@ -146,7 +159,7 @@
 		}
 		return own, true
 	case own.Incarnation != s.incarnation:
-		own.Incarnation = s.incarnation
+		own.Incarnation, own.unreadable = s.incarnation, false
 		if own.Phase == Settled {
 			own.Starts++
 		}
@@ -175,44 +188,73 @@
 	return own, true
 }
 
-// NeverAllotted reports whether nobody can have allotted tokens to the program if its
-// grantor's entry is still the one that this host has read, or, for an empty host ID, if
-// the fleet has not settled. Whoever is settled has read the entries of all hosts that
-// started with the fleet.
-func (s *State) NeverAllotted(now sd.Instant, program archiver.Key) (sd.HostID, bool) {
-	if !s.fleetSettled {
-		return "", true
+// Grantor returns the host that may allot to a program, or an empty ID.
+func (s *State) Grantor(program archiver.Key) sd.HostID {
+	host, _ := s.highest(program, func(Entry) bool { return true })
+	return host
+}
+
+// highest returns the host with the highest rank for a program among those that match.
+func (s *State) highest(program archiver.Key, match func(Entry) bool) (best sd.HostID, rank uint64) {
+	for host, e := range s.entries {
+		if r := rankOf(host, program); match(e) && (best == "" || r > rank) {
+			best, rank = host, r
+		}
 	}
-	grantor := s.Grantor(program)
-	e, known := s.entries[grantor]
-	return grantor, known && e.Phase == Starting && now.Since(s.readAt) <= leaseTime
+	return best, rank
 }
 
-// Grantor returns the host that may allot to a program, or an empty ID.
-func (s *State) Grantor(program archiver.Key) sd.HostID {
-	var best sd.HostID
-	highest := uint64(0)
-	for host := range s.entries {
-		if rank := xxhash.Sum64String(string(host) + "|" + string(program[:])); best == "" || rank > highest {
-			best, highest = host, rank
+func rankOf(host sd.HostID, program archiver.Key) uint64 {
+	return xxhash.Sum64String(string(host) + "|" + string(program[:]))
+}
+
+// allotter returns the host that may have allotted to a program, or an empty ID, and the hosts
+// that will take its place once they have joined. No other host allots to the program before
+// one of these entries changes.
+func (s *State) allotter(program archiver.Key) (host sd.HostID, joining []sd.HostID) {
+	host, rank := s.highest(program, func(e Entry) bool { return !e.joins() })
+	for other, e := range s.entries {
+		if e.joins() && (host == "" || rankOf(other, program) > rank) {
+			joining = append(joining, other)
 		}
 	}
-	return best
+	return host, joining
+}
+
+// fresh reports whether this host's copy of the table is young enough to be relied on.
+func (s *State) fresh(now sd.Instant) bool { return s.readAt > 0 && now.Since(s.readAt) <= leaseTime }
+
+// ClosedByTable returns the part of a budget that the account of a program may reserve, as
+// far as the table tells, once the program is closed under the condition that the entries
+// of the given hosts are unchanged. It returns false if the table does not tell.
+func (s *State) ClosedByTable(now sd.Instant, program archiver.Key, budget sd.Tokens) (rest sd.Tokens, unchanged []sd.HostID, known bool) {
+	if !s.fleetSettled {
+		// The caller's condition holds that this is still so.
+		return budget, nil, true
+	}
+	host, unchanged := s.allotter(program)
+	e := s.entries[host]
+	if host != "" {
+		unchanged = append(unchanged, host)
+	}
+	if !s.fresh(now) || e.unreadable || len(unchanged) == 0 {
+		return 0, nil, false
+	}
+	return budget - e.mayHaveAllotted(budget), unchanged, true
 }
 
-// grants reports whether this host is the program's grantor. It has read the table since
-// it became settled, and so knows all hosts that have started with it and the programs that
-// were closed while its entry was starting.
-func (s *State) grants(now sd.Instant, program archiver.Key) bool {
+// settled reports whether this host may have allotted tokens in this start, and has read the
+// table since: it knows all hosts that have started with it and the programs that were closed
+// while its entry was starting.
+func (s *State) settled(now sd.Instant) bool {
 	own := s.entries[s.host]
-	return !s.left && own.Incarnation == s.incarnation && own.Phase == Settled && s.readAt > s.settledAt && now.Since(s.readAt) <= leaseTime &&
-		s.Grantor(program) == s.host
+	return !s.left && own.Incarnation == s.incarnation && own.Phase == Settled && s.readAt > s.settledAt && s.fresh(now)
 }
 
 // Allot allots up to the wanted number of tokens to a program, and at least the given
 // one. It returns zero if this host must not, or has too little left.
 func (s *State) Allot(now sd.Instant, program archiver.Key, budget, atLeast, wanted sd.Tokens) sd.Tokens {
-	if !s.grants(now, program) || s.entries[s.host].Starts > maxStarts || s.closed[program] {
+	if !s.settled(now) || s.Grantor(program) != s.host || s.entries[s.host].Starts > maxStarts || s.closed[program] {
 		return 0
 	}
 	before := s.allotted[program].tokens
@@ -242,14 +284,15 @@
 	}
 }
 
-// Close ends the allotments of a program and returns what the starts of this host may
-// have allotted to it. The caller must write the program's row before it relies on
-// the result. It returns false if this host is not the program's grantor.
-func (s *State) Close(now sd.Instant, program archiver.Key, budget sd.Tokens) (sd.Tokens, bool) {
-	if !s.grants(now, program) {
-		return 0, false
+// Close ends the allotments of a program. It returns what the starts of this host may have
+// allotted to it, and the hosts whose entries must be unchanged as the caller writes the program's
+// row, before it relies on the result. It returns false if this host does not know.
+func (s *State) Close(now sd.Instant, program archiver.Key, budget sd.Tokens) (allotted sd.Tokens, unchanged []sd.HostID, ok bool) {
+	host, joining := s.allotter(program)
+	if !s.settled(now) || host != s.host {
+		return 0, nil, false
 	}
 	s.closed[program] = true
 	earlier := sd.Tokens(min(s.entries[s.host].Starts-1, maxStarts))
-	return s.allotted[program].tokens + earlier*Share(budget), true
+	return s.allotted[program].tokens + earlier*Share(budget), joining, true
 }
--- a/allotter/state_test.go
+++ b/allotter/state_test.go
@@ -1,6 +1,7 @@
 package allotter
 
 import (
+	"slices"
 	"testing"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -49,3 +50,30 @@
 		t.Fatalf("%d of %d programs are the first host's", own, len(programs))
 	}
 }
+
+// A host that joins takes the place of a program's grantor once it has joined, so that whoever
+// closes the program on what that grantor may have allotted relies on both entries.
+func TestClosingReliesOnHostsThatJoin(t *testing.T) {
+	now := sd.Instant(sd.Hour)
+	s := NewState("c", 3)
+	s.SetEntry(now, Entry{Host: "a", Incarnation: 1, Starts: 1, Phase: Settled})
+	s.SetEntry(now, Entry{Host: "b", Incarnation: 2, Starts: 1, Phase: Joining})
+	s.SetFleetSettled()
+	s.MarkRead(now)
+	both := 0
+	for i := range 50 {
+		program := archiver.ProgramKey("w", sd.ProgramID(rune('A'+i)))
+		rest, unchanged, known := s.ClosedByTable(now, program, 500)
+		want := []sd.HostID{"a"}
+		if s.Grantor(program) == "b" {
+			want = []sd.HostID{"b", "a"}
+			both++
+		}
+		if rest != 400 || !known || !slices.Equal(unchanged, want) {
+			t.Fatalf("%d may be reserved while %v are unchanged, want 400 and %v", rest, unchanged, want)
+		}
+	}
+	if both == 0 || both == 50 {
+		t.Fatalf("%d of 50 programs are the joining host's", both)
+	}
+}
--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -184,10 +184,15 @@
 	budget := order.Budget
 	order.Budget = a.reservable(order.Program, budget)
 	hold, err := a.reserveWithFailover(ctx, order, turn, "")
-	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) || !a.mayFit(order, budget) {
+	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) {
 		return hold, err
 	}
-	rest, failure := a.closeProgram(ctx, order.Program, budget)
+	seen := a.snapshot(order.Program).Account
+	needed := seen.Spent + seen.Reserved() + order.Limit
+	if needed > budget {
+		return hold, err
+	}
+	rest, failure := a.closeProgram(ctx, order.Program, budget, needed)
 	if failure != nil {
 		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
 	}
@@ -199,24 +204,24 @@
 	return a.reserveWithFailover(ctx, order, turn, "closed-")
 }
 
-// closeProgram closes a program, unless that has been done, and returns the part of its budget
-// that its account may reserve.
-func (a *Archive) closeProgram(ctx context.Context, program Key, budget sd.Tokens) (sd.Tokens, error) {
+// closeProgram closes a program, unless that has opened what is needed before, and returns the
+// part of its budget that its account may reserve.
+func (a *Archive) closeProgram(ctx context.Context, program Key, budget, needed sd.Tokens) (sd.Tokens, error) {
 	w := a.worker(program)
 	w.lock.Lock()
-	rest, closed := w.closed[program]
+	known := w.closed[program]
 	w.lock.Unlock()
-	if closed {
-		return min(rest, budget), nil
+	if known >= needed {
+		return min(known, budget), nil
 	}
-	rest, err := a.peers.Budgets.Close(ctx, program, budget)
+	rest, err := a.peers.Budgets.Close(ctx, program, budget, needed)
 	if err != nil {
 		return 0, err
 	}
 	w.lock.Lock()
-	w.closed[program] = rest
-	w.lock.Unlock()
-	return rest, nil
+	defer w.lock.Unlock()
+	w.closed[program] = max(w.closed[program], rest)
+	return w.closed[program], nil
 }
 
 // reservable returns the part of a program's budget that its account may reserve.
@@ -226,20 +231,14 @@
 	}
 	w := a.worker(program)
 	w.lock.Lock()
-	defer w.lock.Unlock()
-	if rest, closed := w.closed[program]; closed {
+	rest, closed := w.closed[program]
+	w.lock.Unlock()
+	if closed {
 		return min(rest, budget)
 	}
 	return a.peers.Budgets.Reservable(budget)
 }
 
-// mayFit reports whether the account as last seen leaves room for the order in the whole
-// budget.
-func (a *Archive) mayFit(order ReserveRequest, budget sd.Tokens) bool {
-	seen := a.snapshot(order.Program)
-	return seen.Account.Spent+seen.Account.Reserved()+order.Limit <= budget
-}
-
 // reserveWithFailover asks one sequencer after the other for a reservation. The keys of
 // its attempts begin with the prefix.
 func (a *Archive) reserveWithFailover(ctx context.Context, order ReserveRequest, turn Key, prefix string) (Key, error) {
--- a/archiver/parallel_test.go
+++ b/archiver/parallel_test.go
@@ -33,7 +33,7 @@
 
 func (heldBudgets) Reservable(budget sd.Tokens) sd.Tokens { return budget / 2 }
 
-func (b heldBudgets) Close(_ context.Context, _ archiver.Key, budget sd.Tokens) (sd.Tokens, error) {
+func (b heldBudgets) Close(_ context.Context, _ archiver.Key, budget, _ sd.Tokens) (sd.Tokens, error) {
 	b.asked <- struct{}{}
 	<-b.held
 	return budget, nil
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -29,8 +29,9 @@
 	// Reservable returns the part of a budget that the account may reserve.
 	Reservable(budget sd.Tokens) sd.Tokens
 	// Close ends the allotments of a program and returns the part of its budget that the
-	// account may reserve from then on. It fails if that is uncertain.
-	Close(ctx context.Context, program Key, budget sd.Tokens) (sd.Tokens, error)
+	// account may reserve from then on. It fails if it is uncertain whether that is
+	// what is needed.
+	Close(ctx context.Context, program Key, budget, needed sd.Tokens) (sd.Tokens, error)
 }
 
 // requestTimeout limits a request to a peer: about 100 round trips.
