allotter, archiver: a turn may be reserved one turn beyond what may be allotted

Cause: what a start has allotted is in its memory alone, so each start within an hour that has ended was taken to have allotted a whole share to every program, and two shares were held back from programs that never had any.

No host can know more after a loss of all power: tokens are allotted because the store cannot be written, and a program may have had them before its first row. But a program may be given the limit of one turn beyond its budget, which was not used. Accounts now reserve a turn unless what may have been allotted goes beyond the rest of the budget by more than that turn's limit. The messages between hosts and the rows stay as they were; hosts of the build before reserve less.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -344,9 +344,9 @@
 
 // closeByTable closes a program if the table tells that its account may then reserve what is
 // needed. Whoever becomes settled later reads the program's row before it allots.
-func (a *Allotter) closeByTable(ctx context.Context, program archiver.Key, budget, needed sd.Tokens) (sd.Tokens, bool) {
+func (a *Allotter) closeByTable(ctx context.Context, program archiver.Key, budget, limit, needed sd.Tokens) (sd.Tokens, bool) {
 	a.lock.Lock()
-	rest, unchanged, known := a.state.ClosedByTable(a.config.Clock.Now(), program, budget)
+	rest, unchanged, known := a.state.ClosedByTable(a.config.Clock.Now(), program, budget, limit)
 	expect := append(a.entryRows(unchanged), sd.Record{RecordKey: a.key(fleetKey), Version: a.rows[fleetKey].Version})
 	a.lock.Unlock()
 	if !known || rest < needed {
@@ -429,10 +429,10 @@
 
 // Close implements archiver.Budgets. The table tells enough unless several starts of the
 // program's grantor may have allotted to it; then the grantor is asked what it has allotted.
-func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget, needed sd.Tokens) (sd.Tokens, error) {
+func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
 	ctx, cancel := context.WithTimeout(ctx, (requestTimeout + closeTimeout).Duration())
 	defer cancel()
-	if rest, closed := a.closeByTable(ctx, program, budget, needed); closed {
+	if rest, closed := a.closeByTable(ctx, program, budget, limit, needed); closed {
 		return rest, nil
 	}
 	a.lock.Lock()
@@ -447,8 +447,10 @@
 		a.config.Log.Info("program cannot be closed", zap.Int("event", eventAsk), zap.Stringer("program", program), zap.Error(err))
 		return 0, err
 	}
-	return budget - closed.Allotted, nil
+	return reservable(budget, limit, closed.Allotted), nil
 }
 
 // Reservable implements archiver.Budgets.
-func (a *Allotter) Reservable(budget sd.Tokens) sd.Tokens { return ReservableBudget(budget) }
+func (a *Allotter) Reservable(budget, limit sd.Tokens) sd.Tokens {
+	return reservable(budget, limit, maxStarts*Share(budget))
+}
--- a/allotter/doc.go
+++ b/allotter/doc.go
@@ -3,10 +3,11 @@
 //
 // # Shares of a budget
 //
-// A program's budget has three parts that never overlap: what accounts in the store may
-// reserve (ReservableBudget), and maxStarts shares (Share) that may be allotted from the
-// memory of a host, without the store. Each token that is delivered belongs to one of
-// them, so the sum stays within the budget whatever the hosts know of each other.
+// A program may be given its budget and one turn's limit beyond it. That has three parts: what
+// accounts in the store may reserve, and maxStarts shares (Share) that may be allotted from
+// the memory of a host, without the store. An account reserves a turn only if what may have
+// been allotted goes beyond the rest of the budget by no more than the turn's limit, so the sum
+// holds whatever the hosts know of each other.
 //
 // # Grantors
 //
@@ -25,7 +26,7 @@
 //
 // # Closing
 //
-// A program that needs more than its reservable budget is closed: a row that every host reads
+// A program that needs more than accounts may reserve beside all shares is closed: a row that every host reads
 // ends its allotments, and the rest of its budget, less what may have been allotted, can be
 // reserved. The table of grantors tells who may have allotted, and how many starts of that
 // host: the grantor, or, while the grantor joins, the host whose place it takes. So any host
--- a/allotter/state.go
+++ b/allotter/state.go
@@ -31,9 +31,11 @@
 // Share is the part of a budget that one start of a grantor may allot.
 func Share(budget sd.Tokens) sd.Tokens { return budget / shareDivisor }
 
-// ReservableBudget is the part of a budget that accounts in the store may reserve
-// while the program is not closed.
-func ReservableBudget(budget sd.Tokens) sd.Tokens { return budget - maxStarts*Share(budget) }
+// reservable is the part of a budget that an account may reserve for a turn, if the given
+// tokens may have been allotted: a program may have one turn's limit beyond its budget.
+func reservable(budget, limit, allotted sd.Tokens) sd.Tokens {
+	return budget - max(allotted-limit, 0)
+}
 
 // Phase is how far a host has come to be a grantor. Hosts that have read of its entry do not
 // grant in its place, whatever its phase.
@@ -224,10 +226,10 @@
 // fresh reports whether this host's copy of the table is young enough to be relied on.
 func (s *State) fresh(now sd.Instant) bool { return s.readAt > 0 && now.Since(s.readAt) <= leaseTime }
 
-// ClosedByTable returns the part of a budget that the account of a program may reserve, as
-// far as the table tells, once the program is closed under the condition that the entries
+// ClosedByTable returns the part of a budget that the account of a program may reserve for a
+// turn, as far as the table tells, once the program is closed under the condition that the entries
 // of the given hosts are unchanged. It returns false if the table does not tell.
-func (s *State) ClosedByTable(now sd.Instant, program archiver.Key, budget sd.Tokens) (rest sd.Tokens, unchanged []sd.HostID, known bool) {
+func (s *State) ClosedByTable(now sd.Instant, program archiver.Key, budget, limit sd.Tokens) (rest sd.Tokens, unchanged []sd.HostID, known bool) {
 	if !s.fleetSettled {
 		// The caller's condition holds that this is still so.
 		return budget, nil, true
@@ -240,7 +242,7 @@
 	if !s.fresh(now) || e.unreadable || len(unchanged) == 0 {
 		return 0, nil, false
 	}
-	return budget - e.mayHaveAllotted(budget), unchanged, true
+	return reservable(budget, limit, e.mayHaveAllotted(budget)), unchanged, true
 }
 
 // settled reports whether this host may have allotted tokens in this start, and has read the
--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -182,7 +182,7 @@
 // been allotted. The error is Unavailable if the program cannot be closed now.
 func (a *Archive) reserveInBudget(ctx context.Context, order ReserveRequest, turn Key) (Key, error) {
 	budget := order.Budget
-	order.Budget = a.reservable(order.Program, budget)
+	order.Budget = a.reservable(order.Program, budget, order.Limit)
 	hold, err := a.reserveWithFailover(ctx, order, turn, "")
 	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) {
 		return hold, err
@@ -192,7 +192,7 @@
 	if needed > budget {
 		return hold, err
 	}
-	rest, failure := a.closeProgram(ctx, order.Program, budget, needed)
+	rest, failure := a.closeProgram(ctx, order.Program, budget, order.Limit, needed)
 	if failure != nil {
 		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
 	}
@@ -206,7 +206,7 @@
 
 // closeProgram closes a program, unless that has opened what is needed before, and returns the
 // part of its budget that its account may reserve.
-func (a *Archive) closeProgram(ctx context.Context, program Key, budget, needed sd.Tokens) (sd.Tokens, error) {
+func (a *Archive) closeProgram(ctx context.Context, program Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
 	w := a.worker(program)
 	w.lock.Lock()
 	known := w.closed[program]
@@ -214,7 +214,7 @@
 	if known >= needed {
 		return min(known, budget), nil
 	}
-	rest, err := a.peers.Budgets.Close(ctx, program, budget, needed)
+	rest, err := a.peers.Budgets.Close(ctx, program, budget, limit, needed)
 	if err != nil {
 		return 0, err
 	}
@@ -224,8 +224,8 @@
 	return w.closed[program], nil
 }
 
-// reservable returns the part of a program's budget that its account may reserve.
-func (a *Archive) reservable(program Key, budget sd.Tokens) sd.Tokens {
+// reservable returns the part of a program's budget that its account may reserve for a turn.
+func (a *Archive) reservable(program Key, budget, limit sd.Tokens) sd.Tokens {
 	if a.peers.Budgets == nil {
 		return budget
 	}
@@ -236,7 +236,7 @@
 	if closed {
 		return min(rest, budget)
 	}
-	return a.peers.Budgets.Reservable(budget)
+	return a.peers.Budgets.Reservable(budget, limit)
 }
 
 // reserveWithFailover asks one sequencer after the other for a reservation. The keys of
@@ -275,7 +275,7 @@
 // which needs no account yet.
 func (a *Archive) ReservationLikely(program Key, limit, budget sd.Tokens, begins bool) bool {
 	now, took := a.clock.Now(), sd.Instant(a.lastReservedAt.Load())
-	budget = a.reservable(program, budget)
+	budget = a.reservable(program, budget, limit)
 	if a.StoreUnreachable() || took == 0 || now.Since(took) > storeSuccessTTL {
 		return false
 	}
