starter: no request runs on a connection that is being closed

Cause: connections were judged idle under the lock and closed after it, one by one. net/http tells of a request once its head is read, so one that was read before or between ran, while its connection was closed under it. A connection that gave way to a new one could start a handler after it was closed as well.

Now one lock decides: the first bytes of a head end the idle time, or cannot be read if the connection has been closed, and no handler starts on a closed connection. What is sent on it does not run.

--- a/starter/connections.go
+++ b/starter/connections.go
@@ -69,13 +69,14 @@
 	// forRequests tells that the connections carry the requests that hold bytes of the budget,
 	// so that one of them may give way to a new connection.
 	forRequests bool
-	// idleLimit is the plan's idle timeout in milliseconds, headLimit its limit of a head in
-	// bytes; zero before there is a plan.
-	idleLimit, headLimit atomic.Int64
+	// headLimit is the plan's limit of a head in bytes; zero before there is a plan.
+	headLimit atomic.Int64
 
 	lock   sync.Mutex
 	open   map[*connection]struct{}
 	counts connectionCounts
+	// idleLimit is the plan's idle timeout, or defaultIdle before there is a plan.
+	idleLimit sd.Millis
 }
 
 // connectionCounts count connections closed by this host: those without a request that gave way,
@@ -86,10 +87,11 @@
 type connection struct {
 	*net.TCPConn
 	owner *connections
-	// state, since when it is so, and whether a handler runs. The owner's lock guards them.
-	state    http.ConnState
-	since    sd.Instant
-	handling bool
+	// state, since when it is so, whether a handler runs, and whether this host closes the
+	// connection. The owner's lock guards them.
+	state            http.ConnState
+	since            sd.Instant
+	handling, closed bool
 	// heading is set while a head is awaited or read, which head measures and holder accounts for.
 	heading atomic.Bool
 	head    reserver.Head
@@ -97,7 +99,17 @@
 }
 
 func newConnections(limit int, budget *reserver.Budget, clock sd.Clock) *connections {
-	return &connections{clock: clock, limit: limit, budget: budget, open: map[*connection]struct{}{}}
+	return &connections{clock: clock, limit: limit, budget: budget, open: map[*connection]struct{}{}, idleLimit: defaultIdle}
+}
+
+// setIdleLimit sets the plan's idle timeout; zero stands for defaultIdle.
+func (c *connections) setIdleLimit(limit sd.Millis) {
+	if limit <= 0 {
+		limit = defaultIdle
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.idleLimit = limit
 }
 
 // setHeadLimit sets the plan's limit of a head.
@@ -109,6 +121,9 @@
 	if n == 0 || !c.heading.Load() {
 		return n, err
 	}
+	if c.head.Bytes() == 0 && !c.owner.begin(c) {
+		return 0, net.ErrClosed
+	}
 	cost := c.head.Add(p[:n])
 	limit := c.owner.headLimit.Load()
 	tooLong := limit > 0 && int64(c.head.Bytes()) > limit+readAhead
@@ -122,6 +137,15 @@
 	return n, err
 }
 
+// Close implements net.Conn. A request that has been read and does not run yet will not run.
+func (c *connection) Close() error {
+	c.owner.lock.Lock()
+	c.closed = true
+	delete(c.owner.open, c)
+	c.owner.lock.Unlock()
+	return c.TCPConn.Close()
+}
+
 // awaitHead prepares for the next head. It is called between two heads only.
 func (c *connection) awaitHead() {
 	c.holder.Close()
@@ -167,8 +191,9 @@
 		victim := c.victim(conn.since)
 		switch {
 		case victim != nil:
+			victim.closed = true
 			delete(c.open, victim)
-			_ = victim.Close()
+			_ = victim.TCPConn.Close()
 			c.counts.gaveWay++
 		case !c.forRequests || len(c.open) >= 2*c.limit || !c.budget.EvictStalled():
 			c.counts.refused++
@@ -236,7 +261,8 @@
 	return context.WithValue(receiver.ConnContext(ctx, conn), connKey{}, conn)
 }
 
-// serving returns a handler that keeps a connection from giving way while it runs.
+// serving returns a handler that keeps a connection from being closed as idle, or from giving way,
+// while it runs. It does not run for a connection that has been closed.
 func (c *connections) serving(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*connection)
@@ -244,16 +270,32 @@
 			inner.ServeHTTP(w, r)
 			return
 		}
-		c.handle(conn, true)
+		if !c.handle(conn, true) {
+			panic(http.ErrAbortHandler)
+		}
 		defer c.handle(conn, false)
 		inner.ServeHTTP(w, r)
 	})
 }
 
-func (c *connections) handle(conn *connection, handling bool) {
+// handle records that a handler is about to run or has ended. It returns false if the connection
+// has been closed.
+func (c *connections) handle(conn *connection, handling bool) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	conn.handling, conn.since = handling, c.clock.Now()
+	conn.handling, conn.since = handling && !conn.closed, c.clock.Now()
+	return !conn.closed
+}
+
+// begin records the first bytes of a head, with which a connection is no longer idle. It returns
+// false if the connection has been closed.
+func (c *connections) begin(conn *connection) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if !conn.closed && conn.state == http.StateIdle {
+		conn.state, conn.since = http.StateNew, c.clock.Now()
+	}
+	return !conn.closed
 }
 
 // figures returns the number of open connections and the counts.
@@ -266,24 +308,27 @@
 // run closes connections that were idle for too long, until ctx ends.
 func (c *connections) run(ctx context.Context) error {
 	for pause(ctx, idlePoll) {
-		limit := sd.Millis(c.idleLimit.Load())
-		if limit <= 0 {
-			limit = defaultIdle
-		}
-		var old []*connection
-		c.lock.Lock()
-		now := c.clock.Now()
-		for conn := range c.open {
-			waits := conn.state == http.StateIdle || conn.state == http.StateNew
-			if waits && now.Since(conn.since) > limit {
-				old = append(old, conn)
-				delete(c.open, conn)
-			}
-		}
-		c.lock.Unlock()
-		for _, conn := range old {
-			_ = conn.Close()
+		for _, conn := range c.expire() {
+			_ = conn.TCPConn.Close()
 		}
 	}
 	return ctx.Err()
 }
+
+// expire returns the connections that were idle for too long. Nothing runs on them any more; the
+// caller must close them.
+func (c *connections) expire() []*connection {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var old []*connection
+	now := c.clock.Now()
+	for conn := range c.open {
+		waits := conn.state == http.StateIdle || conn.state == http.StateNew
+		if waits && !conn.handling && now.Since(conn.since) > c.idleLimit {
+			conn.closed = true
+			delete(c.open, conn)
+			old = append(old, conn)
+		}
+	}
+	return old
+}
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -53,7 +53,7 @@
 			s.ConfigureRules(plan.Rules)
 		})
 		h.meter.update(func(s *meterer.State, now sd.Instant) { s.Configure(now, plan.Workspaces) })
-		h.callers.idleLimit.Store(int64(plan.Limits.IdleTimeout))
+		h.callers.setIdleLimit(plan.Limits.IdleTimeout)
 		h.callers.setHeadLimit(plan.Limits.MaxHeaderBytes)
 		h.enforce()
 		h.log.Info("plan in force", zap.Int("event", eventPlan), zap.Uint64("revision", uint64(plan.Revision)),
