starter: a lowered idle limit spares connections that callers still use

In the users' record the change was one of the idle limit.

Cause: the limit of the newest plan held at once for all connections. Callers reuse connections for up to four fifths of the limit that they know, which is the earlier one until they learn of the change.

A connection is now kept for the longest limit that was in force since it became idle, or in the 10 s before. Raised limits hold at once, and idle connections still give way to new ones.

--- a/starter/connections.go
+++ b/starter/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -33,6 +34,9 @@
 	// youngTime is how long a connection that has sent no whole head is left alone: longer than
 	// a round trip and than the pauses of a sender on a busy link.
 	youngTime = 300 * sd.Millisecond
+	// planOverlap is how long callers may go by a plan after this host has another one: the time
+	// in which hosts and callers learn of a plan, and some.
+	planOverlap = 10 * sd.Second
 	// flushTime is how long the response of a handler that has returned may take to be written:
 	// far more than a write that does not wait for its reader.
 	flushTime = 50 * sd.Millisecond
@@ -75,8 +79,16 @@
 	lock   sync.Mutex
 	open   map[*connection]struct{}
 	counts connectionCounts
-	// idleLimit is the plan's idle timeout, or defaultIdle before there is a plan.
+	// idleLimit is the plan's idle timeout, or zero before there is a plan, and earlier are those
+	// that it replaced, oldest first.
 	idleLimit sd.Millis
+	earlier   []earlierLimit
+}
+
+// earlierLimit is an idle timeout that was in force until another one replaced it.
+type earlierLimit struct {
+	limit sd.Millis
+	until sd.Instant
 }
 
 // connectionCounts count connections closed by this host: those without a request that gave way,
@@ -99,19 +111,40 @@
 }
 
 func newConnections(limit int, budget *reserver.Budget, clock sd.Clock) *connections {
-	return &connections{clock: clock, limit: limit, budget: budget, open: map[*connection]struct{}{}, idleLimit: defaultIdle}
+	return &connections{clock: clock, limit: limit, budget: budget, open: map[*connection]struct{}{}}
 }
 
-// setIdleLimit sets the plan's idle timeout; zero stands for defaultIdle.
+// setIdleLimit sets the plan's idle timeout; zero stands for defaultIdle. Callers may reuse
+// connections for as long as an earlier plan allows until they know of this one.
 func (c *connections) setIdleLimit(limit sd.Millis) {
 	if limit <= 0 {
 		limit = defaultIdle
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	now := c.clock.Now()
+	c.earlier = slices.DeleteFunc(c.earlier, func(e earlierLimit) bool { return now.Since(e.until) > e.limit+planOverlap })
+	if c.idleLimit > 0 && limit != c.idleLimit {
+		c.earlier = append(c.earlier, earlierLimit{c.idleLimit, now})
+	}
 	c.idleLimit = limit
 }
 
+// idleLimitSince returns how long a connection is kept that has been idle since then: as long as
+// the longest limit that its caller may have known at that time or later. The lock must be held.
+func (c *connections) idleLimitSince(since sd.Instant) sd.Millis {
+	limit := c.idleLimit
+	if limit == 0 {
+		limit = defaultIdle
+	}
+	for _, e := range c.earlier {
+		if since <= e.until.Add(planOverlap) {
+			limit = max(limit, e.limit)
+		}
+	}
+	return limit
+}
+
 // setHeadLimit sets the plan's limit of a head.
 func (c *connections) setHeadLimit(n int) { c.headLimit.Store(int64(n)) }
 
@@ -324,7 +357,7 @@
 	now := c.clock.Now()
 	for conn := range c.open {
 		waits := conn.state == http.StateIdle || conn.state == http.StateNew
-		if waits && !conn.handling && now.Since(conn.since) > c.idleLimit {
+		if waits && !conn.handling && now.Since(conn.since) > c.idleLimitSince(conn.since) {
 			conn.closed = true
 			delete(c.open, conn)
 			old = append(old, conn)
--- a/starter/idle_test.go
+++ b/starter/idle_test.go
@@ -94,3 +94,15 @@
 		}
 	}
 }
+
+// Guards against a request on a connection that was closed by a lowered limit, of which its caller
+// does not know yet (LOST).
+func TestLoweredIdleLimitSparesConnections(t *testing.T) {
+	i := newIdlers(t, 200, sd.Minute)
+	first := i.ask(0)
+	time.Sleep(100 * time.Millisecond)
+	i.conns.setIdleLimit(50)
+	if again := i.ask(2 * idlePoll.Duration()); first != 200 || again != 200 {
+		t.Errorf("%d of 200 requests were answered before the change, %d after it", first, again)
+	}
+}
