starter: a host that drains closes no connection whose request runs

What callers would see: a request that is cut as its host drains. No record shows it; it was found as the same cause as that of idle connections was looked for.

Cause: http.Server.Shutdown looks whether a connection is idle and closes it then. A request that was read in between runs, and its connection is closed under it. Shutdown does not wait for it either.

A connection whose handler runs now ignores that; the server closes it after the response, as it does while it shuts down, and the drain waits for such handlers. The end of the drain closes whatever is left.

TestConnectionWithARequestIsNotClosed failed before ("at the end false, the connection is kept: false").

--- a/starter/connections.go
+++ b/starter/connections.go
@@ -79,6 +79,8 @@
 	lock   sync.Mutex
 	open   map[*connection]struct{}
 	counts connectionCounts
+	// ending is set once connections are closed whatever runs on them.
+	ending bool
 	// idleLimit is the plan's idle timeout, or zero before there is a plan, and earlier are those
 	// that it replaced, oldest first.
 	idleLimit sd.Millis
@@ -170,9 +172,15 @@
 	return n, err
 }
 
-// Close implements net.Conn. A request that has been read and does not run yet will not run.
+// Close implements net.Conn. A request that has been read and does not run yet will not run. A
+// connection whose handler runs stays open, for the server to close it after the response: a
+// server that shuts down may have taken it for idle just before.
 func (c *connection) Close() error {
 	c.owner.lock.Lock()
+	if c.handling && c.state == http.StateActive && !c.owner.ending {
+		c.owner.lock.Unlock()
+		return nil
+	}
 	c.closed = true
 	delete(c.owner.open, c)
 	c.owner.lock.Unlock()
@@ -331,6 +339,36 @@
 	return !conn.closed
 }
 
+// awaitHandlers waits until no handler runs or ctx ends, and returns the error of ctx.
+func (c *connections) awaitHandlers(ctx context.Context) error {
+	for c.handlers() > 0 {
+		if !pause(ctx, handlerPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// handlers returns the number of connections whose handler runs.
+func (c *connections) handlers() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	n := 0
+	for conn := range c.open {
+		if conn.handling {
+			n++
+		}
+	}
+	return n
+}
+
+// end has connections closed from now on whatever runs on them.
+func (c *connections) end() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.ending = true
+}
+
 // figures returns the number of open connections and the counts.
 func (c *connections) figures() (int, connectionCounts) {
 	c.lock.Lock()
--- a/starter/connections_test.go
+++ b/starter/connections_test.go
@@ -62,6 +62,34 @@
 	}
 }
 
+// Guards against a request that is cut as the server closes idle connections to shut down (LOST):
+// the connection had been idle as the server looked.
+func TestConnectionWithARequestIsNotClosed(t *testing.T) {
+	clock := sd.NewClock()
+	for _, ending := range []bool{false, true} {
+		c := newConnections(4, reserver.New(reserver.Settings{Capacity: 1 << 20}, clock), clock)
+		conn := c.admit(&net.TCPConn{})
+		c.changed(conn, http.StateNew)
+		c.changed(conn, http.StateActive)
+		if !c.handle(conn, true) {
+			t.Fatal("a handler does not run")
+		}
+		if ending {
+			c.end()
+		}
+		// Closing a connection that was never opened only returns an error.
+		_ = conn.Close()
+		if c.has(conn) == ending {
+			t.Errorf("at the end %v, the connection is kept: %v", ending, c.has(conn))
+		}
+		c.handle(conn, false)
+		_ = conn.Close()
+		if c.has(conn) {
+			t.Error("a connection without a request is kept")
+		}
+	}
+}
+
 func (c *connections) has(conn *connection) bool {
 	_, found := c.open[conn]
 	return found
--- a/starter/ports.go
+++ b/starter/ports.go
@@ -34,6 +34,8 @@
 	flushReserve = 500 * sd.Millisecond
 	// filePoll is how often the settings file is looked at.
 	filePoll = sd.Second
+	// handlerPoll is how often a host that drains looks whether requests run.
+	handlerPoll = 10 * sd.Millisecond
 	// idlePoll is how often idle connections of callers are looked at.
 	idlePoll = 500 * sd.Millisecond
 	// metricsPath is where deploy/system.toml says that the metrics are.
@@ -70,6 +72,7 @@
 		listener, err := net.Listen("tcp4", string(o.address))
 		if err != nil {
 			for _, earlier := range open[:i] {
+				earlier.conns.end()
 				_ = earlier.server.Close()
 				<-ends
 			}
@@ -86,6 +89,7 @@
 		ends <- err
 	}
 	for _, o := range open {
+		o.conns.end()
 		_ = o.server.Close()
 	}
 	for range open {
@@ -107,6 +111,9 @@
 	go func() { tunnels <- h.tunneler.Drain(limited) }()
 	pause(ctx, lookTwice)
 	err := callers.Shutdown(limited)
+	if err == nil {
+		err = h.callers.awaitHandlers(limited)
+	}
 	used := <-tunnels
 	cancel()
 	limited, cancel = context.WithTimeout(ctx, left(flushReserve))
