receiver: a turn on allotments goes on if its reservation is refused

Cause: a turn whose reservation is pending for 0.1 s runs on an allotment. If the reservation was refused then, as a parallel turn counts at its most until it ends, the stream was cut at its next event, though the allotment covered it.

Such a turn now goes on with allotments and asks for more as it did while the reservation was pending. What is delivered so is within the shares that accounts do not reserve. A refusal before the turn is sent still answers it.

--- a/receiver/allotment.go
+++ b/receiver/allotment.go
@@ -43,16 +43,21 @@
 }
 
 // waitBacked waits until the turn has its reservation, or allotments cover the given
-// number of tokens; before the turn is sent, it must have one at least. The error is
-// that of waitReservation.
+// number of tokens; before the turn is sent, it must have one at least. A turn that runs on
+// allotments goes on with them if its reservation is refused. The error is that of
+// waitReservation.
 func (q *request) waitBacked(ctx context.Context, tokens sd.Tokens) error {
 	s := q.stream
-	if s.reservation == nil || s.reservation.finished() {
-		return q.waitReservation(ctx)
-	}
-	if len(s.allotted.parts) > 0 && tokens <= s.allotted.tokens {
+	if s.reservation == nil || s.reservation.granted() {
 		return nil
 	}
+	if len(s.allotted.parts) > 0 {
+		if tokens <= s.allotted.tokens {
+			return nil
+		}
+	} else if s.reservation.finished() {
+		return s.reservation.err
+	}
 	defer q.recordStage(stageHeld, q.Clock.Now())
 	if !q.waitAllotmentDue(ctx) || !q.allottable() {
 		return q.waitReservation(ctx)
@@ -67,9 +72,9 @@
 
 // waitAllotmentDue waits until the reservation has been pending for allotmentDelay, unless
 // the store is known to be unreachable. It returns false if the reservation or ctx ends
-// before that.
+// before that, and the turn has no allotment yet.
 func (q *request) waitAllotmentDue(ctx context.Context) bool {
-	if q.Archive.StoreUnreachable() {
+	if q.Archive.StoreUnreachable() || len(q.stream.allotted.parts) > 0 {
 		return true
 	}
 	timer := time.NewTimer((allotmentDelay - q.Clock.Now().Since(q.stream.reservation.requestedAt)).Duration())
--- a/receiver/allotment_test.go
+++ b/receiver/allotment_test.go
@@ -202,3 +202,36 @@
 		return status
 	})
 }
+
+// Guards against a turn that is cut in the middle (LOST): it ran on an allotment as its reservation
+// was refused for a parallel turn, which counts at its most.
+func TestTurnOnAllotmentsOutlivesItsRefusedReservation(t *testing.T) {
+	b, f := newAllottedBench(t, 1000)
+	for _, e := range b.engines {
+		e.Pause = 200
+	}
+	turn := func(id string) (int, int, bool) {
+		status, _, text, whole := b.ask("POST", "/ask/x", id, "x", "Program-Id", "p", "Token-Budget", "100", "Token-Usage", "1,56")
+		return status, strings.Count(text, "data:"), whole
+	}
+	var first sync.WaitGroup
+	first.Go(func() {
+		if status, events, whole := turn("a"); status != 200 || events != 4 || !whole {
+			t.Errorf("first turn: status %d, %d events, whole %v", status, events, whole)
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	b.rows.Trouble(faker.RowsTrouble{Delay: 350})
+	if status, events, whole := turn("b"); status != 200 || events != 4 || !whole {
+		t.Errorf("second turn: status %d, %d events, whole %v", status, events, whole)
+	}
+	b.rows.Trouble(faker.RowsTrouble{})
+	first.Wait()
+	b.waitSettled()
+	if got := f.outstanding(); got != 56 {
+		t.Errorf("%d tokens are allotted, 56 were delivered without a reservation", got)
+	}
+	if status, _, _ := turn("c"); status != 402 {
+		t.Errorf("turn beyond the budget: status %d", status)
+	}
+}
--- a/receiver/reservation.go
+++ b/receiver/reservation.go
@@ -50,6 +50,9 @@
 	}
 }
 
+// granted reports whether the reservation has succeeded.
+func (g *reservation) granted() bool { return g.finished() && g.err == nil }
+
 // end gives up a reservation that is still pending and returns its key, under which the
 // turn can be settled whether or not the reservation was made.
 func (g *reservation) end() archiver.Key {
