exchanger, connector, messenger, platform: an answer without a valid status is broken

Cause: http.ReadResponse takes 000, 012, +12 and 999 as they come. The exchanger took all below 200 for interim answers and read what followed as the next head: an answer behind it was passed on, and with an empty body the request waited on. 600 to 999 were passed on. What the head said of the target was believed. Such an answer of the store or of another host counted as a refusal, after which nothing has happened; the first core passed such answers of services on.

ValidStatus takes three digits from 100 to 599. Any other answer is broken, or uncertain where a call may have had an effect; the connection is closed.

--- a/connector/faults_test.go
+++ b/connector/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -312,3 +313,22 @@
 	}
 	t.Fatalf("%d connections and %d goroutines are left", len(open), runtime.NumGoroutine()-before)
 }
+
+// Guards against an answer of a service whose status is none being passed on: the service may have
+// run the request.
+func TestAnswerWithoutAStatusIsUncertain(t *testing.T) {
+	for _, status := range []string{"000", "012", "+12", "600", "999"} {
+		address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 4\r\n\r\nbody")
+			_ = conn.Close()
+		}))
+		service := &connector.Service{Pool: newPool(t), Address: address}
+		_, err := service.Call(t.Context(), sapphiredrum.ServiceCall{Method: http.MethodPost, Path: "/x"})
+		expect(t, err, sapphiredrum.Uncertain)
+	}
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -99,6 +99,11 @@
 		}
 		return nil, sapphiredrum.Unavailable.Wrap(err, "%s %s: nothing was sent", o.method, o.address)
 	}
+	if !sapphiredrum.ValidStatus(response.Status) {
+		cancel()
+		_ = response.Body.Close()
+		return nil, sapphiredrum.Uncertain.New("%s %s: the answer has the status %.8q", o.method, o.address, response.Status)
+	}
 	response.Body = &ending{ReadCloser: response.Body, cancel: cancel}
 	return response, nil
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -168,12 +168,15 @@
 	return c.Conn.Close()
 }
 
-// readHead reads the head of the next answer.
+// readHead reads the head of the next answer. The error is BrokenResponse if its status is none.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	c.heading, c.headLeft = true, headBytes-c.reader.Buffered()
 	c.head = reserver.Head{}
 	response, err := http.ReadResponse(c.reader, request)
 	c.heading = false
+	if err == nil && !sd.ValidStatus(response.Status) {
+		return nil, sd.BrokenResponse.New("answer has the status %.8q", response.Status)
+	}
 	return response, err
 }
 
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -102,6 +102,10 @@
 	if err != nil {
 		return nil, lost(err, to, name)
 	}
+	if !sd.ValidStatus(response.Status) {
+		_ = response.Body.Close()
+		return nil, sd.Uncertain.New("the answer of %s to %s has the status %.8q", to, name, response.Status)
+	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
 		return nil, sd.Unavailable.New("%s does not answer %s: status %d", to, name, response.StatusCode)
--- a/messenger/cut_test.go
+++ b/messenger/cut_test.go
@@ -76,3 +76,15 @@
 		}
 	}
 }
+
+// Guards against an answer whose status is none being taken for a refusal: the request may have run.
+func TestAnswerOfAPeerWithoutAStatusIsLost(t *testing.T) {
+	client := messenger.NewClient(nil)
+	defer client.Close()
+	for _, status := range []string{"000", "012", "+12", "600", "999"} {
+		at := say(t, []string{"HTTP/1.1 " + status + " Trouble\r\nContent-Length: 23\r\n\r\n" + `{"body":{"Length":123}}`})
+		if got, err := messenger.Ask[question, reply](t.Context(), client, at, "length", question{}); !errorx.IsOfType(err, sd.Uncertain) {
+			t.Errorf("status %s: %v, %v", status, got, err)
+		}
+	}
+}
--- a/root_test.go
+++ b/root_test.go
@@ -64,3 +64,19 @@
 		}
 	}
 }
+
+func ExampleValidStatus() {
+	for _, status := range []string{"200 OK", "599", "000 Trouble", "012 Trouble", "+12 Trouble", "-00", "600", "2000", ""} {
+		fmt.Printf("%q %v\n", status, sapphiredrum.ValidStatus(status))
+	}
+	// Output:
+	// "200 OK" true
+	// "599" true
+	// "000 Trouble" false
+	// "012 Trouble" false
+	// "+12 Trouble" false
+	// "-00" false
+	// "600" false
+	// "2000" false
+	// "" false
+}
