--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -427,8 +427,8 @@
 	}
 }
 
-// Close implements archiver.Budgets. The table tells enough unless several starts of the
-// program's grantor may have allotted to it; then the grantor is asked what it has allotted.
+// Close implements archiver.Budgets. If the table leaves too little, as it counts whole shares,
+// the host that may have allotted is asked for what it has.
 func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
 	ctx, cancel := context.WithTimeout(ctx, (requestTimeout + closeTimeout).Duration())
 	defer cancel()
--- a/allotter/state.go
+++ b/allotter/state.go
@@ -190,7 +190,7 @@
 	return own, true
 }
 
-// Grantor returns the host that may allot to a program, or an empty ID.
+// Grantor returns the host that allots to a program once it has joined, or an empty ID.
 func (s *State) Grantor(program archiver.Key) sd.HostID {
 	host, _ := s.highest(program, func(Entry) bool { return true })
 	return host
@@ -199,19 +199,23 @@
 // highest returns the host with the highest rank for a program among those that match.
 func (s *State) highest(program archiver.Key, match func(Entry) bool) (best sd.HostID, rank uint64) {
 	for host, e := range s.entries {
-		if r := rankOf(host, program); match(e) && (best == "" || r > rank) {
+		if !match(e) {
+			continue
+		}
+		if r := rankOf(host, program); best == "" || r > rank {
 			best, rank = host, r
 		}
 	}
 	return best, rank
 }
 
+// rankOf is the rendezvous hash of a host for a program.
 func rankOf(host sd.HostID, program archiver.Key) uint64 {
 	return xxhash.Sum64String(string(host) + "|" + string(program[:]))
 }
 
 // allotter returns the host that may have allotted to a program, or an empty ID, and the hosts
-// that will take its place once they have joined. No other host allots to the program before
+// of higher rank, which take its place once they have joined. No other host allots to the program before
 // one of these entries changes.
 func (s *State) allotter(program archiver.Key) (host sd.HostID, joining []sd.HostID) {
 	host, rank := s.highest(program, func(e Entry) bool { return !e.joins() })
--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -196,10 +196,10 @@
 	if failure != nil {
 		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
 	}
+	// Another turn may have closed the program since this one was refused at less.
 	if rest <= order.Budget {
 		return hold, err
 	}
-	// Another turn may have closed the program since this one was refused.
 	order.Budget = rest
 	return a.reserveWithFailover(ctx, order, turn, "closed-")
 }
--- a/starter/connections.go
+++ b/starter/connections.go
@@ -181,12 +181,18 @@
 		c.owner.lock.Unlock()
 		return nil
 	}
-	c.closed = true
-	delete(c.owner.open, c)
+	c.owner.forget(c)
 	c.owner.lock.Unlock()
 	return c.TCPConn.Close()
 }
 
+// forget counts a connection as closed, so that nothing begins to run on it. The lock must be
+// held, and the caller must close the TCP connection.
+func (c *connections) forget(conn *connection) {
+	conn.closed = true
+	delete(c.open, conn)
+}
+
 // awaitHead prepares for the next head. It is called between two heads only.
 func (c *connection) awaitHead() {
 	c.holder.Close()
@@ -232,8 +238,7 @@
 		victim := c.victim(conn.since)
 		switch {
 		case victim != nil:
-			victim.closed = true
-			delete(c.open, victim)
+			c.forget(victim)
 			_ = victim.TCPConn.Close()
 			c.counts.gaveWay++
 		case !c.forRequests || len(c.open) >= 2*c.limit || !c.budget.EvictStalled():
@@ -386,8 +391,7 @@
 	return ctx.Err()
 }
 
-// expire returns the connections that were idle for too long. Nothing runs on them any more; the
-// caller must close them.
+// expire forgets the connections that were idle for too long, and returns them to be closed.
 func (c *connections) expire() []*connection {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -396,8 +400,7 @@
 	for conn := range c.open {
 		waits := conn.state == http.StateIdle || conn.state == http.StateNew
 		if waits && !conn.handling && now.Since(conn.since) > c.idleLimitSince(conn.since) {
-			conn.closed = true
-			delete(c.open, conn)
+			c.forget(conn)
 			old = append(old, conn)
 		}
 	}
