archiver, receiver: a turn begins on an allotment only if its reservation may be granted

All ten had begun on an allotment, and their reservation was refused then: "budget exhausted: spent 57, reserved 285, requested 285, budget 342".

If nothing is known, the turn waits for 0.3 s. Only turns whose caller has had output go on after a refusal. A turn that does not fit beside what its program has spent, which never falls, is refused without the store.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -75,8 +75,25 @@
 	program Key
 	limit   sd.Tokens
 	at      sd.Instant
+	// outlook is what whoever decides on the reservation has told. order is what was last asked
+	// for, and local is set if this host decides on it.
+	outlook Outlook
+	order   ReserveRequest
+	local   bool
 }
 
+// Outlook is what is known of a reservation that is pending.
+type Outlook int
+
+const (
+	// Unknown is said of a reservation of which whoever decides on it has told nothing.
+	Unknown Outlook = iota
+	// Likely reservations fit the budget beside what is reserved and what waits to be.
+	Likely
+	// Doubtful reservations do not, unless turns under way end below their limits.
+	Doubtful
+)
+
 // New returns an Archive. Its operations complete only while Run is running.
 func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
@@ -165,9 +182,9 @@
 func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens) (Key, error) {
 	w := a.worker(program)
 	w.lock.Lock()
-	w.reserving[turn] = pendingReservation{program, limit, a.clock.Now()}
+	w.reserving[turn] = pendingReservation{program: program, limit: limit, at: a.clock.Now()}
 	w.lock.Unlock()
-	hold, err := a.reserveInBudget(ctx, ReserveRequest{Program: program, Limit: limit, Budget: budget}, turn)
+	hold, err := a.reserveInBudget(ctx, ReserveRequest{Program: program, Limit: limit, Budget: budget, turn: turn})
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	delete(w.reserving, turn)
@@ -180,10 +197,14 @@
 // reserveInBudget reserves from the part of the budget that the account may use. If
 // that is exhausted, it closes the program and reserves from the rest, less what may have
 // been allotted. The error is Unavailable if the program cannot be closed now.
-func (a *Archive) reserveInBudget(ctx context.Context, order ReserveRequest, turn Key) (Key, error) {
+func (a *Archive) reserveInBudget(ctx context.Context, order ReserveRequest) (Key, error) {
 	budget := order.Budget
+	// What is spent never falls.
+	if spent := a.snapshot(order.Program).Account.Spent; spent+order.Limit > budget {
+		return holdKey(order.turn, "none"), BudgetExhausted.New("budget exhausted: spent %d, requested %d, budget %d", spent, order.Limit, budget)
+	}
 	order.Budget = a.reservable(order.Program, budget, order.Limit)
-	hold, err := a.reserveWithFailover(ctx, order, turn, "")
+	hold, err := a.reserveWithFailover(ctx, order, "")
 	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) {
 		return hold, err
 	}
@@ -192,6 +213,7 @@
 	if needed > budget {
 		return hold, err
 	}
+	a.worker(order.Program).setOutlook(order.turn, Doubtful)
 	rest, failure := a.closeProgram(ctx, order.Program, budget, order.Limit, needed)
 	if failure != nil {
 		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
@@ -201,7 +223,7 @@
 		return hold, err
 	}
 	order.Budget = rest
-	return a.reserveWithFailover(ctx, order, turn, "closed-")
+	return a.reserveWithFailover(ctx, order, "closed-")
 }
 
 // closeProgram closes a program, unless that has opened what is needed before, and returns the
@@ -241,10 +263,11 @@
 
 // reserveWithFailover asks one sequencer after the other for a reservation. The keys of
 // its attempts begin with the prefix.
-func (a *Archive) reserveWithFailover(ctx context.Context, order ReserveRequest, turn Key, prefix string) (Key, error) {
+func (a *Archive) reserveWithFailover(ctx context.Context, order ReserveRequest, prefix string) (Key, error) {
 	for try := 0; ; try++ {
-		order.Hold = holdKey(turn, prefix+strconv.Itoa(try))
+		order.Hold = holdKey(order.turn, prefix+strconv.Itoa(try))
 		at := a.sequencer(order.Program)
+		a.worker(order.Program).asked(order, at == "")
 		if at == "" {
 			return order.Hold, a.reserveLocally(ctx, order)
 		}
@@ -300,6 +323,24 @@
 	return begins && taken <= budget
 }
 
+// ReservationOutlook returns what is known of a turn's pending reservation: what this host has last
+// seen of the account, and what whoever decides on it tells.
+func (a *Archive) ReservationOutlook(program, turn Key) Outlook {
+	w := a.worker(program)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	pending, known := w.reserving[turn]
+	switch {
+	case !known:
+		return Unknown
+	case pending.outlook == Doubtful || w.isDoubtful(a.clock.Now(), pending.order):
+		return Doubtful
+	case pending.local:
+		return Likely
+	}
+	return pending.outlook
+}
+
 // UnderWay reports whether the program has had output before, according to its account as this
 // host last saw it. A finished Reserve leaves the account as the sequencer saw it.
 func (a *Archive) UnderWay(program Key) bool { return a.snapshot(program).Account.Spent > 0 }
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -114,6 +114,23 @@
 	return slices.ContainsFunc(l.pending, stores) || (l.batch != nil && slices.ContainsFunc(l.batch.operations, stores))
 }
 
+// Reserving returns the total limit of a program's reservations that have not completed and are not
+// abandoned, except the given one.
+func (l *Batcher) Reserving(now sd.Instant, program, except Key) sd.Tokens {
+	operations := l.pending
+	if l.batch != nil {
+		operations = append(slices.Clone(l.batch.operations), operations...)
+	}
+	total := sd.Tokens(0)
+	for _, o := range operations {
+		abandoned := o.Deadline != 0 && now >= o.Deadline
+		if o.Kind == Reserve && o.Program == program && o.Hold != except && !abandoned {
+			total += o.Tokens
+		}
+	}
+	return total
+}
+
 // Observe records an account that was read from the store, unless a version at least
 // as new is known.
 func (l *Batcher) Observe(now sd.Instant, program Key, account Account, version uint64) {
--- a/archiver/parallel_test.go
+++ b/archiver/parallel_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -98,3 +100,54 @@
 		t.Errorf("turn that was refused meanwhile: %v", err)
 	}
 }
+
+// Guards against turns that begin and are cut as their budget does not hold them (LOST): whichever
+// host decides, the one that serves a turn learns in time that its reservation may be refused.
+func TestPendingReservationIsDoubtfulBesideAnother(t *testing.T) {
+	f := newFleet(t, 3)
+	program := archiver.ProgramKey("w", "p")
+	if _, err := f.hosts[0].Reserve(t.Context(), program, archiver.TurnKey("w", "first"), 200, 350); err != nil {
+		t.Fatal(err)
+	}
+	for at, host := range f.hosts {
+		for _, limit := range []sd.Tokens{100, 200} {
+			turn := archiver.TurnKey("w", sd.CallID(fmt.Sprint(at, "-", limit)))
+			f.rows.Trouble(faker.RowsTrouble{Delay: 300})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() {
+				_, err := host.Reserve(ctx, program, turn, limit, 350)
+				done <- err
+			}()
+			time.Sleep(150 * time.Millisecond)
+			want := archiver.Likely
+			if limit == 200 {
+				want = archiver.Doubtful
+			}
+			if got := host.ReservationOutlook(program, turn); got != want {
+				t.Errorf("host %d, limit %d: outlook %v, want %v", at, limit, got, want)
+			}
+			cancel()
+			<-done
+			f.rows.Trouble(faker.RowsTrouble{})
+			f.eventually("reservation is given back", func() bool { return f.hosts[0].Waiting()+f.hosts[1].Waiting()+f.hosts[2].Waiting() == 0 })
+		}
+	}
+}
+
+// A turn for which the program has spent too much is refused at once, also while the store is away.
+func TestSpentBudgetIsRefusedWithoutTheStore(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range 3 {
+		f.must(f.turn(0, "p", fmt.Sprint("t", i), ""))
+	}
+	f.setStoreUp(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	if _, err := f.hosts[0].Reserve(ctx, archiver.ProgramKey("w", "p"), archiver.TurnKey("w", "late"), 210, 350); !errorx.IsOfType(err, archiver.BudgetExhausted) {
+		t.Errorf("210 of 200 tokens that are left: %v", err)
+	}
+	if _, err := f.hosts[0].Reserve(ctx, archiver.ProgramKey("w", "p"), archiver.TurnKey("w", "next"), 200, 350); !errorx.IsOfType(err, sd.Unavailable) {
+		t.Errorf("200 of 200 tokens that are left: %v", err)
+	}
+}
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -19,8 +19,10 @@
 	// it exceeds the time in which the loss of a peer is detected.
 	sequencerTimeout = 600 * sd.Millisecond
 	// keepaliveInterval is how often a sequencer sends a pending response to a waiting
-	// host: three times within sequencerTimeout.
+	// host: three times within sequencerTimeout. The first one comes after keepaliveDelay,
+	// several times the store's usual latency.
 	keepaliveInterval = 200 * sd.Millisecond
+	keepaliveDelay    = 50 * sd.Millisecond
 	// suspectTTL is how long a sequencer that did not respond is skipped.
 	suspectTTL = sd.Second
 	// minRelativePower is the minimum power of a sequencer, relative to the most
@@ -36,6 +38,8 @@
 	Abandoned []Key `json:"GivenUp"`
 	// LastSeen is the stored account as the sender last saw it.
 	LastSeen Snapshot `json:"Seen"`
+
+	turn Key
 }
 
 // ReserveResponse is the response to a ReserveRequest.
@@ -43,8 +47,9 @@
 	// Exhausted says why the budget does not allow the reservation; it is empty if the
 	// reservation was made.
 	Exhausted string
-	// Pending is set in keepalives: the store does not have the reservation yet.
-	Pending bool
+	// Pending is set in keepalives: the store does not have the reservation yet. Doubtful is set
+	// in those of a reservation that the budget does not hold beside what is open or waits.
+	Pending, Doubtful bool
 	Snapshot
 }
 
@@ -143,9 +148,9 @@
 	return last, received, err
 }
 
-// sendKeepalives sends the pending response periodically until work returns, and then
+// sendKeepalives sends pending responses periodically until work returns, and then
 // sends its result or returns its error.
-func sendKeepalives[F any](send func(F) error, pending F, work func() (F, error)) error {
+func sendKeepalives[F any](send func(F) error, pending func() F, work func() (F, error)) error {
 	type result struct {
 		frame F
 		err   error
@@ -155,8 +160,8 @@
 		frame, err := work()
 		done <- result{frame, err}
 	}()
-	ticker := time.NewTicker(keepaliveInterval.Duration())
-	defer ticker.Stop()
+	timer := time.NewTimer(keepaliveDelay.Duration())
+	defer timer.Stop()
 	for {
 		select {
 		case r := <-done:
@@ -164,8 +169,9 @@
 				return r.err
 			}
 			return send(r.frame)
-		case <-ticker.C:
-			if err := send(pending); err != nil {
+		case <-timer.C:
+			timer.Reset(keepaliveInterval.Duration())
+			if err := send(pending()); err != nil {
 				// The requesting host is gone; work ends with the request's context.
 				<-done
 				return err
@@ -178,7 +184,16 @@
 // sequencer decided; if not, the caller may retry under another reservation key.
 func (a *Archive) reserveAtSequencer(ctx context.Context, at sd.Address, order ReserveRequest) (bool, error) {
 	order.LastSeen = a.snapshot(order.Program)
-	placed, _, err := followSequencer(ctx, a, at, messageReserve, order, func(p ReserveResponse) bool { return p.Pending })
+	w := a.worker(order.Program)
+	placed, _, err := followSequencer(ctx, a, at, messageReserve, order, func(p ReserveResponse) bool {
+		switch {
+		case p.Pending && p.Doubtful:
+			w.setOutlook(order.turn, Doubtful)
+		case p.Pending:
+			w.setOutlook(order.turn, Likely)
+		}
+		return p.Pending
+	})
 	switch {
 	case err != nil:
 		if ctx.Err() == nil {
@@ -188,10 +203,9 @@
 		}
 		return false, sd.Unavailable.Wrap(err, "sequencer %s did not decide on the reservation", at)
 	case placed.Exhausted != "":
-		a.worker(order.Program).observe(a.clock.Now(), order.Program, placed.Snapshot)
+		w.observe(a.clock.Now(), order.Program, placed.Snapshot)
 		return true, BudgetExhausted.New("%s", placed.Exhausted)
 	}
-	w := a.worker(order.Program)
 	w.lock.Lock()
 	w.sequencers[order.Hold] = at
 	w.lock.Unlock()
@@ -233,7 +247,13 @@
 // handleReserve makes a reservation for another host.
 func (a *Archive) handleReserve(ctx context.Context, order ReserveRequest, send func(ReserveResponse) error) error {
 	a.worker(order.Program).observe(a.clock.Now(), order.Program, order.LastSeen)
-	return sendKeepalives(send, ReserveResponse{Pending: true}, func() (ReserveResponse, error) {
+	pending := func() ReserveResponse {
+		w := a.worker(order.Program)
+		w.lock.Lock()
+		defer w.lock.Unlock()
+		return ReserveResponse{Pending: true, Doubtful: w.isDoubtful(a.clock.Now(), order)}
+	}
+	return sendKeepalives(send, pending, func() (ReserveResponse, error) {
 		err := a.reserveLocally(ctx, order)
 		if errorx.IsOfType(err, BudgetExhausted) {
 			return ReserveResponse{Exhausted: err.Error(), Snapshot: a.snapshot(order.Program)}, nil
@@ -244,7 +264,8 @@
 
 // handleSettle settles a turn for another host.
 func (a *Archive) handleSettle(ctx context.Context, o Operation, send func(SettleResponse) error) error {
-	return sendKeepalives(send, SettleResponse{Pending: true}, func() (SettleResponse, error) {
+	pending := func() SettleResponse { return SettleResponse{Pending: true} }
+	return sendKeepalives(send, pending, func() (SettleResponse, error) {
 		err := a.settleLocally(ctx, o)
 		if err == nil && o.Turn != nil {
 			a.cacheTurn(o.Turn)
@@ -272,3 +293,33 @@
 		w.lock.Unlock()
 	}
 }
+
+// setOutlook records what is known of a turn's pending reservation.
+func (w *worker) setOutlook(turn Key, outlook Outlook) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if pending, known := w.reserving[turn]; known {
+		pending.outlook = outlook
+		w.reserving[turn] = pending
+	}
+}
+
+// asked records a reservation that is asked for, and whether this host decides on it.
+func (w *worker) asked(order ReserveRequest, local bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if pending, known := w.reserving[order.turn]; known {
+		pending.order, pending.local = order, local
+		w.reserving[order.turn] = pending
+	}
+}
+
+// isDoubtful reports whether the budget does not hold a reservation beside the account as last seen
+// and the other reservations that wait. The lock must be held.
+func (w *worker) isDoubtful(now sd.Instant, order ReserveRequest) bool {
+	total := order.Limit + w.lane.Reserving(now, order.Program, order.Hold)
+	if row := w.lane.rows[order.Program]; row != nil {
+		total += row.account.Spent + row.account.Reserved()
+	}
+	return total > order.Budget
+}
--- a/receiver/allotment.go
+++ b/receiver/allotment.go
@@ -26,6 +26,9 @@
 	// allotmentDelay is how long a reservation may be pending before the turn asks for an
 	// allotment: about ten times the store's usual latency.
 	allotmentDelay = 100 * sd.Millisecond
+	// unknownDelay is that time if whoever decides on the reservation has told nothing of it: longer
+	// than it takes to send a lost message again, and shorter than a lost sequencer is waited for.
+	unknownDelay = 300 * sd.Millisecond
 	// allotmentDivisor is the divisor of a turn's token limit that gives the size of an
 	// allotment. Most turns end far below their limit.
 	allotmentDivisor = 4
@@ -43,21 +46,20 @@
 }
 
 // waitBacked waits until the turn has its reservation, or allotments cover the given
-// number of tokens; before the turn is sent, it must have one at least. A turn that runs on
-// allotments goes on with them if its reservation is refused. The error is that of
+// number of tokens; before the turn is sent, it must have one at least. A turn whose caller has
+// had output goes on with allotments if its reservation is refused. The error is that of
 // waitReservation.
 func (q *request) waitBacked(ctx context.Context, tokens sd.Tokens) error {
 	s := q.stream
 	if s.reservation == nil || s.reservation.granted() {
 		return nil
 	}
-	if len(s.allotted.parts) > 0 {
-		if tokens <= s.allotted.tokens {
-			return nil
-		}
-	} else if s.reservation.finished() {
+	if s.delivered == 0 && s.reservation.finished() {
 		return s.reservation.err
 	}
+	if len(s.allotted.parts) > 0 && tokens <= s.allotted.tokens {
+		return nil
+	}
 	defer q.recordStage(stageHeld, q.Clock.Now())
 	if !q.waitAllotmentDue(ctx) || !q.allottable() {
 		return q.waitReservation(ctx)
@@ -70,14 +72,31 @@
 	return nil
 }
 
-// waitAllotmentDue waits until the reservation has been pending for allotmentDelay, unless
-// the store is known to be unreachable. It returns false if the reservation or ctx ends
-// before that, and the turn has no allotment yet.
+// waitAllotmentDue waits until the reservation has been pending for allotmentDelay, or longer
+// if nothing is known of it, unless the store is known to be unreachable or the turn has an
+// allotment. It returns false if the reservation or ctx ends before that, or if the reservation may
+// well be refused: a turn that has begun would be cut then.
 func (q *request) waitAllotmentDue(ctx context.Context) bool {
 	if q.Archive.StoreUnreachable() || len(q.stream.allotted.parts) > 0 {
 		return true
 	}
-	timer := time.NewTimer((allotmentDelay - q.Clock.Now().Since(q.stream.reservation.requestedAt)).Duration())
+	if !q.waitPending(ctx, allotmentDelay) {
+		return false
+	}
+	outlook := q.Archive.ReservationOutlook(q.program, q.stream.reservation.turn)
+	if outlook == archiver.Unknown {
+		if !q.waitPending(ctx, unknownDelay) {
+			return false
+		}
+		outlook = q.Archive.ReservationOutlook(q.program, q.stream.reservation.turn)
+	}
+	return outlook != archiver.Doubtful
+}
+
+// waitPending waits until the reservation has been pending for the given time. It returns false
+// if the reservation or ctx ends before that.
+func (q *request) waitPending(ctx context.Context, limit sd.Millis) bool {
+	timer := time.NewTimer((limit - q.Clock.Now().Since(q.stream.reservation.requestedAt)).Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/receiver/reservation.go
+++ b/receiver/reservation.go
@@ -15,6 +15,7 @@
 // reservation is the budget reservation of a turn, which may still be pending in the
 // store. Until the store has it, only tokens that an allotment covers are forwarded.
 type reservation struct {
+	turn   archiver.Key
 	cancel context.CancelFunc
 	done   chan struct{}
 	// hold, err and endedAt, when the reservation succeeded or failed, are set before done
@@ -31,7 +32,7 @@
 // reserve starts reserving budget for the turn's maximum number of tokens.
 func (q *request) reserve(ctx context.Context, turn archiver.Key, budget sd.Tokens) *reservation {
 	ctx, cancel := context.WithCancel(ctx)
-	g := &reservation{cancel: cancel, done: make(chan struct{}), requestedAt: q.Clock.Now()}
+	g := &reservation{turn: turn, cancel: cancel, done: make(chan struct{}), requestedAt: q.Clock.Now()}
 	go func() {
 		defer close(g.done)
 		g.hold, g.err = q.Archive.Reserve(ctx, q.program, turn, q.params.Limit, budget)
