--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -82,18 +82,6 @@
 	local   bool
 }
 
-// Outlook is what is known of a reservation that is pending.
-type Outlook int
-
-const (
-	// Unknown is said of a reservation of which whoever decides on it has told nothing.
-	Unknown Outlook = iota
-	// Likely reservations fit the budget beside what is reserved and what waits to be.
-	Likely
-	// Doubtful reservations do not, unless turns under way end below their limits.
-	Doubtful
-)
-
 // New returns an Archive. Its operations complete only while Run is running.
 func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
@@ -194,73 +182,6 @@
 	return hold, err
 }
 
-// reserveInBudget reserves from the part of the budget that the account may use. If
-// that is exhausted, it closes the program and reserves from the rest, less what may have
-// been allotted. The error is Unavailable if the program cannot be closed now.
-func (a *Archive) reserveInBudget(ctx context.Context, order ReserveRequest) (Key, error) {
-	budget := order.Budget
-	// What is spent never falls.
-	if spent := a.snapshot(order.Program).Account.Spent; spent+order.Limit > budget {
-		return holdKey(order.turn, "none"), BudgetExhausted.New("budget exhausted: spent %d, requested %d, budget %d", spent, order.Limit, budget)
-	}
-	order.Budget = a.reservable(order.Program, budget, order.Limit)
-	hold, err := a.reserveWithFailover(ctx, order, "")
-	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) {
-		return hold, err
-	}
-	seen := a.snapshot(order.Program).Account
-	needed := seen.Spent + seen.Reserved() + order.Limit
-	if needed > budget {
-		return hold, err
-	}
-	a.worker(order.Program).setOutlook(order.turn, Doubtful)
-	rest, failure := a.closeProgram(ctx, order.Program, budget, order.Limit, needed)
-	if failure != nil {
-		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
-	}
-	// Another turn may have closed the program since this one was refused at less.
-	if rest <= order.Budget {
-		return hold, err
-	}
-	order.Budget = rest
-	return a.reserveWithFailover(ctx, order, "closed-")
-}
-
-// closeProgram closes a program, unless that has opened what is needed before, and returns the
-// part of its budget that its account may reserve.
-func (a *Archive) closeProgram(ctx context.Context, program Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
-	w := a.worker(program)
-	w.lock.Lock()
-	known := w.closed[program]
-	w.lock.Unlock()
-	if known >= needed {
-		return min(known, budget), nil
-	}
-	rest, err := a.peers.Budgets.Close(ctx, program, budget, limit, needed)
-	if err != nil {
-		return 0, err
-	}
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.closed[program] = max(w.closed[program], rest)
-	return w.closed[program], nil
-}
-
-// reservable returns the part of a program's budget that its account may reserve for a turn.
-func (a *Archive) reservable(program Key, budget, limit sd.Tokens) sd.Tokens {
-	if a.peers.Budgets == nil {
-		return budget
-	}
-	w := a.worker(program)
-	w.lock.Lock()
-	rest, closed := w.closed[program]
-	w.lock.Unlock()
-	if closed {
-		return min(rest, budget)
-	}
-	return a.peers.Budgets.Reservable(budget, limit)
-}
-
 // reserveWithFailover asks one sequencer after the other for a reservation. The keys of
 // its attempts begin with the prefix.
 func (a *Archive) reserveWithFailover(ctx context.Context, order ReserveRequest, prefix string) (Key, error) {
@@ -323,24 +244,6 @@
 	return begins && taken <= budget
 }
 
-// ReservationOutlook returns what is known of a turn's pending reservation: what this host has last
-// seen of the account, and what whoever decides on it tells.
-func (a *Archive) ReservationOutlook(program, turn Key) Outlook {
-	w := a.worker(program)
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	pending, known := w.reserving[turn]
-	switch {
-	case !known:
-		return Unknown
-	case pending.outlook == Doubtful || w.isDoubtful(a.clock.Now(), pending.order):
-		return Doubtful
-	case pending.local:
-		return Likely
-	}
-	return pending.outlook
-}
-
 // UnderWay reports whether the program has had output before, according to its account as this
 // host last saw it. A finished Reserve leaves the account as the sequencer saw it.
 func (a *Archive) UnderWay(program Key) bool { return a.snapshot(program).Account.Spent > 0 }
--- /dev/null
+++ b/archiver/budget.go
@@ -0,0 +1,76 @@
+package archiver
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	sd "sapphiredrum.example/sapphiredrum"
+)
+
+// reserveInBudget reserves from the part of the budget that the account may use. If
+// that is exhausted, it closes the program and reserves from the rest, less what may have
+// been allotted. The error is Unavailable if the program cannot be closed now.
+func (a *Archive) reserveInBudget(ctx context.Context, order ReserveRequest) (Key, error) {
+	budget := order.Budget
+	// What is spent never falls.
+	if spent := a.snapshot(order.Program).Account.Spent; spent+order.Limit > budget {
+		return holdKey(order.turn, "none"), BudgetExhausted.New("budget exhausted: spent %d, requested %d, budget %d", spent, order.Limit, budget)
+	}
+	order.Budget = a.reservable(order.Program, budget, order.Limit)
+	hold, err := a.reserveWithFailover(ctx, order, "")
+	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) {
+		return hold, err
+	}
+	seen := a.snapshot(order.Program).Account
+	needed := seen.Spent + seen.Reserved() + order.Limit
+	if needed > budget {
+		return hold, err
+	}
+	a.worker(order.Program).setOutlook(order.turn, Doubtful)
+	rest, failure := a.closeProgram(ctx, order.Program, budget, order.Limit, needed)
+	if failure != nil {
+		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
+	}
+	// Another turn may have closed the program since this one was refused at less.
+	if rest <= order.Budget {
+		return hold, err
+	}
+	order.Budget = rest
+	return a.reserveWithFailover(ctx, order, "closed-")
+}
+
+// closeProgram closes a program, unless that has opened what is needed before, and returns the
+// part of its budget that its account may reserve.
+func (a *Archive) closeProgram(ctx context.Context, program Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
+	w := a.worker(program)
+	w.lock.Lock()
+	known := w.closed[program]
+	w.lock.Unlock()
+	if known >= needed {
+		return min(known, budget), nil
+	}
+	rest, err := a.peers.Budgets.Close(ctx, program, budget, limit, needed)
+	if err != nil {
+		return 0, err
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.closed[program] = max(w.closed[program], rest)
+	return w.closed[program], nil
+}
+
+// reservable returns the part of a program's budget that its account may reserve for a turn.
+func (a *Archive) reservable(program Key, budget, limit sd.Tokens) sd.Tokens {
+	if a.peers.Budgets == nil {
+		return budget
+	}
+	w := a.worker(program)
+	w.lock.Lock()
+	rest, closed := w.closed[program]
+	w.lock.Unlock()
+	if closed {
+		return min(rest, budget)
+	}
+	return a.peers.Budgets.Reservable(budget, limit)
+}
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -293,33 +293,3 @@
 		w.lock.Unlock()
 	}
 }
-
-// setOutlook records what is known of a turn's pending reservation.
-func (w *worker) setOutlook(turn Key, outlook Outlook) {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if pending, known := w.reserving[turn]; known {
-		pending.outlook = outlook
-		w.reserving[turn] = pending
-	}
-}
-
-// asked records a reservation that is asked for, and whether this host decides on it.
-func (w *worker) asked(order ReserveRequest, local bool) {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if pending, known := w.reserving[order.turn]; known {
-		pending.order, pending.local = order, local
-		w.reserving[order.turn] = pending
-	}
-}
-
-// isDoubtful reports whether the budget does not hold a reservation beside the account as last seen
-// and the other reservations that wait. The lock must be held.
-func (w *worker) isDoubtful(now sd.Instant, order ReserveRequest) bool {
-	total := order.Limit + w.lane.Reserving(now, order.Program, order.Hold)
-	if row := w.lane.rows[order.Program]; row != nil {
-		total += row.account.Spent + row.account.Reserved()
-	}
-	return total > order.Budget
-}
