--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -299,7 +299,7 @@
 		if !f.hosts[0].Reachable(p) {
 			lost++
 		}
-		if rest, err := f.hosts[0].Close(t.Context(), p, budget, limit, want); err != nil || rest < want {
+		if rest, err := f.hosts[0].Close(t.Context(), p, budget, limit, want); err != nil || rest != want {
 			t.Fatalf("program %d: %d may be reserved, want %d; %v", i, rest, want, err)
 		}
 	}
@@ -318,7 +318,7 @@
 		p := program(sd.ProgramID(fmt.Sprint("p", kills)))
 		want := min(budget, budget+limit-sd.Tokens(kills)*allotter.Share(budget))
 		for i := range f.hosts {
-			if rest, err := f.hosts[i].Close(t.Context(), p, budget, limit, want); err != nil || rest < want {
+			if rest, err := f.hosts[i].Close(t.Context(), p, budget, limit, want); err != nil || rest != want {
 				t.Fatalf("after %d kills: %d may be reserved, want %d; %v", kills, rest, want, err)
 			}
 		}
