--- a/review/driver3/budget.go
+++ b/review/driver3/budget.go
@@ -33,6 +33,7 @@
 	over := 0
 	for p := range budgetPrograms {
 		handed, answers := w.loopUntilStopped(p, trouble)
+		w.say("%d turns have run", w.ran.Load())
 		w.say("program %d with %d tokens, %d at most in a turn: %d events of %d tokens were handed out, %d tokens; %v",
 			p, budgetTokens, turnTokens, handed, eventTokens, handed*eventTokens, answers)
 		if handed*eventTokens > budgetTokens+max(turnTokens, budgetEvents*eventTokens) {
--- a/review/driver3/charged.go
+++ b/review/driver3/charged.go
@@ -55,14 +55,14 @@
 		asked, denied = asked+sent, denied+refused
 		time.Sleep(time.Until(began.Add(time.Duration(n+1) * time.Second)))
 	}
-	w.say("while answers are lost: %v", &before)
+	w.say("while answers are lost: %d run; %v", w.ran.Load(), &before)
 	time.Sleep(time.Until(began.Add(lostTime)))
 	w.rows.Trouble(faker.RowsTrouble{})
 	w.say("the store is well")
 	time.Sleep(contactTime + settleTime/2)
 	more, deniedAfter := w.sendAgents(budget, turnsBefore, turnsBefore+turnsAfter, false, &after)
 	asked += more
-	w.say("%.1f s later: %v", (contactTime + settleTime/2).Seconds(), &after)
+	w.say("%.1f s later: %d run in all; %v", (contactTime + settleTime/2).Seconds(), w.ran.Load(), &after)
 	w.say("%d requests, %d were answered 402 later and %d before; %d may be", asked, deniedAfter, denied, deniedMost+asked/deniedOneIn)
 	if deniedAfter > deniedMost+asked/deniedOneIn {
 		return broken, nil
--- a/review/driver3/floods.go
+++ b/review/driver3/floods.go
@@ -38,6 +38,7 @@
 func (w *world) wave(name string, count int, next func(n int) (turn, *machine)) {
 	var answers tally
 	var group sync.WaitGroup
+	before := w.ran.Load()
 	for n := range count {
 		group.Go(func() {
 			t, m := next(n)
@@ -45,7 +46,7 @@
 		})
 	}
 	group.Wait()
-	w.say("%s: %v", name, &answers)
+	w.say("%s: %d sent, %d run; %v", name, count, w.ran.Load()-before, &answers)
 }
 
 // playEnds has many turns end at once whose inputs are large and take six times their size in JSON.
@@ -170,6 +171,7 @@
 			}
 			var answers tally
 			var group sync.WaitGroup
+			before := w.ran.Load()
 			ticker := time.NewTicker(time.Second / rate)
 			until := time.Now().Add(length)
 			for n := 0; time.Now().Before(until); n++ {
@@ -183,7 +185,7 @@
 			w.rows.Trouble(faker.RowsTrouble{})
 			w.say("the store is well")
 			group.Wait()
-			w.say("turns of the last %v: %v", length, &answers)
+			w.say("turns of the last %v: %d run; %v", length, w.ran.Load()-before, &answers)
 			time.Sleep(calm)
 			if err := w.awaitReady(); err != nil {
 				return err
--- a/review/driver3/world.go
+++ b/review/driver3/world.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,7 +56,9 @@
 	machines []*machine
 	record   *os.File
 	began    time.Time
-	lock     sync.Mutex
+	// ran counts the runs at all runners.
+	ran  atomic.Int64
+	lock sync.Mutex
 }
 
 // newWorld returns a deployment with runners and a desired state, and no machines.
@@ -105,7 +108,7 @@
 
 // addRunner starts a model runner and registers it.
 func (w *world) addRunner(id string, pause sd.Millis, events int) error {
-	target := &emulator.Target{ID: sd.TargetID(id), Pause: pause, Events: events}
+	target := &emulator.Target{ID: sd.TargetID(id), Pause: pause, Events: events, Started: func(_, _ string) { w.ran.Add(1) }}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
