--- a/review/driver3/client.go
+++ b/review/driver3/client.go
@@ -28,7 +28,9 @@
 	id, key, program, session string
 	// previous is the turn from which this one goes on, or empty.
 	previous string
-	input    []byte
+	// path is that of a route; empty stands for the one that keeps turns.
+	path  string
+	input []byte
 	// limit is the client's time limit.
 	limit time.Duration
 	// budget is the program's budget and most the most of the turn, in tokens; zero stands for
@@ -64,7 +66,7 @@
 func (t turn) send(m *machine) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), t.limit+patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.address(callerPort)+turnPath, bytes.NewReader(t.input))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.address(callerPort)+cmp.Or(t.path, turnPath), bytes.NewReader(t.input))
 	if err != nil {
 		return answer{}
 	}
--- a/review/driver3/floods.go
+++ b/review/driver3/floods.go
@@ -18,6 +18,8 @@
 	maxWaves = 6
 	// wavePause is the pause between two waves.
 	wavePause = time.Second
+	// tryPause is the pause between two tries of a turn, and firstTries bounds them.
+	tryPause, firstTries = 400 * time.Millisecond, 20
 )
 
 // startMachines adds machines and waits until they have run for a while.
@@ -76,7 +78,7 @@
 
 // playHistories has programs with long histories go on through other machines at once.
 func playHistories(w *world, trouble bool) (int, error) {
-	const programs, turns, atOnce = 140, 3, 8
+	const programs, turns, atOnce, waves = 200, 3, 8, 16
 	if err := w.startMachines("z", 3); err != nil {
 		return couldNot, err
 	}
@@ -106,12 +108,12 @@
 				return fmt.Errorf("%w: a turn of program %d was not served", errSetup, n)
 			}
 		}
-		for i := range maxWaves {
-			w.wave(fmt.Sprintf("wave %d of turns that go on through other machines", i), programs, func(n int) (turn, *machine) {
+		for i := 0; i < waves && !w.faulty(); i++ {
+			w.wave(fmt.Sprintf("wave %d of turns that go on through each of the other machines", i), 2*programs, func(n int) (turn, *machine) {
 				return turn{
-					id: fmt.Sprintf("on-%d-%d", i, n), key: keyOf(n), program: fmt.Sprintf("p-%d", n), session: "s", previous: last[n],
+					id: fmt.Sprintf("on-%d-%d", i, n), key: keyOf(n / 2), program: fmt.Sprintf("p-%d", n/2), session: "s", previous: last[n/2],
 					input: bytes.Repeat([]byte("a"), usualBytes), limit: 4 * time.Second,
-				}, w.machines[1+(n+i)%2]
+				}, w.machines[1+n%2]
 			})
 			time.Sleep(wavePause)
 			if err := w.awaitReady(); err != nil {
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -32,11 +32,11 @@
 // plays returns the cases by name.
 func plays() map[string]play {
 	return map[string]play{
-		"lines":     {playLines, 5, 2},
 		"ends":      {playEnds, 20, 5},
 		"histories": {playHistories, 20, 5},
 		"outages":   {playOutages, 20, 5},
 		"budget":    {playBudget, 20, budgetEvents},
+		"charged":   {playCharged, 5, chargedEvents},
 	}
 }
 
--- a/review/driver3/memory.go
+++ b/review/driver3/memory.go
@@ -67,8 +67,10 @@
 	if n <= m.memory<<20 {
 		return
 	}
+	m.lock.Lock()
 	m.exceeded++
-	w.say("%s: the process has %.1f MB of %d MB and is killed, time %d", m.name, float64(n)/(1<<20), m.memory, m.exceeded)
+	m.lock.Unlock()
+	w.say("%s: the process has %.1f MB of %d MB and is killed, time %d", m.name, float64(n)/(1<<20), m.memory, m.ends())
 	m.kill()
 	time.Sleep(restartPause)
 	if err := m.start(); err != nil {
@@ -76,18 +78,32 @@
 	}
 }
 
-// fault reports whether processes of two machines have ended three times for their memory.
-func (w *world) fault() bool {
+// ends returns how often a process of the machine was killed for its memory.
+func (m *machine) ends() int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.exceeded
+}
+
+// faulty reports whether processes of two machines have ended three times for their memory.
+func (w *world) faulty() bool {
 	machines := 0
 	for _, m := range w.machines {
-		w.say("%s: %d ends for memory, %.1f MB at most", m.name, m.exceeded, float64(m.most)/(1<<20))
-		if m.exceeded >= endsOfFault {
+		if m.ends() >= endsOfFault {
 			machines++
 		}
 	}
 	return machines >= machinesOfFault
 }
 
+// fault reports what faulty does, and records it.
+func (w *world) fault() bool {
+	for _, m := range w.machines {
+		w.say("%s: %d ends for memory, %.1f MB at most", m.name, m.ends(), float64(m.most)/(1<<20))
+	}
+	return w.faulty()
+}
+
 // watched runs a case while the platform enforces the memory of the machines, and judges it.
 func (w *world) watched(play func() error) (int, error) {
 	ctx, cancel := context.WithCancel(context.Background())
