archiver, allotter, receiver: turns reserve the most that they may be charged

Cause: a turn reserved the limit that its caller names, but is let through whole events and charged those, which count up to chunkTokens - 1 more. Each turn under way was handed that much beyond what was held for it.

The most that a turn may be charged, its limit in whole events, is one figure now (archiver.Demand): what is reserved, what counts for turns under way and waiting, and what the stream lets through. A turn that is asked for is still admitted if the budget holds its limit, so that the last turn of a program is not refused for its last event. With what may have been allotted counted, both stay within the budget and the most of one turn: spent + open + most + allotted <= budget + most, as spent + open + max(limit, allotted) <= budget.

Rows and messages are unchanged: a request for a reservation carries the most as its limit, and the budget that goes with it, so that sequencers of the build before decide the same. Turns served by hosts of that build still reserve too little.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -344,9 +344,9 @@
 
 // closeByTable closes a program if the table tells that its account may then reserve what is
 // needed. Whoever becomes settled later reads the program's row before it allots.
-func (a *Allotter) closeByTable(ctx context.Context, program archiver.Key, budget, limit, needed sd.Tokens) (sd.Tokens, bool) {
+func (a *Allotter) closeByTable(ctx context.Context, program archiver.Key, budget sd.Tokens, demand archiver.Demand, needed sd.Tokens) (sd.Tokens, bool) {
 	a.lock.Lock()
-	rest, unchanged, known := a.state.ClosedByTable(a.config.Clock.Now(), program, budget, limit)
+	rest, unchanged, known := a.state.ClosedByTable(a.config.Clock.Now(), program, budget, demand)
 	expect := append(a.entryRows(unchanged), sd.Record{RecordKey: a.key(fleetKey), Version: a.rows[fleetKey].Version})
 	a.lock.Unlock()
 	if !known || rest < needed {
@@ -429,10 +429,10 @@
 
 // Close implements archiver.Budgets. If the table leaves too little, as it counts whole shares,
 // the host that may have allotted is asked for what it has.
-func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
+func (a *Allotter) Close(ctx context.Context, program archiver.Key, budget sd.Tokens, demand archiver.Demand, needed sd.Tokens) (sd.Tokens, error) {
 	ctx, cancel := context.WithTimeout(ctx, (requestTimeout + closeTimeout).Duration())
 	defer cancel()
-	if rest, closed := a.closeByTable(ctx, program, budget, limit, needed); closed {
+	if rest, closed := a.closeByTable(ctx, program, budget, demand, needed); closed {
 		return rest, nil
 	}
 	a.lock.Lock()
@@ -447,10 +447,10 @@
 		a.config.Log.Info("program cannot be closed", zap.Int("event", eventAsk), zap.Stringer("program", program), zap.Error(err))
 		return 0, err
 	}
-	return reservable(budget, limit, closed.Allotted), nil
+	return reservable(budget, demand, closed.Allotted), nil
 }
 
 // Reservable implements archiver.Budgets.
-func (a *Allotter) Reservable(budget, limit sd.Tokens) sd.Tokens {
-	return reservable(budget, limit, maxStarts*Share(budget))
+func (a *Allotter) Reservable(budget sd.Tokens, demand archiver.Demand) sd.Tokens {
+	return reservable(budget, demand, maxStarts*Share(budget))
 }
--- a/allotter/state.go
+++ b/allotter/state.go
@@ -32,9 +32,10 @@
 func Share(budget sd.Tokens) sd.Tokens { return budget / shareDivisor }
 
 // reservable is the part of a budget that an account may reserve for a turn, if the given
-// tokens may have been allotted: a program may have one turn's limit beyond its budget.
-func reservable(budget, limit, allotted sd.Tokens) sd.Tokens {
-	return budget - max(allotted-limit, 0)
+// tokens may have been allotted: a program may have the most that one turn is charged beyond its
+// budget.
+func reservable(budget sd.Tokens, demand archiver.Demand, allotted sd.Tokens) sd.Tokens {
+	return budget + demand.MaxCharge - max(allotted, demand.Limit)
 }
 
 // Phase is how far a host has come to be a grantor. Hosts that have read of its entry do not
@@ -233,10 +234,10 @@
 // ClosedByTable returns the part of a budget that the account of a program may reserve for a
 // turn, as far as the table tells, once the program is closed under the condition that the entries
 // of the given hosts are unchanged. It returns false if the table does not tell.
-func (s *State) ClosedByTable(now sd.Instant, program archiver.Key, budget, limit sd.Tokens) (rest sd.Tokens, unchanged []sd.HostID, known bool) {
+func (s *State) ClosedByTable(now sd.Instant, program archiver.Key, budget sd.Tokens, demand archiver.Demand) (rest sd.Tokens, unchanged []sd.HostID, known bool) {
 	if !s.fleetSettled {
 		// The caller's condition holds that this is still so.
-		return budget, nil, true
+		return reservable(budget, demand, 0), nil, true
 	}
 	host, unchanged := s.allotter(program)
 	e := s.entries[host]
@@ -246,7 +247,7 @@
 	if !s.fresh(now) || e.unreadable || len(unchanged) == 0 {
 		return 0, nil, false
 	}
-	return reservable(budget, limit, e.mayHaveAllotted(budget)), unchanged, true
+	return reservable(budget, demand, e.mayHaveAllotted(budget)), unchanged, true
 }
 
 // settled reports whether this host may have allotted tokens in this start, and has read the
--- a/archiver/account.go
+++ b/archiver/account.go
@@ -31,7 +31,29 @@
 // times the turns that a program has under way at once.
 const maxSettledKeys = 24
 
-// Reservation is the token limit of one turn under way. Hold is the key of the
+// Demand is what a turn asks of its program's budget. Tokens are counted in whole events, so
+// that the last event may take a turn beyond its limit.
+type Demand struct {
+	// Limit is the token limit that the caller names. A turn is refused if the budget does not
+	// hold it.
+	Limit sd.Tokens
+	// MaxCharge is the most that the turn may be charged, and what it reserves.
+	MaxCharge sd.Tokens
+}
+
+// NewDemand returns the Demand of a turn whose events count perEvent tokens each.
+func NewDemand(limit, perEvent sd.Tokens) Demand {
+	if limit <= 0 {
+		return Demand{}
+	}
+	return Demand{Limit: limit, MaxCharge: ((limit-1)/perEvent + 1) * perEvent}
+}
+
+// reservable returns the part of a budget that an account may reserve for the turn if nothing
+// is allotted: the turn itself may exceed the budget by its last event.
+func (d Demand) reservable(budget sd.Tokens) sd.Tokens { return budget + d.MaxCharge - d.Limit }
+
+// Reservation is the most that one turn under way may be charged. Hold is the key of the
 // reservation; each attempt to reserve for a turn uses a new key.
 type Reservation struct {
 	Hold  Key
@@ -59,7 +81,7 @@
 	if a.HasOpen(hold) {
 		return true
 	}
-	if slices.Contains(a.Settled, hold) || a.Spent+a.Reserved()+limit > budget {
+	if slices.Contains(a.Settled, hold) || limit > budget-a.Spent-a.Reserved() {
 		return false
 	}
 	a.Open = append(slices.Clone(a.Open), Reservation{hold, limit})
--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -159,7 +159,7 @@
 
 func (a *Archive) worker(program Key) *worker { return a.workers[program[0]%Parts] }
 
-// Reserve reserves a turn's token limit from its program's budget. It returns the
+// Reserve reserves the most that a turn may be charged from its program's budget. It returns the
 // key of the reservation once the store has it: a reservation held only in the
 // memory of hosts could be spent again after all of them lost power. Errors are
 // BudgetExhausted and Unavailable; after Unavailable, a reservation that may have
@@ -167,12 +167,12 @@
 //
 // The sequencer of the program's part makes the reservation, or the next host in
 // rank if the sequencer does not respond.
-func (a *Archive) Reserve(ctx context.Context, program, turn Key, limit, budget sd.Tokens) (Key, error) {
+func (a *Archive) Reserve(ctx context.Context, program, turn Key, demand Demand, budget sd.Tokens) (Key, error) {
 	w := a.worker(program)
 	w.lock.Lock()
-	w.reserving[turn] = pendingReservation{program: program, limit: limit, at: a.clock.Now()}
+	w.reserving[turn] = pendingReservation{program: program, limit: demand.MaxCharge, at: a.clock.Now()}
 	w.lock.Unlock()
-	hold, err := a.reserveInBudget(ctx, ReserveRequest{Program: program, Limit: limit, Budget: budget, turn: turn})
+	hold, err := a.reserveInBudget(ctx, program, turn, demand, budget)
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	delete(w.reserving, turn)
@@ -217,9 +217,9 @@
 // granted: recent reservations of its part were decided in time, and the account as
 // last seen has enough budget left. begins is set for the first turn of a program,
 // which needs no account yet.
-func (a *Archive) ReservationLikely(program Key, limit, budget sd.Tokens, begins bool) bool {
+func (a *Archive) ReservationLikely(program Key, demand Demand, budget sd.Tokens, begins bool) bool {
 	now, took := a.clock.Now(), sd.Instant(a.lastReservedAt.Load())
-	budget = a.reservable(program, budget, limit)
+	budget = a.reservable(program, budget, demand)
 	if a.StoreUnreachable() || took == 0 || now.Since(took) > storeSuccessTTL {
 		return false
 	}
@@ -229,7 +229,7 @@
 	if !w.lastReserved {
 		return false
 	}
-	taken := limit
+	taken := demand.MaxCharge
 	for _, other := range w.reserving {
 		if now.Since(other.at) > maxReservationLatency {
 			return false
--- a/archiver/budget.go
+++ b/archiver/budget.go
@@ -11,24 +11,24 @@
 // reserveInBudget reserves from the part of the budget that the account may use. If
 // that is exhausted, it closes the program and reserves from the rest, less what may have
 // been allotted. The error is Unavailable if the program cannot be closed now.
-func (a *Archive) reserveInBudget(ctx context.Context, order ReserveRequest) (Key, error) {
-	budget := order.Budget
+func (a *Archive) reserveInBudget(ctx context.Context, program, turn Key, demand Demand, budget sd.Tokens) (Key, error) {
 	// What is spent never falls.
-	if spent := a.snapshot(order.Program).Account.Spent; spent+order.Limit > budget {
-		return holdKey(order.turn, "none"), BudgetExhausted.New("budget exhausted: spent %d, requested %d, budget %d", spent, order.Limit, budget)
+	if spent := a.snapshot(program).Account.Spent; demand.Limit > budget-spent {
+		return holdKey(turn, "none"), BudgetExhausted.New("budget exhausted: spent %d, requested %d, budget %d", spent, demand.Limit, budget)
 	}
-	order.Budget = a.reservable(order.Program, budget, order.Limit)
+	whole := demand.reservable(budget)
+	order := ReserveRequest{Program: program, Limit: demand.MaxCharge, Budget: a.reservable(program, budget, demand), turn: turn}
 	hold, err := a.reserveWithFailover(ctx, order, "")
-	if order.Budget == budget || !errorx.IsOfType(err, BudgetExhausted) {
+	if order.Budget == whole || !errorx.IsOfType(err, BudgetExhausted) {
 		return hold, err
 	}
 	seen := a.snapshot(order.Program).Account
 	needed := seen.Spent + seen.Reserved() + order.Limit
-	if needed > budget {
+	if needed > whole {
 		return hold, err
 	}
 	a.worker(order.Program).setOutlook(order.turn, Doubtful)
-	rest, failure := a.closeProgram(ctx, order.Program, budget, order.Limit, needed)
+	rest, failure := a.closeProgram(ctx, program, budget, demand, needed)
 	if failure != nil {
 		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
 	}
@@ -42,15 +42,15 @@
 
 // closeProgram closes a program, unless that has opened what is needed before, and returns the
 // part of its budget that its account may reserve.
-func (a *Archive) closeProgram(ctx context.Context, program Key, budget, limit, needed sd.Tokens) (sd.Tokens, error) {
+func (a *Archive) closeProgram(ctx context.Context, program Key, budget sd.Tokens, demand Demand, needed sd.Tokens) (sd.Tokens, error) {
 	w := a.worker(program)
 	w.lock.Lock()
 	known := w.closed[program]
 	w.lock.Unlock()
 	if known >= needed {
-		return min(known, budget), nil
+		return min(known, demand.reservable(budget)), nil
 	}
-	rest, err := a.peers.Budgets.Close(ctx, program, budget, limit, needed)
+	rest, err := a.peers.Budgets.Close(ctx, program, budget, demand, needed)
 	if err != nil {
 		return 0, err
 	}
@@ -61,16 +61,17 @@
 }
 
 // reservable returns the part of a program's budget that its account may reserve for a turn.
-func (a *Archive) reservable(program Key, budget, limit sd.Tokens) sd.Tokens {
+func (a *Archive) reservable(program Key, budget sd.Tokens, demand Demand) sd.Tokens {
+	whole := demand.reservable(budget)
 	if a.peers.Budgets == nil {
-		return budget
+		return whole
 	}
 	w := a.worker(program)
 	w.lock.Lock()
 	rest, closed := w.closed[program]
 	w.lock.Unlock()
 	if closed {
-		return min(rest, budget)
+		return min(rest, whole)
 	}
-	return a.peers.Budgets.Reservable(budget, limit)
+	return a.peers.Budgets.Reservable(budget, demand)
 }
--- a/archiver/peers.go
+++ b/archiver/peers.go
@@ -26,13 +26,12 @@
 // Budgets divides each program's budget between its account and what hosts allot
 // without the store.
 type Budgets interface {
-	// Reservable returns the part of a budget that the account may reserve for a turn with the
-	// given limit.
-	Reservable(budget, limit sd.Tokens) sd.Tokens
+	// Reservable returns the part of a budget that the account may reserve for a turn.
+	Reservable(budget sd.Tokens, demand Demand) sd.Tokens
 	// Close ends the allotments of a program and returns the part of its budget that the
 	// account may reserve for the turn from then on. It fails if it is uncertain whether that is
 	// what is needed.
-	Close(ctx context.Context, program Key, budget, limit, needed sd.Tokens) (sd.Tokens, error)
+	Close(ctx context.Context, program Key, budget sd.Tokens, demand Demand, needed sd.Tokens) (sd.Tokens, error)
 }
 
 // requestTimeout limits a request to a peer: about 100 round trips.
--- a/receiver/allotment.go
+++ b/receiver/allotment.go
@@ -110,7 +110,7 @@
 // allot obtains another allotment and reports whether it got one. The first must be whole,
 // as a turn that stops after a few events is of no use to its caller.
 func (q *request) allot(ctx context.Context) bool {
-	s, event := q.stream, q.table.TokensPerEvent(q.pool)
+	s, event := q.stream, q.stream.perEvent
 	wanted := (q.params.Limit/allotmentDivisor + event) / event * event
 	atLeast := wanted
 	if len(s.allotted.parts) > 0 {
--- a/receiver/reservation.go
+++ b/receiver/reservation.go
@@ -29,13 +29,13 @@
 	recorded    bool
 }
 
-// reserve starts reserving budget for the turn's maximum number of tokens.
-func (q *request) reserve(ctx context.Context, turn archiver.Key, budget sd.Tokens) *reservation {
+// reserve starts reserving budget for the most that the turn may be charged.
+func (q *request) reserve(ctx context.Context, turn archiver.Key, demand archiver.Demand, budget sd.Tokens) *reservation {
 	ctx, cancel := context.WithCancel(ctx)
 	g := &reservation{turn: turn, cancel: cancel, done: make(chan struct{}), requestedAt: q.Clock.Now()}
 	go func() {
 		defer close(g.done)
-		g.hold, g.err = q.Archive.Reserve(ctx, q.program, turn, q.params.Limit, budget)
+		g.hold, g.err = q.Archive.Reserve(ctx, q.program, turn, demand, budget)
 		g.endedAt = q.Clock.Now()
 	}()
 	return g
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/archiver"
 	"sapphiredrum.example/sapphiredrum/balancer"
 	"sapphiredrum.example/sapphiredrum/exchanger"
 	"sapphiredrum.example/sapphiredrum/platform"
@@ -26,8 +27,10 @@
 	events     int
 	// delivered is the number of events forwarded to the caller.
 	delivered int
-	// maxEvents limits events by the caller's token limit; zero means no limit.
-	maxEvents int
+	// demand is what a turn asks of its budget, and perEvent what each event is charged. Events
+	// are limited to what may be charged, unless that is zero.
+	demand   archiver.Demand
+	perEvent sd.Tokens
 	// lastID is the ID of the last event accepted for the caller, or empty.
 	lastID string
 	// headSent is set once the response header was sent to the caller.
@@ -44,8 +47,8 @@
 // accept adds an event that is about to be forwarded. The error is BrokenResponse if
 // the event exceeds a limit of the stream or does not follow the last one.
 func (s *stream) accept(raw, data []byte, first bool) error {
-	if s.maxEvents > 0 && s.events >= s.maxEvents {
-		return sd.BrokenResponse.New("stream exceeds the %d events allowed by the turn's token limit", s.maxEvents)
+	if most := s.demand.MaxCharge; most > 0 && sd.Tokens(s.events+1)*s.perEvent > most {
+		return sd.BrokenResponse.New("stream exceeds the %d tokens that the turn may be charged", most)
 	}
 	id := eventID(raw)
 	if first && s.lastID != "" && !follows(s.lastID, id) {
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -20,7 +20,7 @@
 const unlimitedBudget = sd.Tokens(1) << 50
 
 // serveTurn serves a turn of a program: it loads the earlier turns, reserves the
-// turn's maximum number of tokens from the program's budget, and stores the turn before
+// most that the turn may be charged from the program's budget, and stores the turn before
 // the end of the response is forwarded. Under rules that do not retain turns, it only
 // applies the budget. While the store cannot take the reservation, the turn runs on
 // allotments.
@@ -46,10 +46,8 @@
 	}
 	s := &stream{retain: q.rule.RetainTurns, output: buffer{quota: q.bufferQuota, holder: q.holder}, outputLeft: maxTurnBytes - q.bodySize, lastID: q.params.After}
 	defer s.output.release()
-	if size := q.table.TokensPerEvent(q.pool); q.params.Limit > 0 {
-		// Rounded up, as the last event may contain fewer tokens.
-		s.maxEvents = int((q.params.Limit + size - 1) / size)
-	}
+	s.perEvent = q.table.TokensPerEvent(q.pool)
+	s.demand = archiver.NewDemand(q.params.Limit, s.perEvent)
 	q.stream = s
 	budget := q.params.Budget
 	if !q.params.Budgeted {
@@ -57,14 +55,14 @@
 	}
 	settled := false
 	if q.rule.RetainTurns || q.params.Budgeted {
-		s.reservation = q.reserve(ctx, turn.Key, budget)
+		s.reservation = q.reserve(ctx, turn.Key, s.demand, budget)
 		defer func() {
 			if !settled {
 				q.settle(ctx, s.reservation, q.usedTokens())
 			}
 		}()
 		// The turn may be sent before the reservation is stored if it is certain to fit.
-		if !q.Archive.ReservationLikely(q.program, q.params.Limit, budget, q.startsProgram()) && !q.reserveBeforeSend(ctx) {
+		if !q.Archive.ReservationLikely(q.program, s.demand, budget, q.startsProgram()) && !q.reserveBeforeSend(ctx) {
 			return
 		}
 	}
@@ -91,7 +89,7 @@
 
 // usedTokens returns the number of tokens forwarded to the caller.
 func (q *request) usedTokens() sd.Tokens {
-	return sd.Tokens(q.stream.events) * q.table.TokensPerEvent(q.pool)
+	return sd.Tokens(q.stream.events) * q.stream.perEvent
 }
 
 // loadHistory loads the earlier turns and prefers the target of the last one. If the
