archiver: a turn has its program closed again while that opens more of the budget

Cause: closing by the table holds back a whole share for each start, and the host is asked for the exact figure only by a turn that needs more. Turns at once work out what they need from the same account, each for itself; the table's part was enough for each and not for all, and a refusal after closing was final.

The turn is refused only once closing for what it needs now opens nothing more. Each round opens strictly more: the table's part, then what the host tells.

--- a/archiver/budget.go
+++ b/archiver/budget.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/joomcode/errorx"
 
 	sd "sapphiredrum.example/sapphiredrum"
 )
 
-// reserveInBudget reserves from the part of the budget that the account may use. If
+// reserveInBudget reserves from the part of the budget that the account may use. As long as
 // that is exhausted, it closes the program and reserves from the rest, less what may have
 // been allotted. The error is Unavailable if the program cannot be closed now.
 func (a *Archive) reserveInBudget(ctx context.Context, program, turn Key, demand Demand, budget sd.Tokens) (Key, error) {
@@ -18,26 +19,32 @@
 	}
 	whole := demand.reservable(budget)
 	order := ReserveRequest{Program: program, Limit: demand.MaxCharge, Budget: a.reservable(program, budget, demand), turn: turn}
-	hold, err := a.reserveWithFailover(ctx, order, "")
-	if order.Budget == whole || !errorx.IsOfType(err, BudgetExhausted) {
-		return hold, err
+	for closings := 0; ; closings++ {
+		prefix := ""
+		if closings > 0 {
+			prefix = "closed-" + strconv.Itoa(closings) + "-"
+		}
+		hold, err := a.reserveWithFailover(ctx, order, prefix)
+		if order.Budget >= whole || !errorx.IsOfType(err, BudgetExhausted) {
+			return hold, err
+		}
+		seen := a.snapshot(program).Account
+		needed := seen.Spent + seen.Reserved() + order.Limit
+		if needed > whole {
+			return hold, err
+		}
+		a.worker(program).setOutlook(turn, Doubtful)
+		rest, failure := a.closeProgram(ctx, program, budget, demand, needed)
+		if failure != nil {
+			return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
+		}
+		// Other turns may have closed the program, or taken what was opened, since this one was
+		// refused at less.
+		if rest <= order.Budget {
+			return hold, err
+		}
+		order.Budget = rest
 	}
-	seen := a.snapshot(order.Program).Account
-	needed := seen.Spent + seen.Reserved() + order.Limit
-	if needed > whole {
-		return hold, err
-	}
-	a.worker(order.Program).setOutlook(order.turn, Doubtful)
-	rest, failure := a.closeProgram(ctx, program, budget, demand, needed)
-	if failure != nil {
-		return hold, sd.Unavailable.Wrap(failure, "the rest of the budget may be allotted")
-	}
-	// Another turn may have closed the program since this one was refused at less.
-	if rest <= order.Budget {
-		return hold, err
-	}
-	order.Budget = rest
-	return a.reserveWithFailover(ctx, order, "closed-")
 }
 
 // closeProgram closes a program, unless that has opened what is needed before, and returns the
@@ -57,7 +64,7 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.closed[program] = max(w.closed[program], rest)
-	return w.closed[program], nil
+	return min(w.closed[program], demand.reservable(budget)), nil
 }
 
 // reservable returns the part of a program's budget that its account may reserve for a turn.
--- a/archiver/parallel_test.go
+++ b/archiver/parallel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,6 +102,48 @@
 	}
 }
 
+// thriftyBudgets open what is needed and no more, to the first turns once all of them have asked.
+type thriftyBudgets struct{ asking sync.WaitGroup }
+
+func (*thriftyBudgets) Reservable(sd.Tokens, archiver.Demand) sd.Tokens { return 0 }
+
+func (b *thriftyBudgets) Close(_ context.Context, _ archiver.Key, _ sd.Tokens, demand archiver.Demand, needed sd.Tokens) (sd.Tokens, error) {
+	if needed == demand.MaxCharge {
+		b.asking.Done()
+		b.asking.Wait()
+	}
+	return needed, nil
+}
+
+// Guards against a 402 for a parallel turn that fits the whole budget: others had taken the part that
+// closing the program opened, although closing it again opens more.
+func TestParallelTurnsCloseTheirProgramAgain(t *testing.T) {
+	const turns, limit = 4, 100
+	budgets := &thriftyBudgets{}
+	budgets.asking.Add(turns)
+	a := archiver.New(archiver.Settings{Retention: sd.Minute}, faker.NewRows(1), archiver.Peers{Budgets: budgets}, sd.NewClock(), zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	reserved := make(chan error, turns)
+	for i := range turns {
+		go func() {
+			turn := archiver.TurnKey("w", sd.CallID(fmt.Sprint(i)))
+			_, err := a.Reserve(ctx, archiver.ProgramKey("w", "p"), turn, archiver.NewDemand(limit, 1), turns*limit)
+			reserved <- err
+		}()
+	}
+	for range turns {
+		if err := <-reserved; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Guards against turns that begin and are cut as their budget does not hold them (LOST): whichever
 // host decides, the one that serves a turn learns in time that its reservation may be refused.
 func TestPendingReservationIsDoubtfulBesideAnother(t *testing.T) {
