--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// Guards against turns whose limit is no integer and that run beyond any budget, and against a 402 for
+// those that have no budget.
+func TestTurnsWithHugeLimits(t *testing.T) {
+	b := newBench(t)
+	for i, limit := range []string{"1e300", "9223372036854775807", "Inf"} {
+		if status, _, _, _ := b.ask("POST", "/ask/x", fmt.Sprint("a", i), "x", "Program-Id", "p", "Token-Budget", "300", "Token-Usage", "100,"+limit); status != 402 {
+			t.Errorf("status %d of a turn of %s tokens with a budget of 300, want 402", status, limit)
+		}
+		for n := range 3 {
+			if status, _, _, _ := b.ask("POST", "/talk/x", fmt.Sprint("t", i, n), "x", "Program-Id", "q", "Token-Usage", "100,"+limit); status != 200 {
+				t.Errorf("status %d of a turn of %s tokens without a budget, want 200", status, limit)
+			}
+		}
+	}
+}
+
 // The reservation runs beside the target's work. Its logged duration must not include the
 // time until the target's answer, when its result is looked at, and only what the request
 // stands still for it counts as held.
