receiver: a turn without a limit takes what is left of its budget

What callers could have: turns with a budget and no token limit were handed 280 tokens of 150.

Cause: such a turn reserved nothing and its stream had no bound.

It reserves what is left of the budget as this host has seen it, waits for that before it is sent, and is cut at that figure without blame for the target, which was told no limit. If others had some of the budget meanwhile the answer is 503: the account is known then, and the next try asks for what is left.

TestTurnsWithoutALimitKeepTheBudget failed before (280 of 150, 154 is asked for), and TestTurnWithoutALimitTakesWhatOthersLeave (200 for more than was left).

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -244,6 +244,13 @@
 	return begins && taken <= budget
 }
 
+// Remaining returns what is neither spent nor reserved of a program's budget, according to its account
+// as this host last saw it.
+func (a *Archive) Remaining(program Key, budget sd.Tokens) sd.Tokens {
+	account := a.snapshot(program).Account
+	return budget - account.Spent - account.Reserved()
+}
+
 // UnderWay reports whether the program has had output before, according to its account as this
 // host last saw it. A finished Reserve leaves the account as the sequencer saw it.
 func (a *Archive) UnderWay(program Key) bool { return a.snapshot(program).Account.Spent > 0 }
--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -158,6 +158,69 @@
 	}
 }
 
+// Guards against turns without a limit of their own that are handed more than the budget of their
+// program: they reserved nothing, and their streams had no bound.
+func TestTurnsWithoutALimitKeepTheBudget(t *testing.T) {
+	for _, usage := range []string{"", "100", "100,0", "100,-5", "100,x"} {
+		b := newBench(t)
+		for _, e := range b.engines {
+			e.Events = 10
+		}
+		header := []string{"Program-Id", "p", "Token-Budget", "150"}
+		if usage != "" {
+			header = append(header, "Token-Usage", usage)
+		}
+		total, refused := 0, false
+		for i := range 3 {
+			status, _, text, _ := b.ask("POST", "/ask/x", fmt.Sprint("a", i), "x", header...)
+			total += strings.Count(text, "data:") * 14
+			refused = status == 402
+			b.waitSettled()
+		}
+		// The first turn takes 140 tokens whole, the second the event that the rest holds.
+		if total != 154 || !refused {
+			t.Errorf("Token-Usage %q: %d tokens of a budget of 150 were handed out, last turn refused %t", usage, total, refused)
+		}
+	}
+}
+
+// Guards against a 402 for a turn without a limit while the budget has tokens left: this host took the
+// account of an earlier moment for what is left.
+func TestTurnWithoutALimitTakesWhatOthersLeave(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	elsewhere := archiver.New(archiver.Settings{Retention: sd.Minute}, b.rows, archiver.Peers{}, sd.NewClock(), zap.NewNop())
+	ended := make(chan error, 1)
+	go func() { ended <- elsewhere.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	ask := func(id string) int {
+		status, _, _, _ := b.ask("POST", "/ask/x", id, "x", "Program-Id", "p", "Token-Budget", "300")
+		b.waitSettled()
+		return status
+	}
+	if status := ask("a0"); status != 200 {
+		t.Fatal(status)
+	}
+	workspace := b.receiver.RoutingTable().FleetConfig.Workspaces[0].ID
+	program, turn := archiver.ProgramKey(workspace, "p"), archiver.TurnKey(workspace, "other")
+	hold, err := elsewhere.Reserve(ctx, program, turn, archiver.NewDemand(56, 14), 300)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := elsewhere.Settle(ctx, program, hold, 56, nil); err != nil {
+		t.Fatal(err)
+	}
+	if status := ask("a1"); status != 503 {
+		t.Errorf("status %d, want 503: 188 tokens are left, but this host asked for 244", status)
+	}
+	if status := ask("a2"); status != 200 {
+		t.Errorf("status %d of the next try, want 200", status)
+	}
+}
+
 // The reservation runs beside the target's work. Its logged duration must not include the
 // time until the target's answer, when its result is looked at, and only what the request
 // stands still for it counts as held.
--- a/receiver/reservation.go
+++ b/receiver/reservation.go
@@ -111,7 +111,9 @@
 
 // refuseUnreserved answers a turn whose reservation failed with err.
 func (q *request) refuseUnreserved(ctx context.Context, err error) {
-	if errorx.IsOfType(err, archiver.BudgetExhausted) && q.possibleRuns == 0 {
+	// A turn that takes the rest of the budget has asked for too much if others had some of it meanwhile.
+	exhausted := errorx.IsOfType(err, archiver.BudgetExhausted) && !(q.takesRest() && q.Archive.Remaining(q.program, q.params.Budget) > 0)
+	if exhausted && q.possibleRuns == 0 {
 		q.Log.Info("turn exceeds the remaining budget of the program", zap.Int("event", eventTurn), q.idField(), zap.Error(err))
 		q.RateLimiter.Return(q.workspace)
 		q.refuse(http.StatusPaymentRequired, "budget spent", 0)
--- a/receiver/stream.go
+++ b/receiver/stream.go
@@ -44,11 +44,16 @@
 	finish func() bool
 }
 
+// full reports whether the turn may not be charged for one more event.
+func (s *stream) full() bool {
+	return s.demand.MaxCharge > 0 && sd.Tokens(s.events+1)*s.perEvent > s.demand.MaxCharge
+}
+
 // accept adds an event that is about to be forwarded. The error is BrokenResponse if
 // the event exceeds a limit of the stream or does not follow the last one.
 func (s *stream) accept(raw, data []byte, first bool) error {
-	if most := s.demand.MaxCharge; most > 0 && sd.Tokens(s.events+1)*s.perEvent > most {
-		return sd.BrokenResponse.New("stream exceeds the %d tokens that the turn may be charged", most)
+	if s.full() {
+		return sd.BrokenResponse.New("stream exceeds the %d tokens that the turn may be charged", s.demand.MaxCharge)
 	}
 	id := eventID(raw)
 	if first && s.lastID != "" && !follows(s.lastID, id) {
@@ -154,6 +159,10 @@
 				return attemptRetry, sd.BrokenResponse.New("more than %d bytes without an event", maxKeepAliveBytes)
 			}
 		default:
+			if q.takesRest() && q.stream.full() {
+				// The target was told no limit, so that it is not at fault.
+				return attemptGiveUp, archiver.BudgetExhausted.New("budget exhausted after %d events", q.stream.events)
+			}
 			if failure := q.stream.accept(raw, data, first); failure != nil {
 				return attemptRetry, failure
 			}
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -48,6 +48,9 @@
 	defer s.output.release()
 	s.perEvent = q.table.TokensPerEvent(q.pool)
 	s.demand = archiver.NewDemand(q.params.Limit, s.perEvent)
+	if q.takesRest() {
+		s.demand = archiver.NewDemand(max(q.Archive.Remaining(q.program, q.params.Budget), 1), s.perEvent)
+	}
 	q.stream = s
 	budget := q.params.Budget
 	if !q.params.Budgeted {
@@ -62,7 +65,8 @@
 			}
 		}()
 		// The turn may be sent before the reservation is stored if it is certain to fit.
-		if !q.Archive.ReservationLikely(q.program, s.demand, budget, q.startsProgram()) && !q.reserveBeforeSend(ctx) {
+		likely := !q.takesRest() && q.Archive.ReservationLikely(q.program, s.demand, budget, q.startsProgram())
+		if !likely && !q.reserveBeforeSend(ctx) {
 			return
 		}
 	}
@@ -87,6 +91,10 @@
 	q.serve(ctx)
 }
 
+// takesRest reports whether the turn may use all that is left of its program's budget, as its caller
+// names no limit.
+func (q *request) takesRest() bool { return q.params.Budgeted && q.params.Limit == 0 }
+
 // usedTokens returns the number of tokens forwarded to the caller.
 func (q *request) usedTokens() sd.Tokens {
 	return sd.Tokens(q.stream.events) * q.stream.perEvent
