archiver: copies of a turn's end do not share a transaction

A kept turn whose end reaches a batcher twice is charged twice, and its program may be told 402 too early.

Cause: if both copies are in one transaction, the first ends the reservation, so that the second is taken for a turn without one. The condition that the turn's row does not exist holds, as that is the row of the same transaction.

A copy waits for the next transaction, which finds the row.

TestCopiesOfASettleDoNotShareATransaction failed before: spent 28 for a turn of 14, no duplicate seen. No path is known that sends two copies to one batcher today: a sender that waits in vain settles at its own host.

--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -190,6 +190,8 @@
 	}
 	b := &batch{rows: map[Key]*versionedAccount{}, written: map[Key]bool{}}
 	var update sd.Update
+	// stored holds the turns that the transaction stores.
+	stored := map[Key]bool{}
 	entries, size, taken := 0, 0, 0
 	for _, o := range l.pending {
 		puts := l.turnPuts(o)
@@ -200,6 +202,13 @@
 		if taken > 0 && (entries+len(puts)+2 > maxBatchEntries || size+bytes > maxBatchBytes) {
 			break
 		}
+		if o.Turn != nil {
+			if stored[o.Turn.Key] {
+				// The next transaction finds the turn's row.
+				break
+			}
+			stored[o.Turn.Key] = true
+		}
 		row := b.rows[o.Program]
 		if row == nil {
 			known := l.rows[o.Program]
--- a/archiver/lane_test.go
+++ b/archiver/lane_test.go
@@ -238,6 +238,36 @@
 	}
 }
 
+// Guards against a turn that is charged twice because two copies of its end share a transaction: the
+// first ended its reservation, and the second was taken for one without a reservation.
+func TestCopiesOfASettleDoNotShareATransaction(t *testing.T) {
+	store := &modelStore{rows: map[sd.RecordKey]sd.Record{}}
+	program, turn := ProgramKey("w", "p"), TurnKey("w", "t")
+	lane := &Batcher{Part: "p0"}
+	lane.Add(&Operation{Kind: Reserve, Program: program, Hold: key(1), Tokens: 56, Budget: 100})
+	for range 2 {
+		lane.Add(&Operation{Kind: Settle, Program: program, Hold: key(1), Tokens: 14, Turn: &Turn{Program: program, Key: turn, Output: Text("said")}})
+	}
+	ended, duplicates := 0, 0
+	for range 5 {
+		update, due := lane.Next(1)
+		if !due {
+			break
+		}
+		page, err := store.apply(update)
+		for _, e := range lane.Complete(1, page, err) {
+			ended++
+			if e.Duplicate {
+				duplicates++
+			}
+		}
+	}
+	account, err := DecodeAccount(store.rows[accountRecordKey("p0", program)].Value)
+	if err != nil || account.Spent != 14 || ended != 3 || duplicates != 1 {
+		t.Fatalf("spent %d, %d operations ended, %d as duplicates, %v", account.Spent, ended, duplicates, err)
+	}
+}
+
 // A turn is stored and charged even if the account no longer has its reservation.
 func TestATurnWithoutItsReservationIsKept(t *testing.T) {
 	program, turn := ProgramKey("w", "p"), TurnKey("w", "t")
