archiver: a turn that is not stored is charged while its reservation is open

Cause: a turn was charged unless its reservation was among the 24 that the account lists as ended last. A transaction that ends more pushes its own out. If its answer is lost, its operations are sent again, charged again, and each pushes out the next. The same happens when the sequencer is lost and its senders settle elsewhere.

A turn that is not stored ends only after the store has its reservation. So the open reservation tells, at any width and to any host, whether the turn was charged: it is charged while that is open, which the first charge ends. The account lists open reservations as before, so nothing is stored or sent more.

--- a/archiver/account.go
+++ b/archiver/account.go
@@ -23,12 +23,12 @@
 	Spent sd.Tokens
 	// Open lists the reservations of the turns under way, oldest first.
 	Open []Reservation
-	// Settled lists the most recently ended reservations, which must not be made again.
+	// Settled lists the most recently ended reservations, which must not be made again. It does
+	// not tell whether a turn was charged: a wide program ends more turns in a single transaction.
 	Settled []Key
 }
 
-// maxSettledKeys is the number of ended reservations that an account lists: several
-// times the turns that a program has under way at once.
+// maxSettledKeys is the number of ended reservations that an account lists.
 const maxSettledKeys = 24
 
 // Demand is what a turn asks of its program's budget. Tokens are counted in whole events, so
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -15,8 +15,8 @@
 const (
 	// Reserve reserves a turn's token limit from the budget.
 	Reserve OperationKind = iota
-	// Settle replaces the turn's reservation, if any, by the tokens used, and stores
-	// the turn.
+	// Settle replaces the turn's reservation by the tokens used, and stores the turn, if
+	// any. Only a turn that is stored may be settled without a reservation.
 	Settle
 	// Cancel removes a reservation that may or may not have been made.
 	Cancel
@@ -250,9 +250,10 @@
 }
 
 // apply applies the operation to the account. It returns whether the row must be
-// written, and the operation's error. A Settle that stores a turn is always written:
-// unless its reservation is open, the transaction requires that the turn's row does
-// not exist, which detects a turn that was settled before.
+// written, and the operation's error. A Settle takes effect once, however many others
+// follow: an open reservation shows that the turn was not settled before. A Settle that
+// stores a turn is written without one too, but then the transaction requires that the turn's
+// row does not exist.
 func apply(a *Account, o *Operation) (changed bool, outcome error) {
 	switch o.Kind {
 	case Reserve:
@@ -264,7 +265,8 @@
 		}
 		return true, nil
 	case Settle:
-		if o.Turn == nil && a.isSettled(o.Hold) {
+		if o.Turn == nil && !a.HasOpen(o.Hold) {
+			// A turn that is not stored ends only after its reservation was made.
 			return false, nil
 		}
 		a.Settle(o.Hold, o.Tokens)
