archiver: a reservation that was cancelled is not made later, whatever ended since

What callers could have: a turn's reservation that stays open for the rest of its program's life, and 402 for later turns that the budget holds.

Cause: a sequencer that was cut off may have an attempt waiting that its sender has cancelled through another host. Once it is back it makes it, unless its key is among the 24 that the account lists as ended last; a wide program has pushed it out.

A cancel writes a row under the key of the reservation, in the index of turns. While the account's list is not full, it tells all; once it is full, a reservation that it does not list is made on the condition that it has no such row. It costs a row for each attempt given up, and a condition for each turn of a program with 24 ended ones or more.

TestReservationIsNotMadeAfterItsCancel failed before (240 spent, 100 reserved, nothing under way), TestWideProgramsAreChargedOnce too with hosts that do not know ("spent 0, reserved 80 ... 2 are under way").

--- a/archiver/account.go
+++ b/archiver/account.go
@@ -88,14 +88,17 @@
 	return true
 }
 
-// isSettled reports whether the reservation is one of the recently ended ones.
-func (a *Account) isSettled(hold Key) bool { return slices.Contains(a.Settled, hold) }
+// mayHaveDropped reports whether a reservation that is neither open nor listed as ended may have
+// ended all the same.
+func (a *Account) mayHaveDropped(hold Key) bool {
+	return len(a.Settled) >= maxSettledKeys && !a.HasOpen(hold) && !slices.Contains(a.Settled, hold)
+}
 
 // Settle adds the tokens used by a turn, and ends its reservation if that is open.
 func (a *Account) Settle(hold Key, used sd.Tokens) {
 	a.Open = slices.DeleteFunc(slices.Clone(a.Open), func(r Reservation) bool { return r.Hold == hold })
 	a.Spent += used
-	if a.isSettled(hold) {
+	if slices.Contains(a.Settled, hold) {
 		return
 	}
 	first := max(0, len(a.Settled)+1-maxSettledKeys)
--- a/archiver/charge_test.go
+++ b/archiver/charge_test.go
@@ -93,13 +93,16 @@
 	}
 }
 
-// abandon cancels reservations that wait at a batcher, at the other one too.
+// abandon cancels reservations that wait at a batcher, at the other one too. The first may not know.
 func (m *chargeModel) abandon() {
 	i := rapid.IntRange(0, 1).Draw(m.t, "lane")
+	known := rapid.Bool().Draw(m.t, "known")
 	for _, o := range m.lanes[i].pending {
 		if tr := m.turns[o]; o.Kind == Reserve && !tr.abandoned {
 			tr.abandoned = true
-			o.Deadline = m.now
+			if known {
+				o.Deadline = m.now
+			}
 			m.lanes[1-i].Add(&Operation{Kind: Cancel, Program: m.program, Hold: o.Hold})
 		}
 	}
@@ -172,7 +175,8 @@
 
 // Guards against turns that are charged twice, and programs that are then told that their budget is
 // spent, as many turns of a program end while responses of the store are lost: an account listed the last
-// reservations that had ended, and charged those again that it no longer listed.
+// reservations that had ended, and charged those again that it no longer listed. Guards also against
+// reservations that stay open because they arrive after their end was pushed out of that list.
 func TestWideProgramsAreChargedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &chargeModel{
--- a/archiver/giveup_test.go
+++ b/archiver/giveup_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/joomcode/errorx"
 	"pgregory.net/rapid"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -188,3 +189,43 @@
 		t.Fatalf("reserved %d, %v", account.Reserved(), err)
 	}
 }
+
+// Guards against a reservation that stays open for ever: its host was cut off, another one cancelled it
+// and ended more turns than the account lists, and the first made it once it was back.
+func TestReservationIsNotMadeAfterItsCancel(t *testing.T) {
+	store := &modelStore{rows: map[sd.RecordKey]sd.Record{}}
+	program := key(0)
+	cutOff, other := &Batcher{Part: "p0"}, &Batcher{Part: "p0"}
+	run := func(lane *Batcher) (ended []Completion) {
+		for {
+			update, due := lane.Next(1)
+			if !due {
+				return ended
+			}
+			page, err := store.apply(update)
+			ended = append(ended, lane.Complete(1, page, err)...)
+		}
+	}
+	late := &Operation{Kind: Reserve, Program: program, Hold: digest("hold", "", "late"), Tokens: 100, Budget: 1000}
+	cutOff.Add(late)
+	other.Add(&Operation{Kind: Cancel, Program: program, Hold: late.Hold})
+	for i := range maxSettledKeys {
+		hold := digest("hold", "", fmt.Sprint(i))
+		other.Add(&Operation{Kind: Reserve, Program: program, Hold: hold, Tokens: 10, Budget: 1000})
+		other.Add(&Operation{Kind: Settle, Program: program, Hold: hold, Tokens: 10})
+	}
+	run(other)
+	ended := run(cutOff)
+	account, err := DecodeAccount(store.rows[accountRecordKey("p0", program)].Value)
+	if err != nil || account.Reserved() != 0 || account.Spent != 10*maxSettledKeys {
+		t.Fatalf("spent %d, reserved %d, %v", account.Spent, account.Reserved(), err)
+	}
+	if len(ended) != 1 || !errorx.IsOfType(ended[0].Err, sd.Unavailable) {
+		t.Fatalf("late reservation ended with %v, want Unavailable", ended)
+	}
+	next := &Operation{Kind: Reserve, Program: program, Hold: digest("hold", "", "next"), Tokens: 100, Budget: 1000}
+	cutOff.Add(next)
+	if ended := run(cutOff); len(ended) != 1 || ended[0].Err != nil {
+		t.Fatalf("next reservation ended with %v", ended)
+	}
+}
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -194,7 +194,7 @@
 	stored := map[Key]bool{}
 	entries, size, taken := 0, 0, 0
 	for _, o := range l.pending {
-		puts := l.turnPuts(o)
+		puts := l.operationPuts(o)
 		bytes := 0
 		for _, put := range puts {
 			bytes += len(put.Value)
@@ -227,6 +227,10 @@
 			update.Expect = append(update.Expect, sd.Record{RecordKey: puts[0].RecordKey})
 			entries++
 		}
+		if o.Kind == Reserve && row.account.mayHaveDropped(o.Hold) {
+			update.Expect = append(update.Expect, sd.Record{RecordKey: cancelRecordKey(l.Part, o.Hold)})
+			entries++
+		}
 		changed, outcome := apply(&row.account, o)
 		b.written[o.Program] = b.written[o.Program] || changed
 		b.operations = append(b.operations, o)
@@ -308,18 +312,23 @@
 	if !conflict {
 		return nil
 	}
-	current := map[string]sd.Record{}
+	current := map[sd.RecordKey]sd.Record{}
 	for _, record := range page.Records {
-		if record.Table == TablePrograms && !record.Removed {
-			current[record.Key] = record
+		if !record.Removed {
+			// All rows of a transaction are in its part.
+			current[sd.RecordKey{Table: record.Table, Part: l.Part, Key: record.Key}] = record
 		}
 	}
 	var ended []Completion
 	for _, expected := range b.expect {
-		record := current[expected.Key]
+		record := current[expected.RecordKey]
 		program, isAccount := accountProgram(expected.Key)
 		if !isAccount {
-			if record.Version > 0 {
+			switch {
+			case record.Version == 0:
+			case expected.Table == TableTurns:
+				ended = append(ended, l.endCancelledReserve(expected.Key)...)
+			default:
 				ended = append(ended, l.endDuplicateSettle(expected.Key)...)
 			}
 			continue
@@ -351,6 +360,19 @@
 	return ended
 }
 
+// endCancelledReserve completes the Reserve operations that were cancelled before.
+func (l *Batcher) endCancelledReserve(hold string) []Completion {
+	var ended []Completion
+	l.pending = slices.DeleteFunc(l.pending, func(o *Operation) bool {
+		match := o.Kind == Reserve && o.Hold.String() == hold
+		if match {
+			ended = append(ended, Completion{Operation: o, Err: sd.Unavailable.New("reservation was cancelled")})
+		}
+		return match
+	})
+	return ended
+}
+
 // failProgram completes all operations of a program whose account cannot be decoded.
 func (l *Batcher) failProgram(program Key, err error) []Completion {
 	var ended []Completion
@@ -363,8 +385,12 @@
 	return ended
 }
 
-// turnPuts returns the rows that a Settle writes to store its turn.
-func (l *Batcher) turnPuts(o *Operation) []sd.Record {
+// operationPuts returns the rows that an operation writes besides the account: those of the turn that
+// a Settle stores, and that of a cancelled reservation.
+func (l *Batcher) operationPuts(o *Operation) []sd.Record {
+	if o.Kind == Cancel {
+		return []sd.Record{{RecordKey: cancelRecordKey(l.Part, o.Hold), Value: []byte(o.Program.String())}}
+	}
 	if o.Kind != Settle || o.Turn == nil {
 		return nil
 	}
@@ -401,6 +427,12 @@
 	return sd.RecordKey{Table: TablePrograms, Part: part, Key: program.String() + "/"}
 }
 
+// cancelRecordKey is the key of the row that tells that a reservation was cancelled. It is in the
+// index of turns, whose keys are digests of another kind.
+func cancelRecordKey(part string, hold Key) sd.RecordKey {
+	return sd.RecordKey{Table: TableTurns, Part: part, Key: hold.String()}
+}
+
 // accountProgram returns the program of an account's row key.
 func accountProgram(key string) (Key, bool) {
 	if len(key) != 2*keySize+1 || key[2*keySize] != '/' {
