receiver: a kept turn that ran on allotments is not charged to the account as well

What callers could have: 402 for turns that the budget holds, once kept turns of the program have ended in outages or beside a slow store.

Cause: such a turn keeps what it used of its allotments, which counts against the budget, and its tokens were charged to the account when it was stored.

It is stored with no charge.

TestKeptTurnOnAllotmentsCountsOnce failed before: 56 allotted and 168 spent for three turns of 56.

--- a/receiver/allotment_test.go
+++ b/receiver/allotment_test.go
@@ -162,6 +162,35 @@
 	}
 }
 
+// Guards against a kept turn that counts twice against its budget: in its program's account and in
+// what was allotted to it.
+func TestKeptTurnOnAllotmentsCountsOnce(t *testing.T) {
+	b, f := newAllottedBench(t, 1000)
+	turn := func(id string) {
+		t.Helper()
+		status, _, text, whole := b.ask("POST", "/talk/x", id, "x", "Program-Id", "p", "Token-Budget", "1000", "Token-Usage", "1,56")
+		if status != 200 || !whole || strings.Count(text, "data:") != 4 {
+			t.Fatalf("%s: status %d, whole %v: %q", id, status, whole, text)
+		}
+		b.waitSettled()
+	}
+	turn("t1")
+	b.rows.Trouble(faker.RowsTrouble{Down: true})
+	back := time.AfterFunc(700*time.Millisecond, func() { b.rows.Trouble(faker.RowsTrouble{}) })
+	defer back.Stop()
+	turn("t2")
+	turn("t3")
+	program := archiver.ProgramKey("w-k1", "p")
+	row := b.rows.Row(sd.RecordKey{Table: archiver.TablePrograms, Part: archiver.Part(program), Key: program.String() + "/"})
+	account, err := archiver.DecodeAccount(row.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.outstanding(); got != 56 || account.Spent != 2*56 || account.Reserved() != 0 {
+		t.Errorf("%d tokens are allotted, %d spent, %d reserved; of three turns of 56 one ran on an allotment", got, account.Spent, account.Reserved())
+	}
+}
+
 // A turn whose program cannot be allotted to is refused in time for another try.
 func TestOutageRefusesWhatCannotBeAllotted(t *testing.T) {
 	b, f := newAllottedBench(t, 1000)
--- a/receiver/turn.go
+++ b/receiver/turn.go
@@ -78,9 +78,13 @@
 		settled = true
 		turn.Target, turn.Output = q.target, s.output.contents()
 		settleStart := q.Clock.Now()
-		hold := s.reservation.end()
+		hold, charge := s.reservation.end(), q.usedTokens()
+		if s.reservation.err != nil {
+			// The turn ran on allotments, which are not returned and count as spent.
+			charge = 0
+		}
 		q.returnAllotment(ctx)
-		err := q.Archive.Settle(ctx, q.program, hold, q.usedTokens(), turn)
+		err := q.Archive.Settle(ctx, q.program, hold, charge, turn)
 		q.recordStage(stageSettle, settleStart)
 		if err != nil {
 			q.Log.Warn("cannot store the turn", zap.Int("event", eventTurn), q.idField(), zap.Error(err))
