archiver: the end of a turn that nobody waits for is charged, not stored

Cause: a turn that the store does not take in its caller's time is broken off, and its request's memory is given back, but its end went on waiting with input and output, on the host or the sequencer, without a bound.

Once nobody waits the turn is dropped and its charge alone waits. A turn counts from the end of its answer, which this caller does not see. In flight, it is dropped if the transaction fails. The charge and a copy of the turn at another host may meet: accounts are charged by open reservations since the commit before.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -299,8 +299,9 @@
 
 // Settle ends a turn. used is the number of tokens delivered to the caller; kept is
 // the turn to store, or nil. Settle returns once the store has the turn: a copy in
-// the memory of hosts would be lost if all of them lost power. If ctx ends first,
-// the error is Unavailable and the operation continues in the background.
+// the memory of hosts would be lost if all of them lost power. If ctx ends first, the
+// error is Unavailable: the turn is charged in the background, and stored only if a
+// transaction with it is in flight.
 //
 // Only then is the turn cached: a turn that continued from one that is never stored would
 // end, and have a chain with a gap once its copies in memory are lost.
@@ -356,14 +357,19 @@
 	return a.settleLocally(ctx, o)
 }
 
-// settleLocally ends a turn through this host's own Batcher.
+// settleLocally ends a turn through this host's own Batcher. If ctx ends first, the turn's caller
+// has been told that it failed, so that only its charge remains to be stored.
 func (a *Archive) settleLocally(ctx context.Context, o Operation) error {
 	operation := o
-	done := a.worker(o.Program).add(&operation)
+	w := a.worker(o.Program)
+	done := w.add(&operation)
 	select {
 	case err := <-done:
 		return err
 	case <-ctx.Done():
+		w.lock.Lock()
+		w.lane.DropTurn(&operation)
+		w.lock.Unlock()
 		return sd.Unavailable.Wrap(ctx.Err(), "turn not stored in time")
 	}
 }
--- a/archiver/charge_test.go
+++ b/archiver/charge_test.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// drop has senders give up waiting for the ends of kept turns at a batcher.
+func (m *chargeModel) drop() {
+	lane := m.lane()
+	waiting := lane.pending
+	if lane.batch != nil {
+		waiting = append(append([]*Operation{}, waiting...), lane.batch.operations...)
+	}
+	for _, o := range waiting {
+		if o.Kind == Settle && o.Turn != nil {
+			lane.DropTurn(o)
+		}
+	}
+}
+
 func (m *chargeModel) finish(ended []Completion) {
 	for _, e := range ended {
 		tr := m.turns[e.Operation]
@@ -135,6 +149,9 @@
 	if !due {
 		return false
 	}
+	if !calm && rapid.IntRange(0, 9).Draw(m.t, "given up") == 0 {
+		m.drop()
+	}
 	if m.troubled--; m.troubled < 0 {
 		m.trouble = "done"
 	}
--- a/archiver/giveup_test.go
+++ b/archiver/giveup_test.go
@@ -1,10 +1,12 @@
 package archiver
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -229,3 +231,57 @@
 		t.Fatalf("next reservation ended with %v", ended)
 	}
 }
+
+// Guards against a host that exceeds its memory while the store is away: the ends of large turns whose
+// callers were told of the failure waited for the store with all that was said.
+func TestTurnsThatAreGivenUpHoldNoMemory(t *testing.T) {
+	a := New(Settings{Retention: sd.Minute}, nil, Peers{}, sd.NewClock(), zap.NewNop())
+	program, hold := ProgramKey("w", "p"), key(1)
+	w := a.worker(program)
+	store := &modelStore{rows: map[sd.RecordKey]sd.Record{}}
+	run := func(fate func(sd.Update) (sd.Page, error)) {
+		update, due := w.lane.Next(1)
+		if !due {
+			t.Fatal("no transaction is due")
+		}
+		page, err := fate(update)
+		w.deliver(w.lane.Complete(1, page, err))
+	}
+	w.lane.Add(&Operation{Kind: Reserve, Program: program, Hold: hold, Tokens: 56, Budget: 100})
+	w.waiters[w.lane.pending[0]] = make(chan error, 1)
+	run(store.apply)
+	giveUp, cancel := context.WithCancel(t.Context())
+	cancel()
+	turn := &Turn{Program: program, Key: TurnKey("w", "t"), Input: make([]byte, 480_000)}
+	held := func() (bytes int) {
+		for _, o := range w.lane.pending {
+			if o.Turn != nil {
+				bytes += o.Turn.Size()
+			}
+		}
+		return bytes
+	}
+	if err := a.Settle(giveUp, program, hold, 14, turn); !errorx.IsOfType(err, sd.Unavailable) {
+		t.Fatalf("got %v, want Unavailable", err)
+	}
+	if held() > 0 {
+		t.Errorf("%d bytes wait for the store", held())
+	}
+	// One that is in flight as its caller leaves is dropped once the transaction has failed.
+	second := *turn
+	second.Key = TurnKey("w", "t2")
+	o := &Operation{Kind: Settle, Program: program, Hold: key(2), Turn: &second}
+	w.lane.Add(o)
+	run(func(sd.Update) (sd.Page, error) {
+		w.lane.DropTurn(o)
+		return sd.Page{}, sd.Uncertain.New("store is silent")
+	})
+	if held() > 0 {
+		t.Errorf("%d bytes wait for the store after a transaction failed", held())
+	}
+	run(store.apply)
+	account, err := DecodeAccount(store.rows[accountRecordKey(Part(program), program)].Value)
+	if err != nil || account.Spent != 14 || account.Reserved() != 0 {
+		t.Errorf("spent %d, reserved %d, %v; want the charge of the turn that was given up", account.Spent, account.Reserved(), err)
+	}
+}
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -40,6 +40,8 @@
 
 	// maybeApplied is set if a transaction with the operation may have been applied.
 	maybeApplied bool
+	// turnDropped is set if the turn is no longer to be stored.
+	turnDropped bool
 }
 
 // Completion is the result of an operation. Err is nil, BudgetExhausted, Unavailable,
@@ -114,6 +116,15 @@
 	return slices.ContainsFunc(l.pending, stores) || (l.batch != nil && slices.ContainsFunc(l.batch.operations, stores))
 }
 
+// DropTurn has a Settle that has not completed end its turn without storing it, as nobody waits for that
+// any more. A transaction that is in flight may still store it.
+func (l *Batcher) DropTurn(o *Operation) {
+	o.turnDropped = true
+	if l.batch == nil || !slices.Contains(l.batch.operations, o) {
+		o.Turn = nil
+	}
+}
+
 // Reserving returns the total limit of a program's reservations that have not completed and are not
 // abandoned, except the given one.
 func (l *Batcher) Reserving(now sd.Instant, program, except Key) sd.Tokens {
@@ -308,6 +319,11 @@
 			o.maybeApplied = true
 		}
 	}
+	for _, o := range b.operations {
+		if o.turnDropped {
+			o.Turn = nil
+		}
+	}
 	l.pending = append(b.operations, l.pending...)
 	if !conflict {
 		return nil
