archiver: copies of a cancel name its row once in a transaction

What callers could have: nothing is stored for a part of the store any more until its sequencer ends.

A reservation may be cancelled by its host and by its sequencer, and two cancels of one transaction name the row twice, which the store refuses as malformed each time it is sent.

The row, and the condition of a late reservation, are named once a transaction.

TestCopiesOfACancelNameTheirRowOnce failed before. The models' store refuses rows that are named twice now as well.

--- a/archiver/giveup_test.go
+++ b/archiver/giveup_test.go
@@ -285,3 +285,32 @@
 		t.Errorf("spent %d, reserved %d, %v; want the charge of the turn that was given up", account.Spent, account.Reserved(), err)
 	}
 }
+
+// Guards against a transaction that names a row twice, which the store refuses for good: two copies of a
+// cancel, or of a reservation whose cancel may have been dropped from the account.
+func TestCopiesOfACancelNameTheirRowOnce(t *testing.T) {
+	store := &modelStore{rows: map[sd.RecordKey]sd.Record{}}
+	program := key(0)
+	var full Account
+	for i := range maxSettledKeys {
+		full.Settle(digest("hold", "", fmt.Sprint(i)), 0)
+	}
+	_, _ = store.apply(sd.Update{Put: []sd.Record{{RecordKey: accountRecordKey("p0", program), Value: full.Encode()}}})
+	lane := &Batcher{Part: "p0"}
+	lane.Observe(1, program, full, store.version)
+	for range 2 {
+		lane.Add(&Operation{Kind: Reserve, Program: program, Hold: key(1), Tokens: 10, Budget: 100})
+	}
+	for range 2 {
+		lane.Add(&Operation{Kind: Cancel, Program: program, Hold: key(2)})
+	}
+	ended := 0
+	for update, due := lane.Next(1); due; update, due = lane.Next(1) {
+		page, err := store.apply(update)
+		ended += len(lane.Complete(1, page, err))
+	}
+	account, err := DecodeAccount(store.rows[accountRecordKey("p0", program)].Value)
+	if err != nil || ended != 4 || account.Reserved() != 10 {
+		t.Fatalf("%d operations ended, %d reserved, %v", ended, account.Reserved(), err)
+	}
+}
--- a/archiver/lane.go
+++ b/archiver/lane.go
@@ -201,11 +201,15 @@
 	}
 	b := &batch{rows: map[Key]*versionedAccount{}, written: map[Key]bool{}}
 	var update sd.Update
-	// stored holds the turns that the transaction stores.
-	stored := map[Key]bool{}
+	// stored holds the turns and the cancelled reservations for which the transaction has rows,
+	// conditional the reservations for which it has a condition. A transaction names each row once.
+	stored, conditional := map[Key]bool{}, map[Key]bool{}
 	entries, size, taken := 0, 0, 0
 	for _, o := range l.pending {
 		puts := l.operationPuts(o)
+		if o.Kind == Cancel && stored[o.Hold] {
+			puts = nil
+		}
 		bytes := 0
 		for _, put := range puts {
 			bytes += len(put.Value)
@@ -220,6 +224,9 @@
 			}
 			stored[o.Turn.Key] = true
 		}
+		if o.Kind == Cancel {
+			stored[o.Hold] = true
+		}
 		row := b.rows[o.Program]
 		if row == nil {
 			known := l.rows[o.Program]
@@ -238,7 +245,8 @@
 			update.Expect = append(update.Expect, sd.Record{RecordKey: puts[0].RecordKey})
 			entries++
 		}
-		if o.Kind == Reserve && row.account.mayHaveDropped(o.Hold) {
+		if o.Kind == Reserve && row.account.mayHaveDropped(o.Hold) && !conditional[o.Hold] {
+			conditional[o.Hold] = true
 			update.Expect = append(update.Expect, sd.Record{RecordKey: cancelRecordKey(l.Part, o.Hold)})
 			entries++
 		}
--- a/archiver/lane_test.go
+++ b/archiver/lane_test.go
@@ -1,6 +1,7 @@
 package archiver
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -18,6 +19,15 @@
 }
 
 func (o *modelStore) apply(u sd.Update) (sd.Page, error) {
+	for _, list := range [][]sd.Record{u.Expect, u.Put} {
+		named := map[sd.RecordKey]bool{}
+		for _, record := range list {
+			if named[record.RecordKey] {
+				panic(fmt.Sprintf("row %v is named twice", record.RecordKey))
+			}
+			named[record.RecordKey] = true
+		}
+	}
 	page := sd.Page{Version: o.version}
 	holds := true
 	for _, e := range u.Expect {
