archiver: texts that escapes make long go as base64 between hosts

Cause, the first of two: the end of a kept turn goes to its sequencer as JSON, in which "<", ">", "&" and control characters take six bytes each, in several copies.

A text that takes more room escaped than in base64 goes as base64, which hosts of the build before read as well.

--- a/archiver/text_test.go
+++ b/archiver/text_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -25,3 +27,15 @@
 		}
 	})
 }
+
+// Guards against a host that exceeds its memory as many large turns end at once: characters that JSON
+// escapes took six times their size in messages to the sequencer.
+func TestTextsTakeNoMoreThanBase64(t *testing.T) {
+	for _, piece := range []string{"<", "&", "\x01", "\u2028", "\"", "\n", "\\", "a", "a<", "\xff", "č", "a\nb\n", "\u2028<ab"} {
+		text := Text(strings.Repeat(piece, 3000))
+		body, err := json.Marshal(text)
+		if most := base64.StdEncoding.EncodedLen(len(text)) + len(`"b"`); err != nil || len(body) > most {
+			t.Errorf("%d times %q take %d bytes, %d at most: %v", 3000, piece, len(body), most, err)
+		}
+	}
+}
--- a/archiver/turn.go
+++ b/archiver/turn.go
@@ -1,6 +1,7 @@
 package archiver
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
@@ -73,9 +74,9 @@
 	Input, Output Text
 }
 
-// Text is the input or output of a turn, nearly always valid UTF-8. Valid UTF-8 is
-// encoded as a JSON string in messages between hosts, which is shorter than base64
-// and compresses better.
+// Text is the input or output of a turn, nearly always valid UTF-8. In messages between
+// hosts it is encoded as a JSON string, which mostly is shorter than base64 and compresses
+// better, or as base64 if it is no valid UTF-8 or takes more room escaped.
 type Text []byte
 
 // First bytes of the JSON string of a Text: plain UTF-8, or base64.
@@ -86,10 +87,27 @@
 
 // MarshalJSON implements json.Marshaler.
 func (t Text) MarshalJSON() ([]byte, error) {
-	if utf8.Valid(t) {
+	if utf8.Valid(t) && len(t)+escapes(t) <= base64.StdEncoding.EncodedLen(len(t)) {
 		return json.Marshal(string(plainText) + string(t))
 	}
-	return json.Marshal(string(otherText) + base64.StdEncoding.EncodeToString(t))
+	out := make([]byte, 0, base64.StdEncoding.EncodedLen(len(t))+3)
+	out = append(out, '"', otherText)
+	out = base64.StdEncoding.AppendEncode(out, t)
+	return append(out, '"'), nil
+}
+
+// escapes returns at least the number of bytes that a JSON string takes beyond a text.
+func escapes(text []byte) (more int) {
+	for _, b := range text {
+		switch {
+		case b == '"', b == '\\', b == '\n', b == '\r', b == '\t':
+			more++
+		case b < ' ', b == '<', b == '>', b == '&':
+			more += len(`\u0000`) - 1
+		}
+	}
+	separators := bytes.Count(text, []byte("\u2028")) + bytes.Count(text, []byte("\u2029"))
+	return more + separators*(len(`\u2028`)-len("\u2028"))
 }
 
 // UnmarshalJSON implements json.Unmarshaler. Errors include Malformed.
