messenger: a message is dropped once it was sent

Cause, the second of two: the client keeps its request, and with it the body, until the answer has ended. The end of a turn is answered once the store has it, so that every turn that waits held its message besides.

The body is a reader of our own that lets go of the bytes at its end; the length is set by hand, and nothing can be sent twice, as before.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -91,12 +90,12 @@
 	if err != nil {
 		return nil, sd.BrokenResponse.Wrap(err, "encode %s", name)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+pathPrefix+name, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+pathPrefix+name, &payload{rest: body})
 	if err != nil {
 		return nil, sd.Unavailable.Wrap(err, "address %s", to)
 	}
 	// Without GetBody the transport never sends a message a second time.
-	request.GetBody = nil
+	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -113,6 +112,21 @@
 	return response, nil
 }
 
+// payload reads a message, and drops it at its end: the request that refers to it lasts until
+// the answer has ended.
+type payload struct{ rest []byte }
+
+// Read implements io.Reader.
+func (p *payload) Read(to []byte) (int, error) {
+	if len(p.rest) == 0 {
+		p.rest = nil
+		return 0, io.EOF
+	}
+	n := copy(to, p.rest)
+	p.rest = p.rest[n:]
+	return n, nil
+}
+
 // lost types the error of a request that got no answer.
 func lost(err error, to sd.Address, name string) error {
 	var operation *net.OpError
