archiver, platform: pages of earlier turns draw on the memory of the host

Cause: a history that no host has in memory is read in pages of a megabyte. The text, the rows and the joined pieces of a page stood beside each other for each turn that waited, and the budget heard of a turn only once it was decoded.

The platform's client draws the memory of such a page on the holder of the call, beyond its first 64 KB; pages are a group of the budget. One without room is given up with an error of its own, which the relay takes for an answer of the store, and its reader waits in line for the room of a whole page, for a third of its request's time at most; then the caller gets 503. A page begins with the turn that the one before did not have whole, so that nothing is held between two. Answers to writes are always read.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // Settings of an Archive.
@@ -20,6 +21,8 @@
 	CacheCapacity sd.Bytes
 	// Retention is how long cached turns and accounts stay in memory.
 	Retention sd.Millis
+	// Budget, if set, bounds the memory of the pages of the store that are read for earlier turns.
+	Budget *reserver.Budget
 }
 
 const (
@@ -49,6 +52,8 @@
 	storing map[Key]int
 
 	suspects suspects
+	// pageTurn is held by the one that waits for room for a page of the store.
+	pageTurn chan struct{}
 	// lastReservedAt is when a reservation last got a decision from the store, in
 	// milliseconds; zero means never.
 	lastReservedAt atomic.Int64
@@ -87,7 +92,7 @@
 	a := &Archive{
 		settings: settings, store: store, peers: peers, clock: clock, log: log, started: clock.Now(),
 		cache:   Cache{Capacity: int(settings.CacheCapacity), Retention: settings.Retention},
-		storing: map[Key]int{},
+		storing: map[Key]int{}, pageTurn: make(chan struct{}, 1),
 	}
 	for i, part := range AllParts() {
 		a.workers[i] = &worker{
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -5,9 +5,11 @@
 	"slices"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // search records how a chain was looked for, for the log.
@@ -164,8 +166,10 @@
 // readProgram reads a program's turns from the store and adds them to s.
 func (a *Archive) readProgram(ctx context.Context, program Key, s *search) error {
 	part, from, to := Part(program), program.String()+"/", program.String()+"0"
+	// pieces are the rows of the turn current, of which the first has the key first.
 	var pieces []byte
 	var current Key
+	var first string
 	flush := func() {
 		if len(pieces) == 0 {
 			return
@@ -181,8 +185,14 @@
 		}
 		pieces = nil
 	}
+	pages := a.newPages()
+	defer pages.close()
 	for {
-		page, err := a.store.List(ctx, TablePrograms, part, from, to)
+		page, err := pages.list(ctx, part, from, to)
+		if errorx.IsOfType(err, reserver.Exhausted) {
+			s.full = true
+			return s.exhausted()
+		}
 		if err != nil {
 			return sd.Unavailable.Wrap(err, "cannot read the program's rows")
 		}
@@ -200,7 +210,7 @@
 			}
 			if !further {
 				flush()
-				current = key
+				current, first = key, record.Key
 			}
 			pieces = append(pieces, record.Value...)
 		}
@@ -210,7 +220,14 @@
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
-		from = page.Records[len(page.Records)-1].Key + "\x00"
+		if len(pieces) > 0 && first > from {
+			// The next page begins with the turn that is not whole yet, so that no memory is
+			// held between two pages.
+			from, pieces = first, nil
+		} else {
+			from = page.Records[len(page.Records)-1].Key + "\x00"
+		}
+		pages.processed()
 	}
 	flush()
 	return nil
--- a/relayer/order.go
+++ b/relayer/order.go
@@ -9,6 +9,7 @@
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/gossiper"
 	"sapphiredrum.example/sapphiredrum/messenger"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // Order is a call in the form in which peers pass it on.
@@ -60,9 +61,10 @@
 	return sd.Page{}, sd.Unavailable.New("empty order")
 }
 
-// definite reports whether an error is the store's own word.
+// definite reports whether an error is the store's own word, or this host's of an answer for which it
+// had no room.
 func definite(err error) bool {
-	return err == nil || errorx.IsOfType(err, sd.Conflict) || errorx.IsOfType(err, sd.NotFound)
+	return err == nil || errorx.IsOfType(err, sd.Conflict) || errorx.IsOfType(err, sd.NotFound) || errorx.IsOfType(err, reserver.Exhausted)
 }
 
 // Result is what a peer returns. A conflict comes with its page, so errors are
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -17,6 +17,7 @@
 	"sapphiredrum.example/sapphiredrum/gossiper"
 	"sapphiredrum.example/sapphiredrum/messenger"
 	"sapphiredrum.example/sapphiredrum/relayer"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // way is one host's way to the shared store, with a trouble of its own.
@@ -79,6 +80,12 @@
 
 // pair is a host and a peer that reaches the store.
 func pair(t *testing.T) (*relayer.Relay, *way, *way) {
+	r, mine, peers, _ := pairOf(t)
+	return r, mine, peers
+}
+
+// pairOf returns the peers of the host as well.
+func pairOf(t *testing.T) (*relayer.Relay, *way, *way, func(bool) []gossiper.Peer) {
 	rows := faker.NewRows(1)
 	client := messenger.NewClient(nil)
 	mine, peers := &way{store: rows}, &way{store: rows}
@@ -100,7 +107,7 @@
 	alive := func(bool) []gossiper.Peer {
 		return []gossiper.Peer{{Host: "other", Zone: "z", Address: sd.Address(listener.Addr().String())}}
 	}
-	return relayer.New(mine, alive, "z", client, clock, zap.NewNop()), mine, peers
+	return relayer.New(mine, alive, "z", client, clock, zap.NewNop()), mine, peers, alive
 }
 
 func put(key string) sd.Update {
@@ -239,3 +246,28 @@
 		t.Fatalf("the call ended %d ms after the store was back", took.Milliseconds())
 	}
 }
+
+// Guards against a host that takes the store for lost, or asks a peer for the same rows, because it has no
+// room for an answer.
+func TestAnswerWithoutRoomIsNoFailureOfTheStore(t *testing.T) {
+	_, mine, peers, alive := pairOf(t)
+	r := relayer.New(roomless{mine}, alive, "z", messenger.NewClient(nil), sd.NewClock(), zap.NewNop())
+	for range 20 {
+		if _, err := r.List(t.Context(), "t", "", "", ""); !errorx.IsOfType(err, reserver.Exhausted) {
+			t.Fatalf("got %v, want an Exhausted error", err)
+		}
+	}
+	if !r.Reaches() || mine.called() != 20 || peers.called() != 0 {
+		t.Errorf("store reached %t, %d calls, %d by the peer", r.Reaches(), mine.called(), peers.called())
+	}
+}
+
+// roomless has no room for the answers of the store.
+type roomless struct{ *way }
+
+func (s roomless) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
+	if _, err := s.way.List(ctx, table, part, from, to); err != nil {
+		return sd.Page{}, err
+	}
+	return sd.Page{}, reserver.Exhausted.New("no room")
+}
--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -1,6 +1,7 @@
 package reserver
 
 import (
+	"context"
 	"io"
 	"sync"
 
@@ -136,6 +137,19 @@
 	return &reader{source: source, holder: h, free: free, factor: factor}
 }
 
+type holderKey struct{}
+
+// WithHolder returns a context whose calls draw the memory of their answers from a holder.
+func WithHolder(ctx context.Context, h *Holder) context.Context {
+	return context.WithValue(ctx, holderKey{}, h)
+}
+
+// HolderOf returns the holder of a context, or nil.
+func HolderOf(ctx context.Context) *Holder {
+	h, _ := ctx.Value(holderKey{}).(*Holder)
+	return h
+}
+
 type reader struct {
 	source       io.Reader
 	holder       *Holder
--- a/reserver/state.go
+++ b/reserver/state.go
@@ -42,6 +42,8 @@
 	Targets
 	// Peers are messages of other hosts, and tunnels.
 	Peers
+	// Histories are pages of the store with earlier turns.
+	Histories
 )
 
 // Group is a group of holders that share a part of the budget. Requests without a key have no
--- a/starter/host.go
+++ b/starter/host.go
@@ -204,7 +204,7 @@
 	})
 	h.screener = screener.New(screener.Config{Store: h.relay, Table: platform.CrashTable, Sweeps: h.sweeps, Clock: h.clock, Log: log})
 	h.archive = archiver.New(archiver.Settings{
-		CacheCapacity: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns,
+		CacheCapacity: sd.Bytes(float64(settings.Memory) * cacheShare), Retention: keepTurns, Budget: h.budget,
 	}, h.relay, archiver.Peers{
 		Self: h.gossiper.Self, Alive: func() []gossiper.Peer { return h.gossiper.Alive(false) }, HostCount: h.gossiper.Hosts,
 		StoreUnreachable: h.relay.Away, Client: h.peers, Budgets: h.allotter,
