--- a/allotter/doc.go
+++ b/allotter/doc.go
@@ -3,13 +3,12 @@
 //
 // # Shares of a budget
 //
-// A program may be given its budget and beyond it the most that one turn is charged: its token limit in
-// whole events. That has three parts: what
-// accounts in the store may reserve, and maxStarts shares (Share) that may be allotted from
-// the memory of a host, without the store. An account reserves a turn, at the most it may be
-// charged, only if the rest of the budget holds the turn's limit and what may have been
-// allotted, whichever is more, so the sum
-// holds whatever the hosts know of each other.
+// A program may be given its budget and beyond it the most that one turn is charged, which is
+// the turn's token limit in whole events. That has three parts: what accounts in the store may
+// reserve, and maxStarts shares (Share) that may be allotted from the memory of a host, without
+// the store. An account reserves the most that a turn may be charged, and only if the rest of the
+// budget holds the turn's limit, and holds what may have been allotted. So the sum holds whatever
+// the hosts know of each other.
 //
 // # Grantors
 //
--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -52,8 +52,8 @@
 	storing map[Key]int
 
 	suspects suspects
-	// pageTurn is held by the one that waits for room for a page of the store.
-	pageTurn chan struct{}
+	// pageQueue holds the reader that is the next to get room for a page of the store.
+	pageQueue chan struct{}
 	// lastReservedAt is when a reservation last got a decision from the store, in
 	// milliseconds; zero means never.
 	lastReservedAt atomic.Int64
@@ -92,7 +92,7 @@
 	a := &Archive{
 		settings: settings, store: store, peers: peers, clock: clock, log: log, started: clock.Now(),
 		cache:   Cache{Capacity: int(settings.CacheCapacity), Retention: settings.Retention},
-		storing: map[Key]int{}, pageTurn: make(chan struct{}, 1),
+		storing: map[Key]int{}, pageQueue: make(chan struct{}, 1),
 	}
 	for i, part := range AllParts() {
 		a.workers[i] = &worker{
--- a/archiver/doc.go
+++ b/archiver/doc.go
@@ -20,7 +20,9 @@
 // account to have the version that the host last saw. On a conflict the store returns
 // the current row and the operation is applied to that. Every operation carries the
 // key of its reservation and is idempotent, so a transaction whose response was lost
-// is sent again.
+// is sent again. A turn is charged as its reservation ends: while the account lists the
+// reservation as open, the turn has not been charged, and afterwards it is not charged again,
+// whichever host settles it.
 //
 // A Batcher collects the operations of one part while a transaction is in flight, so
 // that the number of transactions does not grow with the load. All hosts therefore
--- a/archiver/pages.go
+++ b/archiver/pages.go
@@ -17,42 +17,43 @@
 	pagePause = 20 * sd.Millisecond
 )
 
-// pages reads the pages of one program within the memory of the host.
-type pages struct {
+// programPages reads the pages of one program's rows within the memory of the host.
+type programPages struct {
 	archive *Archive
 	holder  *reserver.Holder
 }
 
-func (a *Archive) newPages() *pages {
-	p := &pages{archive: a}
+// newPages returns a reader of pages, which must be closed.
+func (a *Archive) newPages() *programPages {
+	p := &programPages{archive: a}
 	p.open()
 	return p
 }
 
-func (p *pages) open() {
+func (p *programPages) open() {
 	p.holder, _ = p.archive.settings.Budget.Open(reserver.Group{Kind: reserver.Histories})
 }
 
-func (p *pages) close() { p.holder.Close() }
+func (p *programPages) close() { p.holder.Close() }
 
-// list returns a page. If there is no room for it, it waits for that as long as ctx lasts, one
-// program at a time; then the error is Exhausted.
-func (p *pages) list(ctx context.Context, part, from, to string) (sd.Page, error) {
+// list returns a page. Without room for it, it waits in line until ctx ends; then the error is
+// Exhausted.
+func (p *programPages) list(ctx context.Context, part, from, to string) (sd.Page, error) {
 	page, err := p.archive.store.List(reserver.WithHolder(ctx, p.holder), TablePrograms, part, from, to)
 	if !errorx.IsOfType(err, reserver.Exhausted) {
 		return page, err
 	}
-	if p.processed(); !p.awaitRoom(ctx) {
+	if p.release(); !p.awaitRoom(ctx) {
 		return page, err
 	}
 	return p.archive.store.List(ctx, TablePrograms, part, from, to)
 }
 
 // awaitRoom reserves the memory of a whole page. It returns false if ctx ends before there is room.
-func (p *pages) awaitRoom(ctx context.Context) bool {
+func (p *programPages) awaitRoom(ctx context.Context) bool {
 	select {
-	case p.archive.pageTurn <- struct{}{}:
-		defer func() { <-p.archive.pageTurn }()
+	case p.archive.pageQueue <- struct{}{}:
+		defer func() { <-p.archive.pageQueue }()
 	case <-ctx.Done():
 		return false
 	}
@@ -64,8 +65,8 @@
 	return true
 }
 
-// processed gives the memory of a page back.
-func (p *pages) processed() {
+// release gives the memory of a page back.
+func (p *programPages) release() {
 	p.holder.Close()
 	p.open()
 }
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -227,7 +227,7 @@
 		} else {
 			from = page.Records[len(page.Records)-1].Key + "\x00"
 		}
-		pages.processed()
+		pages.release()
 	}
 	flush()
 	return nil
--- a/archiver/sequence.go
+++ b/archiver/sequence.go
@@ -30,9 +30,10 @@
 	minRelativePower = 0.7
 )
 
-// ReserveRequest asks the sequencer of a program's part to reserve a turn's limit.
+// ReserveRequest asks the sequencer of a program's part to reserve tokens for a turn.
 type ReserveRequest struct {
 	Program, Hold Key
+	// Limit is the most that the turn may be charged, Budget what the account may reserve with it.
 	Limit, Budget sd.Tokens
 	// Abandoned lists reservations for the same turn that lost sequencers may have made.
 	Abandoned []Key `json:"GivenUp"`
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, sd.Unavailable.Wrap(err, "address %s", to)
 	}
-	// Without GetBody the transport never sends a message a second time.
+	// The transport knows neither the length of a payload nor how to send one a second time.
 	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
@@ -119,11 +119,12 @@
 // Read implements io.Reader.
 func (p *payload) Read(to []byte) (int, error) {
 	if len(p.rest) == 0 {
-		p.rest = nil
 		return 0, io.EOF
 	}
 	n := copy(to, p.rest)
-	p.rest = p.rest[n:]
+	if p.rest = p.rest[n:]; len(p.rest) == 0 {
+		p.rest = nil
+	}
 	return n, nil
 }
 
