--- a/receiver/account_test.go
+++ b/receiver/account_test.go
@@ -30,6 +30,28 @@
 	}
 }
 
+// awaitSpent waits until a program's account has exactly so many tokens spent and none reserved. A
+// caller may see its stream cut before the turn begins to be settled.
+func (b *bench) awaitSpent(program sd.ProgramID, want sd.Tokens) {
+	b.t.Helper()
+	key := archiver.ProgramKey(b.receiver.RoutingTable().FleetConfig.Workspaces[0].ID, program)
+	var account archiver.Account
+	for range 200 {
+		row := b.rows.Row(sd.RecordKey{Table: archiver.TablePrograms, Part: archiver.Part(key), Key: key.String() + "/"})
+		if row.Version > 0 {
+			var err error
+			if account, err = archiver.DecodeAccount(row.Value); err != nil {
+				b.t.Fatal(err)
+			}
+			if account.Spent == want && account.Reserved() == 0 {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.t.Fatalf("%d spent and %d reserved after 2 s, want %d and none", account.Spent, account.Reserved(), want)
+}
+
 // On a planned stop, WaitSettled must return true only once the token usage of all
 // finished turns is recorded.
 func TestAccountsAreWrittenBeforeAHostEnds(t *testing.T) {
@@ -175,7 +197,7 @@
 			status, _, text, _ := b.ask("POST", "/ask/x", fmt.Sprint("a", i), "x", header...)
 			total += strings.Count(text, "data:") * 14
 			refused = status == 402
-			b.waitSettled()
+			b.awaitSpent("p", sd.Tokens(total))
 		}
 		// The first turn takes 140 tokens whole, the second the event that the rest holds.
 		if total != 154 || !refused {
