--- a/archiver/pages_test.go
+++ b/archiver/pages_test.go
@@ -85,7 +85,7 @@
 				last := archiver.TurnKey("w", sd.CallID(fmt.Sprint(p, turns-1)))
 				chain, err := a.Chain(ctx, archiver.ProgramKey("w", sd.ProgramID(fmt.Sprint(p))), last)
 				if err == nil && len(chain) != turns {
-					err = fmt.Errorf("%d turns found", len(chain))
+					err = sd.NotFound.New("%d turns found", len(chain))
 				}
 				errs <- err
 			}()
