archiver: a turn of a large program is read by its key

Cause: all rows of the program were read in the order of their keys, and each turn was charged to the request, also those outside of its chain. The search ended as the request had no more memory.

Now only the turns of the chain are charged. The first page is read as before, which is all of most programs; a turn of a larger program is read by its key, and every 16 of these are followed by a page, for long chains of short turns.

Test: TestTurnsOfLargeProgramsAreFound failed before ("no memory for the turns of the program, 3 were read", for the first turn). TestLongChainsAreReadByPages bounds what long chains cost.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -48,6 +48,8 @@
 	workers   [Parts]*worker
 	cacheLock sync.Mutex
 	cache     Cache
+	// large holds programs whose rows take more than a page.
+	large map[Key]bool
 	// storing counts the calls of Settle that are storing a turn.
 	storing map[Key]int
 
@@ -91,8 +93,8 @@
 func New(settings Settings, store sd.Store, peers Peers, clock sd.Clock, log *zap.Logger) *Archive {
 	a := &Archive{
 		settings: settings, store: store, peers: peers, clock: clock, log: log, started: clock.Now(),
-		cache:   Cache{Capacity: int(settings.CacheCapacity), Retention: settings.Retention},
-		storing: map[Key]int{}, pageQueue: make(chan struct{}, 1),
+		cache: Cache{Capacity: int(settings.CacheCapacity), Retention: settings.Retention},
+		large: map[Key]bool{}, storing: map[Key]int{}, pageQueue: make(chan struct{}, 1),
 	}
 	for i, part := range AllParts() {
 		a.workers[i] = &worker{
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -14,9 +14,9 @@
 
 // search records how a chain was looked for, for the log.
 type search struct {
-	// read holds the turns found, programs the programs whose rows were read.
+	// read holds the turns found, programs the programs whose rows are being read.
 	read     map[Key]*Turn
-	programs map[Key]bool
+	programs map[Key]*programRows
 	// rows counts the turns read from the store, version is the newest version of the
 	// store that a read reported.
 	rows    int
@@ -44,7 +44,7 @@
 // when the cache evicts them. If reserve returns false, the error is Unavailable.
 func (a *Archive) ChainWithin(ctx context.Context, program, last Key, reserve func(n int) bool) ([]*Turn, error) {
 	var chain []*Turn
-	s := &search{read: map[Key]*Turn{}, programs: map[Key]bool{}, reserve: reserve}
+	s := &search{read: map[Key]*Turn{}, programs: map[Key]*programRows{}, reserve: reserve}
 	for key, of := last, program; key != (Key{}); {
 		t := s.read[key]
 		if t == nil {
@@ -109,21 +109,19 @@
 			return nil
 		}
 	}
-	if !s.programs[program] {
-		s.programs[program] = true
+	if s.programs[program] == nil {
 		for _, at := range []sd.Address{a.cacher(program), a.sequencer(program)} {
 			if at == "" {
 				continue
 			}
 			a.recallFrom(ctx, at, turn, s)
 			if s.read[turn] != nil {
-				s.programs[program] = false
 				return nil
 			}
 		}
-		if err := a.readProgram(ctx, program, s); err != nil || s.read[turn] != nil {
-			return err
-		}
+	}
+	if err := a.readTurn(ctx, program, turn, s); err != nil || s.read[turn] != nil {
+		return err
 	}
 	other, found, err := a.findProgram(ctx, turn)
 	if err != nil {
@@ -133,7 +131,7 @@
 	if !found {
 		return a.recallMissing(ctx, turn, s)
 	}
-	if err := a.readProgram(ctx, other, s); err != nil {
+	if err := a.readTurn(ctx, other, turn, s); err != nil {
 		return err
 	}
 	if s.read[turn] == nil {
@@ -163,9 +161,71 @@
 	return sd.NotFound.New("turn %s not found in the store or at any of %d hosts", turn, answered+1)
 }
 
-// readProgram reads a program's turns from the store and adds them to s.
-func (a *Archive) readProgram(ctx context.Context, program Key, s *search) error {
-	part, from, to := Part(program), program.String()+"/", program.String()+"0"
+// programRows is how far the rows of a program were read.
+type programRows struct {
+	// next is the first key that was not read, or empty at the end.
+	next string
+	// single counts the turns that were read by their keys.
+	single int
+}
+
+const (
+	// singlesPerPage is the number of turns that are read by their keys before the next page of a
+	// program is read: the chain may be long, and its turns short.
+	singlesPerPage = 16
+	// maxLargePrograms is the number of programs that a host remembers to have more rows than a page.
+	maxLargePrograms = 4096
+)
+
+// readTurn looks for a turn in the rows of a program and adds it to s. Other turns that it reads
+// are only cached. The first page of a program's rows, which mostly are all, is read first; a turn of a
+// larger program is read by its key.
+func (a *Archive) readTurn(ctx context.Context, program, turn Key, s *search) error {
+	rows := s.programs[program]
+	if rows == nil {
+		rows = &programRows{next: program.String() + "/"}
+		if a.isLarge(program) {
+			rows.single++
+		}
+		s.programs[program] = rows
+	}
+	if rows.next != "" && rows.single%singlesPerPage == 0 {
+		next, err := a.readRows(ctx, program, rows.next, program.String()+"0", false, turn, s)
+		if err != nil {
+			return err
+		}
+		if rows.next = next; next != "" {
+			a.rememberLarge(program)
+		}
+		if s.read[turn] != nil {
+			return nil
+		}
+	}
+	rows.single++
+	first := turnRecordName(&Turn{Program: program, Key: turn})
+	_, err := a.readRows(ctx, program, first, first+"/", true, turn, s)
+	return err
+}
+
+// isLarge reports whether the rows of a program are known to take more than a page.
+func (a *Archive) isLarge(program Key) bool {
+	a.cacheLock.Lock()
+	defer a.cacheLock.Unlock()
+	return a.large[program]
+}
+
+func (a *Archive) rememberLarge(program Key) {
+	a.cacheLock.Lock()
+	defer a.cacheLock.Unlock()
+	if len(a.large) >= maxLargePrograms {
+		clear(a.large)
+	}
+	a.large[program] = true
+}
+
+// readRows reads a page of a program's rows, or all of them, and adds the turn to s if it is there. It
+// returns the first key that was not read, or an empty one at the end.
+func (a *Archive) readRows(ctx context.Context, program Key, from, to string, all bool, turn Key, s *search) (string, error) {
 	// pieces are the rows of the turn current, of which the first has the key first.
 	var pieces []byte
 	var current Key
@@ -179,7 +239,9 @@
 			a.log.Error("cannot decode stored turn", zap.Int("event", eventMalformed), zap.Stringer("program", program),
 				zap.Stringer("turn", current), zap.Error(err))
 		} else {
-			s.add(t)
+			if current == turn {
+				s.add(t)
+			}
 			s.rows++
 			a.cacheTurn(t)
 		}
@@ -188,13 +250,13 @@
 	pages := a.newPages()
 	defer pages.close()
 	for {
-		page, err := pages.list(ctx, part, from, to)
+		page, err := pages.list(ctx, Part(program), from, to)
 		if errorx.IsOfType(err, reserver.Exhausted) {
 			s.full = true
-			return s.exhausted()
+			return from, s.exhausted()
 		}
 		if err != nil {
-			return sd.Unavailable.Wrap(err, "cannot read the program's rows")
+			return from, sd.Unavailable.Wrap(err, "cannot read the program's rows")
 		}
 		s.version = max(s.version, page.Version)
 		for _, record := range page.Records {
@@ -215,22 +277,24 @@
 			pieces = append(pieces, record.Value...)
 		}
 		if s.full {
-			return s.exhausted()
+			return from, s.exhausted()
 		}
 		if !page.More || len(page.Records) == 0 {
-			break
+			flush()
+			return "", nil
 		}
 		if len(pieces) > 0 && first > from {
 			// The next page begins with the turn that is not whole yet, so that no memory is
 			// held between two pages.
 			from, pieces = first, nil
+			if !all {
+				return from, nil
+			}
 		} else {
 			from = page.Records[len(page.Records)-1].Key + "\x00"
 		}
 		pages.release()
 	}
-	flush()
-	return nil
 }
 
 func (a *Archive) observeRecord(program Key, record sd.Record) {
