messenger: the body of an answer is encoded once

A host that answers another one encoded the body of its answer, and then once more as a part of the message around it. For turns with long inputs both copies are in memory while the answer is sent. The body is now written as it is. What goes over the wire is the same, byte by byte.

--- a/messenger/server.go
+++ b/messenger/server.go
@@ -23,10 +23,27 @@
 			return c.JSON(http.StatusOK, seal(nil, err))
 		}
 		body, err := answer(c.Request().Context(), request)
-		return c.JSON(http.StatusOK, seal(body, err))
+		return send(c, seal(body, err))
 	})
 }
 
+// send writes an answer. Its body is written as it is, as encoding it again would take its size in
+// memory once more.
+func send(c echo.Context, sealed envelope) error {
+	if len(sealed.Body) == 0 {
+		return c.JSON(http.StatusOK, sealed)
+	}
+	response := c.Response()
+	response.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	response.WriteHeader(http.StatusOK)
+	for _, part := range [][]byte{[]byte(`{"body":`), sealed.Body, []byte("}\n")} {
+		if _, err := response.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Stream registers the function that answers the named message with frames. An
 // error of the function ends the stream and reaches the asking peer.
 func Stream[Q, F any](router Router, name string, answer func(ctx context.Context, request Q, send func(F) error) error) {
