archiver: turns that other hosts ask for draw on the memory of the host

Cause: what answers with turns take while they are encoded and sent was not accounted for.

The host now draws it on its budget, in the group of the pages of the store, and sends the newest turns for which there is room. Without room for the first it answers as it does for a turn that is not stored yet: a host that asks, of this build or an older one, then reads the store, and never takes the turn for unknown.

Test: TestRecalledTurnsAreSentWithinTheBudget failed before (115,240,920 bytes at once, 13,981,013 at most).

--- a/archiver/recall.go
+++ b/archiver/recall.go
@@ -8,6 +8,7 @@
 
 	sd "sapphiredrum.example/sapphiredrum"
 	"sapphiredrum.example/sapphiredrum/messenger"
+	"sapphiredrum.example/sapphiredrum/reserver"
 )
 
 // RecallRequest asks a host for a turn and its predecessors, as far as they are cached.
@@ -16,18 +17,25 @@
 // RecallResponse is the response to RecallRequest, newest turn first.
 type RecallResponse struct {
 	Turns []*Turn
-	// Storing is set if the host has yet to store the turn.
+	// Storing is set if the host has yet to store the turn, or has no memory to send it.
 	Storing bool
 }
 
-// handleRecall returns a turn and its predecessors, as far as they are cached here.
-func (a *Archive) handleRecall(_ context.Context, request RecallRequest) (RecallResponse, error) {
+// handleRecall returns a turn and its predecessors, as far as they are cached here and this host has
+// memory to encode them. ctx ends once the answer was sent.
+func (a *Archive) handleRecall(ctx context.Context, request RecallRequest) (RecallResponse, error) {
 	answer := RecallResponse{Storing: a.isStoring(request.Turn)}
+	holder, _ := a.settings.Budget.Open(reserver.Group{Kind: reserver.Histories})
+	context.AfterFunc(ctx, holder.Close)
 	for key := request.Turn; key != (Key{}) && len(answer.Turns) < maxChainLength; {
 		t := a.cachedTurn(key)
 		if t == nil {
 			break
 		}
+		if !holder.Reserve(reserver.MessageFactor * t.Size()) {
+			answer.Storing = answer.Storing || len(answer.Turns) == 0
+			break
+		}
 		answer.Turns = append(answer.Turns, t)
 		key = t.Previous
 	}
