allotter: a planned stop records what the host has allotted

Cause: what a start of a grantor has allotted is in memory alone, so a start that has ended counts as a share, a fifth of the budget, of every program. A planned stop was excepted only if the host had allotted nothing at all, and a few turns run on allotments whenever a neighbour restarts.

A host that stops as planned now writes what it has allotted, to 128 programs at most, into its entry. Such a start counts by that. All starts of a grantor allot two shares at most, as before. Earlier builds pass over the new fields and count the start as they did.

Test: TestPlannedStopsHoldBackWhatTheyAllotted failed before ("not in time: other programs may use their whole budgets").

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -193,18 +193,18 @@
 		update.Put = append(update.Put, sd.Record{RecordKey: a.key(fleetKey), Value: emptyValue})
 	}
 	page, err := a.config.Store.Commit(ctx, update)
-	a.config.Log.Info("entry of this host written", zap.Int("event", eventEntry), zap.Int("starts", e.Starts), zap.Int("phase", int(e.Phase)), zap.Error(err))
+	a.config.Log.Info("entry of this host written", zap.Int("event", eventEntry), zap.Int("starts", e.Starts), zap.Int("recorded", e.Recorded),
+		zap.Int("programs", len(e.Allotted)), zap.Int("phase", int(e.Phase)), zap.Error(err))
 	if err == nil {
 		put.Version = page.Version
 		a.Change([]sd.Record{put})
 	}
 }
 
-// Leave is called when this host stops. It allots nothing more; if it never did, its next
-// start counts as the first.
+// Leave is called when this host stops. It allots nothing more, and records what it has allotted.
 func (a *Allotter) Leave(ctx context.Context) {
 	a.lock.Lock()
-	e, due := a.state.Leave()
+	e, due := a.state.Leave(a.config.Clock.Now())
 	a.lock.Unlock()
 	if due {
 		a.putEntry(ctx, e)
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -330,6 +330,40 @@
 	}
 }
 
+// Guards against turns that are refused though their budgets hold them, after planned restarts of hosts
+// that have allotted something: each such start was taken to have allotted a share to every program.
+func TestPlannedStopsHoldBackWhatTheyAllotted(t *testing.T) {
+	const stops, part = 4, sd.Tokens(30)
+	f := newFleet(t, 2)
+	f.settle()
+	busy := program("busy")
+	for n := range stops {
+		f.eventually("the grantor allots", func() bool {
+			got, err := f.hosts[0].Allot(t.Context(), busy, budget, part, part)
+			return err == nil && got.Tokens == part
+		})
+		for i := range f.hosts {
+			f.hosts[i].Leave(t.Context())
+			f.start(i)
+		}
+		f.eventually("other programs may use their whole budgets", func() bool {
+			for i := range 4 {
+				p := program(sd.ProgramID(fmt.Sprint("p", n, i)))
+				if rest, err := f.hosts[i%2].Close(t.Context(), p, budget, archiver.NewDemand(limit, 1), budget); err != nil || rest != budget {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for i := range f.hosts {
+		want := budget + limit - stops*part
+		if rest, err := f.hosts[i].Close(t.Context(), busy, budget, archiver.NewDemand(limit, 1), budget); err != nil || rest != want {
+			t.Errorf("%d may be reserved of the budget that was allotted from, want %d; %v", rest, want, err)
+		}
+	}
+}
+
 // A program whose grantor is gone is told so at once, and gets nothing from others.
 func TestLostGrantorIsNotReplaced(t *testing.T) {
 	f := newFleet(t, 3)
--- a/allotter/doc.go
+++ b/allotter/doc.go
@@ -23,7 +23,9 @@
 //
 // The grantor counts what it has allotted in memory only. A host that starts again has
 // lost the count, so its entry holds how often it has started: each start within
-// programLife has a share of its own, and the third allots nothing.
+// programLife has a share of its own, and the third allots nothing. A host that stops as planned
+// writes to its entry what it has allotted, if that was to no more than maxRecorded programs; such
+// a start counts by that. All starts together allot maxStarts shares at most.
 //
 // # Closing
 //
--- a/allotter/state.go
+++ b/allotter/state.go
@@ -1,6 +1,8 @@
 package allotter
 
 import (
+	"maps"
+
 	"github.com/cespare/xxhash/v2"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -14,6 +16,8 @@
 	shareDivisor = 5
 	// maxStarts is the number of starts of a host within programLife that have a share.
 	maxStarts = 2
+	// maxRecorded is the number of programs in an entry whose allotments are recorded.
+	maxRecorded = 128
 	// programLife is longer than any program runs.
 	programLife = sd.Hour
 	// leaseTime is how old a host's copy of the table may be. It bounds the outages in which
@@ -60,16 +64,29 @@
 	// one included.
 	Starts int   `json:"starts"`
 	Phase  Phase `json:"phase"`
+	// Recorded is the number of those starts that ended as planned, and Allotted all that these have
+	// allotted. Earlier builds take them for starts that may have allotted whole shares.
+	Recorded int                        `json:"recorded,omitempty"`
+	Allotted map[archiver.Key]sd.Tokens `json:"allotted,omitempty"`
 	// unreadable is set in place of an entry that cannot be decoded.
 	unreadable bool
 }
 
-// mayHaveAllotted is the most that the host's starts may have allotted of a budget.
-func (e Entry) mayHaveAllotted(budget sd.Tokens) sd.Tokens {
+// mayHaveAllotted is the most that the host's starts may have allotted of a program's budget.
+func (e Entry) mayHaveAllotted(program archiver.Key, budget sd.Tokens) sd.Tokens {
 	if e.Phase != Settled {
 		return 0
 	}
-	return sd.Tokens(min(e.Starts, maxStarts)) * Share(budget)
+	return e.allottedBy(e.unrecorded(), program, budget)
+}
+
+// unrecorded is the number of starts of which is not known what they have allotted.
+func (e Entry) unrecorded() int { return e.Starts - e.Recorded }
+
+// allottedBy is the most that so many starts may have allotted of a program's budget, and those that
+// are recorded. All starts together allot no more than maxStarts shares.
+func (e Entry) allottedBy(starts int, program archiver.Key, budget sd.Tokens) sd.Tokens {
+	return min(e.Allotted[program]+sd.Tokens(min(starts, maxStarts))*Share(budget), maxStarts*Share(budget))
 }
 
 // joins reports whether the host waits for the programs of others to end.
@@ -172,22 +189,41 @@
 		own.Phase = Settled
 		return own, true
 	case own.Starts > 1 && now.Since(s.startedAt) >= programLife:
-		own.Starts = 1
+		own.Starts, own.Recorded, own.Allotted = 1, 0, nil
 		return own, true
 	}
 	return Entry{}, false
 }
 
-// Leave ends the allotments of a host that stops. It returns the entry to write if this
-// start needs no share, as it has allotted nothing.
-func (s *State) Leave() (Entry, bool) {
+// Leave ends the allotments of a host that stops. It returns the entry to write, in which this start
+// no longer counts, or counts by what it has allotted. If that was to too many programs, there is none.
+func (s *State) Leave(now sd.Instant) (Entry, bool) {
 	own := s.entries[s.host]
 	again := s.left
 	s.left = true
-	if again || own.Incarnation != s.incarnation || own.Phase != Settled || len(s.allotted) > 0 {
+	if again || own.Incarnation != s.incarnation || own.Phase != Settled {
 		return Entry{}, false
 	}
-	own.Starts--
+	all := maps.Clone(own.Allotted)
+	if all == nil {
+		all = map[archiver.Key]sd.Tokens{}
+	}
+	some := false
+	for program, known := range s.allotted {
+		if known.tokens > 0 && now.Since(known.at) < programLife {
+			all[program] += known.tokens
+			some = true
+		}
+	}
+	switch {
+	case !some:
+		own.Starts--
+	case len(all) > maxRecorded:
+		return Entry{}, false
+	default:
+		own.Recorded++
+		own.Allotted = all
+	}
 	return own, true
 }
 
@@ -247,7 +283,7 @@
 	if !s.fresh(now) || e.unreadable || len(unchanged) == 0 {
 		return 0, nil, false
 	}
-	return reservable(budget, demand, e.mayHaveAllotted(budget)), unchanged, true
+	return reservable(budget, demand, e.mayHaveAllotted(program, budget)), unchanged, true
 }
 
 // settled reports whether this host may have allotted tokens in this start, and has read the
@@ -261,11 +297,13 @@
 // Allot allots up to the wanted number of tokens to a program, and at least the given
 // one. It returns zero if this host must not, or has too little left.
 func (s *State) Allot(now sd.Instant, program archiver.Key, budget, atLeast, wanted sd.Tokens) sd.Tokens {
-	if !s.settled(now) || s.Grantor(program) != s.host || s.entries[s.host].Starts > maxStarts || s.closed[program] {
+	own := s.entries[s.host]
+	if !s.settled(now) || s.Grantor(program) != s.host || own.unrecorded() > maxStarts || s.closed[program] {
 		return 0
 	}
 	before := s.allotted[program].tokens
-	tokens := min(wanted, Share(budget)-before)
+	left := maxStarts*Share(budget) - own.allottedBy(own.unrecorded()-1, program, budget)
+	tokens := min(wanted, min(Share(budget), left)-before)
 	if tokens <= 0 || tokens < atLeast {
 		return 0
 	}
@@ -300,6 +338,6 @@
 		return 0, nil, false
 	}
 	s.closed[program] = true
-	earlier := sd.Tokens(min(s.entries[s.host].Starts-1, maxStarts))
-	return s.allotted[program].tokens + earlier*Share(budget), joining, true
+	own := s.entries[s.host]
+	return s.allotted[program].tokens + own.allottedBy(own.unrecorded()-1, program, budget), joining, true
 }
