archiver: a program whose rows are all on a page is read once for an unknown turn

Since a turn that is not in its caller's program, as in one that goes on from a turn of another program, took a read by its key after the page that had all rows already: one call of the store more.

Test: TestUnknownTurnTakesOneReadOfASmallProgram failed before (2 pages, want one).

--- a/archiver/large_test.go
+++ b/archiver/large_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	sd "sapphiredrum.example/sapphiredrum"
@@ -12,7 +13,7 @@
 	"sapphiredrum.example/sapphiredrum/faker"
 )
 
-// countedStore counts the pages that are read, and the bytes of their rows.
+// countedStore counts the pages of programs that are read, and the bytes of their rows.
 type countedStore struct {
 	*faker.Rows
 	pages, bytes int
@@ -20,6 +21,9 @@
 
 func (s *countedStore) List(ctx context.Context, table, part, from, to string) (sd.Page, error) {
 	page, err := s.Rows.List(ctx, table, part, from, to)
+	if table != archiver.TablePrograms {
+		return page, err
+	}
 	s.pages++
 	for _, record := range page.Records {
 		s.bytes += len(record.Value)
@@ -114,3 +118,16 @@
 		t.Errorf("%d pages were read, %d at most", store.pages, most)
 	}
 }
+
+// Guards against a turn that is not in its caller's program, as in one that goes on from another, and takes two
+// reads of a program whose rows are all on a page.
+func TestUnknownTurnTakesOneReadOfASmallProgram(t *testing.T) {
+	store := &countedStore{Rows: faker.NewRows(1)}
+	program := archiver.ProgramKey("w", "p")
+	storeTurns(t, store, program, [][]byte{make([]byte, 1000)}, func(int) int { return -1 })
+	a := archiver.New(archiver.Settings{CacheCapacity: 1 << 20, Retention: sd.Minute}, store, archiver.Peers{}, sd.NewClock(), zap.NewNop())
+	_, err := a.Chain(t.Context(), program, archiver.TurnKey("w", "unknown"))
+	if !errorx.IsOfType(err, sd.NotFound) || store.pages != 1 {
+		t.Errorf("%d pages were read, want one; %v", store.pages, err)
+	}
+}
--- a/archiver/read.go
+++ b/archiver/read.go
@@ -185,6 +185,7 @@
 	if rows == nil {
 		rows = &programRows{next: program.String() + "/"}
 		if a.isLarge(program) {
+			// The first page is not likely to have the turn.
 			rows.single++
 		}
 		s.programs[program] = rows
@@ -197,7 +198,7 @@
 		if rows.next = next; next != "" {
 			a.rememberLarge(program)
 		}
-		if s.read[turn] != nil {
+		if s.read[turn] != nil || next == "" && rows.single == 0 {
 			return nil
 		}
 	}
