allotter: the model bounds again how many starts may allot without a record

Cause: replaced the model's check that two starts at most allot to a program by one of two shares in all. That was weaker: a third start after kills could have allotted what was left of the two shares.

The model asks for both now: two shares in all, and two starts at most that ended without a record. Without planned stops that have allotted something it is the check from before.

--- a/allotter/model_test.go
+++ b/allotter/model_test.go
@@ -49,9 +49,11 @@
 	// that host have allotted and not had back.
 	grantor  sd.HostID
 	allotted map[sd.Incarnation]sd.Tokens
-	// recorded is what starts have allotted to the program that ended as planned and said so.
-	recorded sd.Tokens
-	turns    int
+	// recorded is what starts have allotted to the program that ended as planned and said so, and
+	// recordedStarts how many of those that have allotted to it did.
+	recorded       sd.Tokens
+	recordedStarts int
+	turns          int
 	// returns are messages under way.
 	returns []modelReturn
 	born    int
@@ -306,7 +308,8 @@
 	for _, tokens := range m.allotted {
 		total += tokens
 	}
-	if m.grantor != grantor.State.host || total > maxStarts*Share(m.budget) || m.allotted[grantor.incarnation] > Share(m.budget) {
+	unrecorded := len(m.allotted) - m.recordedStarts
+	if m.grantor != grantor.State.host || unrecorded > maxStarts || total > maxStarts*Share(m.budget) || m.allotted[grantor.incarnation] > Share(m.budget) {
 		m.t.Fatalf("host %s has allotted to a program of %s; the starts of that have allotted %v", grantor.State.host, m.grantor, m.allotted)
 	}
 	m.deliver(used)
@@ -344,7 +347,7 @@
 	m.turns++
 	m.program = archiver.ProgramKey("w", sd.ProgramID(fmt.Sprint("p", m.turns)))
 	m.account, m.delivered, m.longest, m.overrun, m.begun = &archiver.Account{}, 0, 0, 0, m.now
-	m.grantor, m.allotted, m.recorded = "", map[sd.Incarnation]sd.Tokens{}, 0
+	m.grantor, m.allotted, m.recorded, m.recordedStarts = "", map[sd.Incarnation]sd.Tokens{}, 0, 0
 	m.budget = rapid.SampledFrom([]sd.Tokens{500, 500, 200, 137}).Draw(m.t, "budget")
 	m.event = rapid.SampledFrom([]sd.Tokens{1, 14, 14, 60}).Draw(m.t, "tokens per event")
 	for _, h := range m.hosts {
@@ -459,6 +462,9 @@
 	}
 	if m.apply(e, h.versions[h.host]); m.entries[e.Host].Incarnation == e.Incarnation && m.entries[e.Host].Recorded == e.Recorded {
 		m.recorded += h.State.allotted[m.program].tokens
+		if _, has := m.allotted[e.Incarnation]; has {
+			m.recordedStarts++
+		}
 	}
 }
 
